Lay out the workspace, identifiers, tables and peer messages

Cause: the modules are written side by side, so their shared types must exist first. docs/design.md fixes the modules, state, messages and failure handling; the skeleton holds identifiers, errors, tables, units, time, shards and the prost messages. Ruled out: generating the messages from a .proto file, because prost's derive macros need no generator and the build stays self-contained.

Before: nothing.

--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/audit/mod.rs
@@ -0,0 +1,1 @@
+//! The audit trail of changes.
--- /dev/null
+++ b/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Claims of idempotency keys in the object store.
--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,1 @@
+//! The subcommands of the command line.
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! The tables in force: storage, watching, adoption and editing.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The HTTP endpoints for callers.
--- /dev/null
+++ b/src/error/mod.rs
@@ -0,0 +1,99 @@
+//! The error type of the crate.
+
+mod error_kind;
+mod run_state;
+
+use std::fmt;
+use std::time::Duration;
+
+pub use error_kind::ErrorKind;
+pub use run_state::RunState;
+
+/// A result whose error is [`Error`].
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// An error with its kind, what happened, and what the reader can do about it.
+///
+/// The type is one pointer wide, so that results stay small on the request path.
+pub struct Error {
+    inner: Box<ErrorInner>,
+}
+
+struct ErrorInner {
+    kind: ErrorKind,
+    detail: String,
+    run_state: RunState,
+    retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// Creates an error whose run state is "not run".
+    #[must_use]
+    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        Self {
+            inner: Box::new(ErrorInner {
+                kind,
+                detail: detail.into(),
+                run_state: RunState::NotRun,
+                retry_after: None,
+            }),
+        }
+    }
+
+    /// Replaces the run state.
+    #[must_use]
+    pub fn with_run_state(mut self, run_state: RunState) -> Self {
+        self.inner.run_state = run_state;
+        self
+    }
+
+    /// States the time after which a retry makes sense.
+    #[must_use]
+    pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.inner.retry_after = Some(retry_after);
+        self
+    }
+
+    /// Returns the kind.
+    #[must_use]
+    pub fn kind(&self) -> ErrorKind {
+        self.inner.kind
+    }
+
+    /// Borrows the description of this one occurrence.
+    #[must_use]
+    pub fn detail(&self) -> &str {
+        &self.inner.detail
+    }
+
+    /// Returns whether the request ran at an upstream.
+    #[must_use]
+    pub fn run_state(&self) -> RunState {
+        self.inner.run_state
+    }
+
+    /// Returns the time after which a retry makes sense, if one is known.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.inner.retry_after
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.inner.kind, self.inner.detail)
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Error")
+            .field("kind", &self.inner.kind)
+            .field("detail", &self.inner.detail)
+            .field("run_state", &self.inner.run_state)
+            .field("retry_after", &self.inner.retry_after)
+            .finish()
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/src/id/request_id.rs
@@ -0,0 +1,41 @@
+use std::fmt;
+use std::str::FromStr;
+
+use crate::error::{Error, ErrorKind};
+
+/// Identifies one request of a caller across all instances that work on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestId(u128);
+
+impl RequestId {
+    /// Wraps a number drawn by the entry.
+    #[must_use]
+    pub const fn from_u128(number: u128) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    #[must_use]
+    pub const fn to_u128(self) -> u128 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        u128::from_str_radix(text, 16).map(Self).map_err(|error| {
+            Error::new(
+                ErrorKind::BadRequest,
+                format!("request id {text:?}: {error}"),
+            )
+        })
+    }
+}
--- /dev/null
+++ b/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Membership: live instances from the platform's list and from heartbeats.
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! Wires the parts of a node together, from startup to graceful shutdown.
--- /dev/null
+++ b/src/owner/mod.rs
@@ -0,0 +1,1 @@
+//! Ownership of upstreams and the work that owners do.
--- /dev/null
+++ b/src/permit/mod.rs
@@ -0,0 +1,1 @@
+//! Load permits: the holder that grants them and its client.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! The settings of a process.
--- /dev/null
+++ b/src/table/adapter_rule.rs
@@ -0,0 +1,71 @@
+use std::fmt;
+use std::str::FromStr;
+
+use crate::error::{Error, ErrorKind};
+use crate::id::AdapterRef;
+
+/// An adapter, or a family of adapters with a common prefix, that a route accepts.
+///
+/// The text form is `name@version` or `prefix*@version`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AdapterRule {
+    prefix: String,
+    is_family: bool,
+    version: String,
+}
+
+impl AdapterRule {
+    /// Returns whether the rule accepts an adapter name, whatever the version.
+    #[must_use]
+    pub fn is_match(&self, name: &str) -> bool {
+        if self.is_family {
+            name.starts_with(&self.prefix)
+        } else {
+            name == self.prefix
+        }
+    }
+
+    /// Borrows the version that the rule accepts.
+    #[must_use]
+    pub fn version(&self) -> &str {
+        &self.version
+    }
+}
+
+impl fmt::Display for AdapterRule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let star = if self.is_family { "*" } else { "" };
+        write!(f, "{}{star}@{}", self.prefix, self.version)
+    }
+}
+
+impl FromStr for AdapterRule {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let (name, version) = text.split_once('@').ok_or_else(|| {
+            Error::new(
+                ErrorKind::Table,
+                format!("adapter {text:?}: write name@version or prefix*@version"),
+            )
+        })?;
+        let (prefix, is_family) = name
+            .strip_suffix('*')
+            .map_or((name, false), |prefix| (prefix, true));
+        // A family may have an empty prefix; any other name goes through the checks of a reference.
+        let checked = AdapterRef::new(
+            if prefix.is_empty() && is_family {
+                "any"
+            } else {
+                prefix
+            },
+            version,
+        );
+        checked.map_err(|error| Error::new(ErrorKind::Table, error.detail()))?;
+        Ok(Self {
+            prefix: prefix.to_owned(),
+            is_family,
+            version: version.to_owned(),
+        })
+    }
+}
--- /dev/null
+++ b/src/table/mod.rs
@@ -0,0 +1,25 @@
+//! The two tables that operators edit: routes and pools.
+
+mod adapter_rule;
+mod fencing_mode;
+mod pool_kind;
+mod pool_row;
+mod pool_table;
+mod route_row;
+mod route_table;
+mod store_row;
+mod table_set;
+mod upstream_row;
+mod upstream_state;
+
+pub use adapter_rule::AdapterRule;
+pub use fencing_mode::FencingMode;
+pub use pool_kind::PoolKind;
+pub use pool_row::PoolRow;
+pub use pool_table::PoolTable;
+pub use route_row::RouteRow;
+pub use route_table::RouteTable;
+pub use store_row::StoreRow;
+pub use table_set::TableSet;
+pub use upstream_row::UpstreamRow;
+pub use upstream_state::UpstreamState;
--- /dev/null
+++ b/src/table/pool_table.rs
@@ -0,0 +1,44 @@
+use serde::{Deserialize, Serialize};
+
+use super::{PoolRow, StoreRow, UpstreamRow};
+use crate::id::UpstreamId;
+
+/// The pools and the weight stores that they load from.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+pub struct PoolTable {
+    /// The weight stores.
+    #[serde(default, rename = "store")]
+    pub stores: Vec<StoreRow>,
+    /// The pools.
+    #[serde(default, rename = "pool")]
+    pub pools: Vec<PoolRow>,
+}
+
+impl PoolTable {
+    /// Finds a pool by name.
+    #[must_use]
+    pub fn pool(&self, name: &str) -> Option<&PoolRow> {
+        self.pools.iter().find(|pool| pool.name == name)
+    }
+
+    /// Finds a weight store by name.
+    #[must_use]
+    pub fn store(&self, name: &str) -> Option<&StoreRow> {
+        self.stores.iter().find(|store| store.name == name)
+    }
+
+    /// Finds an upstream and its pool.
+    #[must_use]
+    pub fn upstream(&self, name: &UpstreamId) -> Option<(&PoolRow, &UpstreamRow)> {
+        self.upstreams()
+            .find(|(_, upstream)| upstream.name == *name)
+    }
+
+    /// Iterates over all upstreams with their pools.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&PoolRow, &UpstreamRow)> {
+        self.pools
+            .iter()
+            .flat_map(|pool| pool.upstreams.iter().map(move |upstream| (pool, upstream)))
+    }
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics.
