Add the frame codec, links and the mesh of peers

Instances need one connection each way for forwarded calls, questions and heartbeats. A link hands received frames on without waiting, and each call has a window of bytes with credits, so that a slow consumer delays nobody else. Waiting on the consumer inside the reader was ruled out for that reason.

--- /dev/null
+++ b/src/peer/call_window.rs
@@ -0,0 +1,31 @@
+//! Flow control of the answer to one call.
+//!
+//! Each call has a window of bytes that the answering side may send ahead of the consumer. The
+//! reader of a link therefore never waits for a slow consumer, and the unread bytes of a call are
+//! bounded. Both sides compute the same cost of a chunk.
+
+use prost::Message;
+
+use super::CallChunk;
+
+/// Bytes of an answer that may be on their way and unread.
+pub(super) const CALL_WINDOW: u32 = 256 * 1024;
+
+/// Consumed bytes after which credit is returned.
+///
+/// No chunk costs more than this, so that a sender with less than the whole window in use can
+/// always proceed once everything sent was consumed.
+pub(super) const CREDIT_STEP: u32 = CALL_WINDOW / 2;
+
+/// The least cost of a chunk; bounds the number of unread chunks.
+const MIN_COST: u32 = 64;
+
+/// The most chunks that fit into the window.
+pub(super) const MAX_CHUNKS: usize = (CALL_WINDOW / MIN_COST) as usize;
+
+/// Returns the share of the window that a chunk takes.
+pub(super) fn cost(chunk: &CallChunk) -> u32 {
+    u32::try_from(chunk.encoded_len())
+        .unwrap_or(u32::MAX)
+        .clamp(MIN_COST, CREDIT_STEP)
+}
--- /dev/null
+++ b/src/peer/dial_task.rs
@@ -0,0 +1,111 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+use tokio_util::sync::CancellationToken;
+
+use super::mesh_core::MeshCore;
+use super::{FrameCodec, PeerIdentity, handshake};
+use crate::error::{Error, ErrorKind};
+use crate::id::InstanceId;
+
+/// The longest pause between two attempts, in milliseconds.
+const MAX_PAUSE_MS: u64 = 400;
+
+/// Why an attempt failed.
+struct DialFailure {
+    error: Error,
+    /// Whether the expected process does not exist at the address.
+    is_refused: bool,
+}
+
+/// Keeps a link to one peer until `stop`.
+pub(super) fn spawn(
+    core: Arc<MeshCore>,
+    id: InstanceId,
+    address: SocketAddr,
+    stop: CancellationToken,
+) {
+    tokio::spawn(stop.run_until_cancelled_owned(async move {
+        let mut failures = 0;
+        loop {
+            match connect(&core, &id, address).await {
+                Ok((frames, identity)) => {
+                    failures = 0;
+                    core.run_link(frames, identity, true).await;
+                }
+                Err(failure) => {
+                    failures += 1;
+                    log::debug!("peer {id} at {address}: {}", failure.error);
+                    core.note_failure(&id, &failure.error, failure.is_refused);
+                }
+            }
+            sleep(pause(failures)).await;
+        }
+    }));
+}
+
+/// Returns the pause before the next attempt; a lost link is dialled again almost at once.
+///
+/// The jitter spreads the attempts of a whole fleet towards a restarted peer.
+fn pause(failures: u32) -> Duration {
+    let ceiling = (25 << failures.min(4)).min(MAX_PAUSE_MS);
+    let floor = if failures == 0 { 0 } else { ceiling / 2 };
+    Duration::from_millis(rand::random_range(floor..=ceiling))
+}
+
+async fn connect(
+    core: &MeshCore,
+    id: &InstanceId,
+    address: SocketAddr,
+) -> Result<(Framed<TcpStream, FrameCodec>, PeerIdentity), DialFailure> {
+    let limit = core.config.dial_timeout();
+    let attempt = async {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| DialFailure {
+                is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
+                error: Error::new(
+                    ErrorKind::Peer,
+                    format!("cannot connect to {address}: {error}"),
+                ),
+            })?;
+        let other = |error| DialFailure {
+            error,
+            is_refused: false,
+        };
+        stream
+            .set_nodelay(true)
+            .map_err(|error| other(error.into()))?;
+        let mut frames = Framed::new(stream, FrameCodec::new(FrameCodec::HELLO_LEN));
+        let identity = handshake::dial(&mut frames, &core.config)
+            .await
+            .map_err(other)?;
+        if identity.instance != *id {
+            return Err(DialFailure {
+                error: Error::new(
+                    ErrorKind::Peer,
+                    format!("{address} belongs to peer {} now", identity.instance),
+                ),
+                is_refused: true,
+            });
+        }
+        Ok((frames, identity))
+    };
+    timeout(limit, attempt).await.unwrap_or_else(|_| {
+        Err(DialFailure {
+            error: Error::new(
+                ErrorKind::Peer,
+                format!(
+                    "no handshake with {address} within {} ms",
+                    limit.as_millis()
+                ),
+            ),
+            is_refused: false,
+        })
+    })
+}
--- /dev/null
+++ b/src/peer/frame_limit.rs
@@ -0,0 +1,57 @@
+//! Length limits by kind of frame.
+//!
+//! Decoding lists of empty messages takes up to a hundred times the memory of their bytes, so kinds
+//! that contain lists have lower limits than those that carry a body.
+
+use prost::encoding::{DecodeContext, WireType, decode_key, decode_varint, skip_field};
+
+use crate::error::{Error, ErrorKind};
+
+const fn max_len(field: u32) -> u64 {
+    match field {
+        2 => 1024,                    // Hello
+        3 | 7 => 256 * 1024,          // Heartbeat, Ask
+        4 | 5 | 8 => 4 * 1024 * 1024, // Open, Chunk, Reply
+        6 => 4 * 1024,                // Cancel
+        _ => 64,
+    }
+}
+
+/// Checks the encoded frame before anything of it is decoded.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Protocol`] if the bytes are not a message, if there is more than one body,
+/// or if the body is too long for its kind.
+pub(super) fn check(mut frame: &[u8]) -> Result<(), Error> {
+    let bad = |what: String| Error::new(ErrorKind::Protocol, what);
+    let mut bodies = 0;
+    while !frame.is_empty() {
+        let (field, wire) =
+            decode_key(&mut frame).map_err(|error| bad(format!("unreadable frame: {error}")))?;
+        if field != 1 {
+            bodies += 1;
+        }
+        if bodies > 1 {
+            return Err(bad("a frame has more than one body".to_owned()));
+        }
+        if wire == WireType::LengthDelimited {
+            let len = decode_varint(&mut frame)
+                .map_err(|error| bad(format!("unreadable frame: {error}")))?;
+            if len > max_len(field) {
+                return Err(bad(format!(
+                    "field {field} of a frame has {len} bytes, the limit is {}",
+                    max_len(field)
+                )));
+            }
+            frame = usize::try_from(len)
+                .ok()
+                .and_then(|len| frame.get(len..))
+                .ok_or_else(|| bad("a frame ends inside a field".to_owned()))?;
+        } else {
+            skip_field(wire, field, &mut frame, DecodeContext::default())
+                .map_err(|error| bad(format!("unreadable frame: {error}")))?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/peer/link_core.rs
@@ -0,0 +1,255 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+
+use prost::Message;
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use super::call_state::CallState;
+use super::link_streams::{CallSlot, LinkStreams};
+use super::outgoing::Outgoing;
+use super::{FrameCodec, LinkLimits, PeerFrame, PeerIdentity, PeerReply, frame};
+use crate::error::{Error, ErrorKind, Result};
+
+/// What the tasks, calls and sinks of one link share.
+#[derive(Debug)]
+pub(super) struct LinkCore {
+    pub(super) identity: PeerIdentity,
+    /// Whether this instance opened the connection.
+    pub(super) is_dialled: bool,
+    pub(super) limits: LinkLimits,
+    pub(super) closed: CancellationToken,
+    pub(super) runtime: Handle,
+    pub(super) call_permits: Arc<Semaphore>,
+    pub(super) ask_permits: Arc<Semaphore>,
+    streams: Mutex<LinkStreams>,
+    next_stream: AtomicU64,
+    control: mpsc::Sender<Outgoing>,
+    data: mpsc::Sender<Outgoing>,
+    queued_bytes: Arc<Semaphore>,
+    start: Instant,
+    heard_ms: AtomicU64,
+    fault: OnceLock<String>,
+}
+
+/// The receiving ends of a link's two queues.
+#[derive(Debug)]
+pub(super) struct LinkQueues {
+    /// Small frames that go first: cancellations, credits and refusals.
+    pub(super) control: mpsc::Receiver<Outgoing>,
+    /// All other frames.
+    pub(super) data: mpsc::Receiver<Outgoing>,
+}
+
+impl LinkCore {
+    pub(super) fn new(
+        identity: PeerIdentity,
+        is_dialled: bool,
+        limits: LinkLimits,
+    ) -> (Arc<Self>, LinkQueues) {
+        // Enough for a peer that reads: each call has at most one cancellation, refusal and a few
+        // credits on their way.
+        let (control, control_queue) = mpsc::channel(4 * limits.max_calls + limits.max_asks + 64);
+        let (data, data_queue) = mpsc::channel(limits.queued_frames.max(1));
+        let core = Arc::new(Self {
+            identity,
+            is_dialled,
+            limits,
+            closed: CancellationToken::new(),
+            runtime: Handle::current(),
+            call_permits: Arc::new(Semaphore::new(limits.max_calls)),
+            ask_permits: Arc::new(Semaphore::new(limits.max_asks)),
+            streams: Mutex::default(),
+            next_stream: AtomicU64::new(if is_dialled { 1 } else { 2 }),
+            control,
+            data,
+            queued_bytes: Arc::new(Semaphore::new(limits.queued_bytes as usize)),
+            start: Instant::now(),
+            heard_ms: AtomicU64::new(0),
+            fault: OnceLock::new(),
+        });
+        let queues = LinkQueues {
+            control: control_queue,
+            data: data_queue,
+        };
+        (core, queues)
+    }
+
+    /// Draws a stream number; those of the dialling side are odd.
+    pub(super) fn new_stream(&self) -> u64 {
+        self.next_stream.fetch_add(2, Ordering::Relaxed)
+    }
+
+    /// Returns whether the peer may open the stream.
+    pub(super) const fn is_peer_stream(&self, stream: u64) -> bool {
+        stream != 0 && stream.is_multiple_of(2) == self.is_dialled
+    }
+
+    pub(super) fn streams(&self) -> MutexGuard<'_, LinkStreams> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Queues a small frame; a full queue means that the peer does not read, and closes the link.
+    pub(super) fn control(&self, stream: u64, body: frame::Body) {
+        let outgoing = Outgoing {
+            frame: PeerFrame {
+                stream,
+                body: Some(body),
+            },
+            call: None,
+            _share: None,
+        };
+        if let Err(mpsc::error::TrySendError::Full(_)) = self.control.try_send(outgoing) {
+            self.close("the peer does not read its control frames");
+        }
+    }
+
+    /// Queues a frame behind those already queued; waits while the queue is full.
+    pub(super) async fn data(
+        &self,
+        stream: u64,
+        body: frame::Body,
+        call: Option<Arc<CallState>>,
+    ) -> Result<()> {
+        let frame = PeerFrame {
+            stream,
+            body: Some(body),
+        };
+        let len = frame.encoded_len();
+        if len > FrameCodec::MAX_LEN {
+            return Err(Error::new(
+                ErrorKind::BodyTooLarge,
+                format!(
+                    "a frame of {len} bytes exceeds the limit of {} bytes between instances",
+                    FrameCodec::MAX_LEN
+                ),
+            ));
+        }
+        let share = u32::try_from(len)
+            .unwrap_or(u32::MAX)
+            .min(self.limits.queued_bytes);
+        let queue = async {
+            let share = Arc::clone(&self.queued_bytes)
+                .acquire_many_owned(share)
+                .await
+                .ok();
+            let outgoing = Outgoing {
+                frame,
+                call,
+                _share: share,
+            };
+            self.data.send(outgoing).await.is_ok()
+        };
+        match self.closed.run_until_cancelled(queue).await {
+            Some(true) => Ok(()),
+            _ => Err(self.lost()),
+        }
+    }
+
+    /// Notes that a frame came from the peer.
+    pub(super) fn hear(&self) {
+        let millis = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.heard_ms.store(millis, Ordering::Release);
+    }
+
+    /// Returns when the last frame came from the peer.
+    pub(super) fn heard_at(&self) -> Instant {
+        self.start + Duration::from_millis(self.heard_ms.load(Ordering::Acquire))
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.is_cancelled()
+    }
+
+    /// Closes the link, ends its calls and stops its tasks; the first reason is kept.
+    pub(super) fn close(&self, reason: &str) {
+        self.fault.get_or_init(|| reason.to_owned());
+        self.closed.cancel();
+        let mut streams = self.streams();
+        streams.is_closed = true;
+        let (calls, asks, served) = (
+            std::mem::take(&mut streams.calls),
+            std::mem::take(&mut streams.asks),
+            std::mem::take(&mut streams.served),
+        );
+        drop(streams);
+        for slot in served.values() {
+            slot.cancelled.cancel();
+        }
+        drop((calls, asks));
+    }
+
+    pub(super) fn fault(&self) -> &str {
+        self.fault.get().map_or("closed", String::as_str)
+    }
+
+    /// Describes the loss of the link.
+    pub(super) fn lost(&self) -> Error {
+        Error::new(
+            ErrorKind::Peer,
+            format!(
+                "link to peer {} was lost: {}",
+                self.identity.instance,
+                self.fault()
+            ),
+        )
+    }
+
+    pub(super) fn insert_call(&self, stream: u64, slot: CallSlot) -> Result<()> {
+        let mut streams = self.streams();
+        if streams.is_closed {
+            return Err(self.lost());
+        }
+        streams.calls.insert(stream, slot);
+        Ok(())
+    }
+
+    pub(super) fn insert_ask(&self, stream: u64, sender: oneshot::Sender<PeerReply>) -> Result<()> {
+        let mut streams = self.streams();
+        if streams.is_closed {
+            return Err(self.lost());
+        }
+        streams.asks.insert(stream, sender);
+        Ok(())
+    }
+
+    /// Counts a question that is about to be replied to; false if there are too many.
+    pub(super) fn begin_reply(&self) -> bool {
+        let mut streams = self.streams();
+        let is_free = streams.replies < self.limits.max_asks;
+        streams.replies += usize::from(is_free);
+        is_free
+    }
+
+    /// Removes a call; returns whether the peer had not ended it.
+    pub(super) fn remove_call(&self, stream: u64) -> bool {
+        self.streams().calls.remove(&stream).is_some()
+    }
+
+    pub(super) fn remove_served(&self, stream: u64) -> bool {
+        self.streams().served.remove(&stream).is_some()
+    }
+
+    /// Notes that credit is about to be returned; false if the call has ended.
+    pub(super) fn restore_window(&self, stream: u64, credit: u32) -> bool {
+        self.streams().calls.get_mut(&stream).is_some_and(|slot| {
+            slot.used = slot.used.saturating_sub(credit);
+            true
+        })
+    }
+
+    /// Notes that a part of an answer is about to be sent.
+    pub(super) fn use_window(&self, stream: u64, cost: u32) {
+        if let Some(slot) = self.streams().served.get_mut(&stream) {
+            slot.used = slot.used.saturating_add(cost);
+        }
+    }
+
+    pub(super) fn release_sink(&self, open_len: usize) {
+        let mut streams = self.streams();
+        streams.sinks = streams.sinks.saturating_sub(1);
+        streams.open_bytes = streams.open_bytes.saturating_sub(open_len);
+    }
+}
--- /dev/null
+++ b/src/peer/link_reader.rs
@@ -0,0 +1,209 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use prost::Message;
+use tokio::io::AsyncRead;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+
+use super::call_events::is_last;
+use super::call_window::{CALL_WINDOW, cost};
+use super::link_core::LinkCore;
+use super::link_streams::{CallEvent, ServedSlot};
+use super::mesh_core::MeshCore;
+use super::{
+    CallChunk, CallOpen, CallSink, FrameCodec, PeerAsk, PeerFrame, PeerReply, RefusalBody, chunk,
+    frame, reply,
+};
+use crate::error::{Error, ErrorKind, Result};
+
+/// Reads the frames of one link and hands them to calls, questions and hooks; never waits for any
+/// of them.
+pub(super) struct LinkReader<R> {
+    pub(super) core: Arc<LinkCore>,
+    pub(super) mesh: Arc<MeshCore>,
+    pub(super) frames: FramedRead<R, FrameCodec>,
+    pub(super) link_timeout: Duration,
+}
+
+impl<R: AsyncRead + Unpin> LinkReader<R> {
+    /// Reads until the link closes or fails.
+    pub(super) async fn run(mut self) {
+        let core = Arc::clone(&self.core);
+        let read = core.closed.run_until_cancelled(self.read_all()).await;
+        if let Some(Err(error)) = read {
+            core.close(error.detail());
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<()> {
+        loop {
+            let next = timeout(self.link_timeout, self.frames.next()).await;
+            let frame = next.ok().ok_or_else(|| {
+                Error::new(
+                    ErrorKind::Peer,
+                    format!(
+                        "nothing was received for {} ms",
+                        self.link_timeout.as_millis()
+                    ),
+                )
+            })?;
+            let frame = frame
+                .transpose()?
+                .ok_or_else(|| Error::new(ErrorKind::Peer, "the peer closed the connection"))?;
+            self.core.hear();
+            self.take(frame)?;
+        }
+    }
+
+    fn take(&self, frame: PeerFrame) -> Result<()> {
+        let stream = frame.stream;
+        match frame.body {
+            Some(frame::Body::Heartbeat(body)) => self.mesh.take_heartbeat(&self.core, body),
+            Some(frame::Body::Open(open)) => self.take_open(stream, open)?,
+            Some(frame::Body::Chunk(chunk)) => self.take_chunk(stream, chunk)?,
+            Some(frame::Body::Cancel(reason)) => self.take_cancel(stream, reason),
+            Some(frame::Body::Credit(credit)) => self.take_credit(stream, credit)?,
+            Some(frame::Body::Ask(ask)) => self.take_ask(stream, ask)?,
+            Some(frame::Body::Reply(reply)) => {
+                if let Some(sender) = self.core.streams().asks.remove(&stream) {
+                    // The asker may have stopped waiting.
+                    let _unread = sender.send(reply);
+                }
+            }
+            Some(frame::Body::Hello(_)) => return Err(protocol("a second hello was received")),
+            // A later version may add kinds of frames.
+            None => {}
+        }
+        Ok(())
+    }
+
+    fn take_open(&self, stream: u64, open: CallOpen) -> Result<()> {
+        let (core, limits) = (&self.core, self.core.limits);
+        self.check_stream(stream)?;
+        let open_len = open.encoded_len();
+        let (cancelled, window) = (
+            core.closed.child_token(),
+            Arc::new(Semaphore::new(CALL_WINDOW as usize)),
+        );
+        let is_full = {
+            let mut streams = core.streams();
+            if streams.served.contains_key(&stream) {
+                return Err(protocol("a call was opened twice"));
+            }
+            // Sinks of cancelled calls live on until their work has stopped.
+            let is_full = streams.served.len() >= limits.max_calls
+                || streams.sinks >= 2 * limits.max_calls
+                || streams.open_bytes + open_len > limits.open_bytes;
+            if !is_full {
+                streams.sinks += 1;
+                streams.open_bytes += open_len;
+                let slot = ServedSlot {
+                    cancelled: cancelled.clone(),
+                    window: Arc::clone(&window),
+                    used: 0,
+                };
+                streams.served.insert(stream, slot);
+            }
+            is_full
+        };
+        if is_full {
+            let refusal = RefusalBody::from_error(&Error::new(
+                ErrorKind::Overloaded,
+                "too many calls or request bytes are open on the link",
+            ));
+            let chunk = CallChunk {
+                body: Some(chunk::Body::Refused(refusal)),
+            };
+            core.control(stream, frame::Body::Chunk(chunk));
+            return Ok(());
+        }
+        let sink = CallSink {
+            link: Arc::clone(core),
+            stream,
+            cancelled,
+            window,
+            open_len,
+            is_ended: false,
+        };
+        (self.mesh.hooks.on_call)(core.identity.instance.clone(), open, sink);
+        Ok(())
+    }
+
+    fn take_chunk(&self, stream: u64, chunk: CallChunk) -> Result<()> {
+        let mut streams = self.core.streams();
+        // Parts of a call that was cancelled meanwhile are dropped.
+        let Some(slot) = streams.calls.get_mut(&stream) else {
+            return Ok(());
+        };
+        let is_last = is_last(&chunk);
+        slot.used = slot.used.saturating_add(cost(&chunk));
+        let is_over = slot.used > CALL_WINDOW && !is_last;
+        let sent = slot.sender.try_send(CallEvent::Chunk(chunk));
+        if is_over || matches!(sent, Err(mpsc::error::TrySendError::Full(_))) {
+            return Err(protocol("an answer exceeded its window"));
+        }
+        if is_last {
+            streams.calls.remove(&stream);
+        }
+        Ok(())
+    }
+
+    fn take_cancel(&self, stream: u64, reason: String) {
+        let mut streams = self.core.streams();
+        if let Some(slot) = streams.served.remove(&stream) {
+            slot.cancelled.cancel();
+        } else if let Some(slot) = streams.calls.remove(&stream) {
+            // A full channel is closed instead, which ends the call as well.
+            let _full = slot.sender.try_send(CallEvent::Dropped(reason));
+        }
+    }
+
+    fn take_credit(&self, stream: u64, credit: u32) -> Result<()> {
+        if let Some(slot) = self.core.streams().served.get_mut(&stream) {
+            slot.used = slot
+                .used
+                .checked_sub(credit)
+                .ok_or_else(|| protocol("more credit was returned than used"))?;
+            slot.window.add_permits(credit as usize);
+        }
+        Ok(())
+    }
+
+    fn take_ask(&self, stream: u64, ask: PeerAsk) -> Result<()> {
+        self.check_stream(stream)?;
+        let core = Arc::clone(&self.core);
+        if !core.begin_reply() {
+            let refusal = RefusalBody::from_error(&Error::new(
+                ErrorKind::Overloaded,
+                "too many questions are in progress on the link",
+            ));
+            let body = Some(reply::Body::Refused(refusal));
+            core.control(stream, frame::Body::Reply(PeerReply { body }));
+            return Ok(());
+        }
+        let reply = (self.mesh.hooks.on_ask)(core.identity.instance.clone(), ask);
+        tokio::spawn(async move {
+            if let Some(reply) = core.closed.run_until_cancelled(reply).await {
+                // A failure means that the link is lost; the asker learns of it from its side.
+                let _lost = core.data(stream, frame::Body::Reply(reply), None).await;
+            }
+            core.streams().replies -= 1;
+        });
+        Ok(())
+    }
+
+    fn check_stream(&self, stream: u64) -> Result<()> {
+        if self.core.is_peer_stream(stream) {
+            Ok(())
+        } else {
+            Err(protocol("a stream number belongs to the other side"))
+        }
+    }
+}
+
+fn protocol(detail: &str) -> Error {
+    Error::new(ErrorKind::Protocol, detail)
+}
--- /dev/null
+++ b/src/peer/link_writer.rs
@@ -0,0 +1,93 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::SinkExt;
+use prost::Message;
+use tokio::io::AsyncWrite;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::codec::FramedWrite;
+
+use super::link_core::{LinkCore, LinkQueues};
+use super::outgoing::Outgoing;
+use super::{FrameCodec, HeartbeatBody, PeerFrame, frame};
+use crate::error::{Error, ErrorKind, Result};
+
+/// Frames that are written together at most, so that heartbeats are not held up.
+const BATCH: usize = 32;
+
+/// Writes the frames of one link.
+pub(super) struct LinkWriter<W> {
+    pub(super) core: Arc<LinkCore>,
+    pub(super) queues: LinkQueues,
+    pub(super) frames: FramedWrite<W, FrameCodec>,
+    pub(super) write_timeout: Duration,
+    /// Changes at each heartbeat.
+    pub(super) beats: watch::Receiver<Arc<HeartbeatBody>>,
+    /// Builds the heartbeat of this link.
+    pub(super) body: Box<dyn FnMut(&HeartbeatBody) -> HeartbeatBody + Send>,
+    /// Takes the bytes of each heartbeat.
+    pub(super) on_sent: Box<dyn Fn(u64) + Send>,
+}
+
+impl<W: AsyncWrite + Unpin> LinkWriter<W> {
+    /// Writes until the link closes or fails.
+    pub(super) async fn run(mut self) {
+        let core = Arc::clone(&self.core);
+        let written = core.closed.run_until_cancelled(self.write_all()).await;
+        if let Some(Err(error)) = written {
+            core.close(error.detail());
+        }
+    }
+
+    async fn write_all(&mut self) -> Result<()> {
+        self.beats.mark_changed();
+        loop {
+            tokio::select! {
+                biased;
+                beat = self.beats.changed() => {
+                    if beat.is_err() {
+                        return Err(Error::new(ErrorKind::ShuttingDown, "the mesh was stopped"));
+                    }
+                    self.feed_beat().await?;
+                }
+                Some(outgoing) = self.queues.control.recv() => self.feed(outgoing).await?,
+                Some(outgoing) = self.queues.data.recv() => self.feed(outgoing).await?,
+            }
+            for _ in 0..BATCH {
+                let next = self.queues.control.try_recv();
+                let Ok(outgoing) = next.or_else(|_| self.queues.data.try_recv()) else {
+                    break;
+                };
+                self.feed(outgoing).await?;
+            }
+            in_time(self.write_timeout, self.frames.flush()).await?;
+        }
+    }
+
+    async fn feed(&mut self, outgoing: Outgoing) -> Result<()> {
+        if outgoing.call.is_some_and(|call| !call.begin_write()) {
+            return Ok(());
+        }
+        in_time(self.write_timeout, self.frames.feed(outgoing.frame)).await
+    }
+
+    async fn feed_beat(&mut self) -> Result<()> {
+        let full = Arc::clone(&self.beats.borrow_and_update());
+        let frame = PeerFrame {
+            stream: 0,
+            body: Some(frame::Body::Heartbeat((self.body)(&full))),
+        };
+        (self.on_sent)(4 + frame.encoded_len() as u64);
+        in_time(self.write_timeout, self.frames.feed(frame)).await
+    }
+}
+
+async fn in_time(limit: Duration, write: impl Future<Output = Result<()>>) -> Result<()> {
+    timeout(limit, write).await.unwrap_or_else(|_| {
+        Err(Error::new(
+            ErrorKind::Peer,
+            format!("the peer took no bytes for {} ms", limit.as_millis()),
+        ))
+    })
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -16,7 +16,7 @@
     #[prost(uint64, tag = "1")]
     pub stream: u64,
     /// The content.
-    #[prost(oneof = "frame::Body", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<frame::Body>,
 }
 
@@ -48,6 +48,9 @@
         /// The reply to a question.
         #[prost(message, tag = "8")]
         Reply(PeerReply),
+        /// Bytes of a forwarded answer that were consumed and may be sent again.
+        #[prost(uint32, tag = "9")]
+        Credit(u32),
     }
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,9 +1,48 @@
 //! The protocol between instances: frames, links and the mesh.
 
+mod accept_task;
+mod call_events;
+mod call_sink;
+mod call_state;
+mod call_window;
+mod dial_task;
+mod frame_codec;
+mod frame_limit;
+mod handshake;
+mod link_core;
+mod link_limits;
+mod link_reader;
+mod link_streams;
+mod link_writer;
+mod live_peer;
+mod mesh_config;
+mod mesh_core;
+mod mesh_hooks;
 mod message;
+mod outgoing;
+mod peer_change;
+mod peer_entry;
+mod peer_identity;
+mod peer_link;
+mod peer_mesh;
+mod refusal;
+mod shared_secret;
 
+pub use call_events::CallEvents;
+pub use call_sink::CallSink;
+pub use frame_codec::FrameCodec;
+pub use handshake::PROTOCOL_VERSION;
+pub use link_limits::LinkLimits;
+pub use live_peer::LivePeer;
+pub use mesh_config::MeshConfig;
+pub use mesh_hooks::{HeartbeatHook, MeshHooks, ReplyFuture};
 pub use message::{
     CallChunk, CallOpen, ConfigDelta, ConfigPull, HandoverItem, HeartbeatBody, OwnerHandover,
     PeerAsk, PeerFrame, PeerHello, PeerReply, PermitBid, PermitDone, PermitGrant, RefusalBody,
     ResidencyItem, ask, chunk, frame, reply,
 };
+pub use peer_change::PeerChange;
+pub use peer_identity::PeerIdentity;
+pub use peer_link::PeerLink;
+pub use peer_mesh::PeerMesh;
+pub use shared_secret::SharedSecret;
--- /dev/null
+++ b/src/peer/peer_link.rs
@@ -0,0 +1,127 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::call_state::CallState;
+use super::call_window::MAX_CHUNKS;
+use super::link_core::LinkCore;
+use super::link_streams::CallSlot;
+use super::{CallEvents, CallOpen, PeerAsk, PeerIdentity, PeerReply, frame};
+use crate::error::{Error, ErrorKind, Result, RunState};
+
+/// One working connection to a peer; either side may open calls and ask questions on it.
+#[derive(Debug, Clone)]
+pub struct PeerLink {
+    pub(super) core: Arc<LinkCore>,
+}
+
+impl PeerLink {
+    /// Borrows the identity that the peer gave in its hello.
+    #[must_use]
+    pub fn identity(&self) -> &PeerIdentity {
+        &self.core.identity
+    }
+
+    /// Returns when the last frame came from the peer.
+    #[must_use]
+    pub fn heard_at(&self) -> Instant {
+        self.core.heard_at()
+    }
+
+    /// Returns whether the link was closed or lost.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.core.is_closed()
+    }
+
+    /// Forwards a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Overloaded`] if too many calls are open on the link, and
+    /// [`ErrorKind::Peer`] if the link is lost. In both cases the request did not run.
+    pub async fn open_call(&self, open: CallOpen) -> Result<CallEvents> {
+        let core = &self.core;
+        let permit = Arc::clone(&core.call_permits)
+            .try_acquire_owned()
+            .ok()
+            .ok_or_else(|| {
+                Error::new(
+                    ErrorKind::Overloaded,
+                    format!(
+                        "{} calls are open on the link to peer {}",
+                        core.limits.max_calls, core.identity.instance
+                    ),
+                )
+            })?;
+        let stream = core.new_stream();
+        let (sender, receiver) = mpsc::channel(MAX_CHUNKS + 1);
+        core.insert_call(stream, CallSlot { sender, used: 0 })?;
+        // From here on, dropping the events removes the call again.
+        let events = CallEvents {
+            link: Arc::clone(core),
+            stream,
+            state: Arc::new(CallState::default()),
+            receiver,
+            consumed: 0,
+            is_ended: false,
+            _permit: permit,
+        };
+        core.data(
+            stream,
+            frame::Body::Open(open),
+            Some(Arc::clone(&events.state)),
+        )
+        .await?;
+        Ok(events)
+    }
+
+    /// Sends a question and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Peer`] if the link is lost or no reply comes within `timeout`; the run
+    /// state is [`RunState::Unknown`] then.
+    pub async fn ask(&self, ask: PeerAsk, timeout: Duration) -> Result<PeerReply> {
+        let core = &self.core;
+        let stream = core.new_stream();
+        let slot = AskSlot { core, stream };
+        let exchange = async {
+            // The semaphore is never closed.
+            let _permit = core.ask_permits.acquire().await;
+            let (sender, receiver) = oneshot::channel();
+            core.insert_ask(slot.stream, sender)?;
+            core.data(stream, frame::Body::Ask(ask), None).await?;
+            receiver
+                .await
+                .ok()
+                .ok_or_else(|| core.lost().with_run_state(RunState::Unknown))
+        };
+        tokio::time::timeout(timeout, exchange)
+            .await
+            .unwrap_or_else(|_| {
+                Err(Error::new(
+                    ErrorKind::Peer,
+                    format!(
+                        "peer {} sent no reply within {} ms",
+                        core.identity.instance,
+                        timeout.as_millis()
+                    ),
+                )
+                .with_run_state(RunState::Unknown))
+            })
+    }
+}
+
+/// Forgets a question when its asker stops waiting.
+struct AskSlot<'a> {
+    core: &'a LinkCore,
+    stream: u64,
+}
+
+impl Drop for AskSlot<'_> {
+    fn drop(&mut self) {
+        self.core.streams().asks.remove(&self.stream);
+    }
+}
