--- a/src/peer/dial_task.rs
+++ b/src/peer/dial_task.rs
@@ -1,14 +1,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
-use tokio_util::sync::CancellationToken;
 
 use super::mesh_core::MeshCore;
+use super::peer_entry::PeerDialler;
 use super::{FrameCodec, PeerIdentity, handshake};
 use crate::error::{Error, ErrorKind};
 use crate::id::InstanceId;
@@ -23,23 +23,33 @@
     is_refused: bool,
 }
 
-/// Keeps a link to one peer until `stop`.
+/// Keeps a link to one peer until the returned dialler is dropped.
 pub(super) fn spawn(
-    core: Arc<MeshCore>,
-    id: InstanceId,
+    core: &Arc<MeshCore>,
+    id: &InstanceId,
     address: SocketAddr,
-    stop: CancellationToken,
-) {
-    tokio::spawn(stop.run_until_cancelled_owned(async move {
-        let mut failures = 0;
+    used_at: Option<Instant>,
+) -> PeerDialler {
+    let stop = core.stop.child_token();
+    let (core, id) = (Arc::clone(core), id.clone());
+    tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+        let mut failures: u32 = 0;
         loop {
             match connect(&core, &id, address).await {
                 Ok((frames, identity)) => {
-                    failures = 0;
+                    let start = Instant::now();
                     core.run_link(frames, identity, true).await;
+                    // A link that is lost right after the handshake counts as a failed attempt, so
+                    // that two peers that disagree do not reconnect in a tight loop.
+                    let is_brief = start.elapsed() < core.config.link_timeout;
+                    failures = if is_brief {
+                        failures.saturating_add(1)
+                    } else {
+                        0
+                    };
                 }
                 Err(failure) => {
-                    failures += 1;
+                    failures = failures.saturating_add(1);
                     log::debug!("peer {id} at {address}: {}", failure.error);
                     core.note_failure(&id, &failure.error, failure.is_refused);
                 }
@@ -47,6 +57,11 @@
             sleep(pause(failures)).await;
         }
     }));
+    PeerDialler {
+        address,
+        used_at,
+        _stop: stop.drop_guard(),
+    }
 }
 
 /// Returns the pause before the next attempt; a lost link is dialled again almost at once.
--- a/src/peer/mesh_config.rs
+++ b/src/peer/mesh_config.rs
@@ -27,7 +27,8 @@
     pub secret: Option<SharedSecret>,
     /// Limits of each link.
     pub limits: LinkLimits,
-    /// The most peers that are dialled; none dials all. Peers of the own failure domain come first.
+    /// The most peers to which links are kept; none means all. Peers of the own failure domain come
+    /// first. Others are dialled when a call or question goes to them.
     pub max_links: Option<usize>,
 }
 
--- a/src/peer/mesh_core.rs
+++ b/src/peer/mesh_core.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -12,10 +12,14 @@
 use super::link_core::LinkCore;
 use super::link_reader::LinkReader;
 use super::link_writer::LinkWriter;
-use super::peer_entry::PeerEntry;
+use super::peer_entry::{PeerDialler, PeerEntry};
 use super::{FrameCodec, HeartbeatBody, MeshConfig, MeshHooks, PeerChange, PeerIdentity, PeerLink};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
+use crate::member::ResidencySender;
+
+/// The time after its last use for which a link stays that was opened for single calls.
+const UNUSED_LIMIT: Duration = Duration::from_secs(30);
 
 /// What the tasks of a mesh share.
 #[derive(Debug)]
@@ -26,6 +30,8 @@
     pub(super) stop: CancellationToken,
     pub(super) beats: watch::Sender<Arc<HeartbeatBody>>,
     pub(super) beat_bytes: AtomicU64,
+    /// Changes whenever a link was added.
+    pub(super) link_count: watch::Sender<u64>,
     peers: Mutex<BTreeMap<InstanceId, PeerEntry>>,
 }
 
@@ -44,6 +50,7 @@
             stop,
             beats: watch::Sender::new(first),
             beat_bytes: AtomicU64::new(0),
+            link_count: watch::Sender::new(0),
             peers: Mutex::default(),
         }
     }
@@ -70,13 +77,14 @@
         self.add_link(&core);
         let (mesh, link) = (Arc::clone(self), Arc::clone(&core));
         let sent = Arc::clone(self);
+        let mut residency = ResidencySender::new();
         let writer = LinkWriter {
             core: Arc::clone(&core),
             queues,
             frames: FramedWrite::new(write_half, FrameCodec::new(FrameCodec::MAX_LEN)),
             write_timeout: self.config.link_timeout,
             beats: self.beats.subscribe(),
-            body: Box::new(move |full| mesh.link_beat(&link, full)),
+            body: Box::new(move |full| mesh.link_beat(&link, &mut residency, full)),
             on_sent: Box::new(move |bytes| {
                 sent.beat_bytes.fetch_add(bytes, Ordering::Relaxed);
             }),
@@ -96,17 +104,27 @@
         self.stop.run_until_cancelled(run).await;
     }
 
-    /// Builds the heartbeat of one link: the whole content on the one in use, none on the other.
-    fn link_beat(&self, link: &Arc<LinkCore>, full: &HeartbeatBody) -> HeartbeatBody {
-        let is_main = self
-            .peers()
-            .get(&link.identity.instance)
-            .and_then(PeerEntry::working_link)
-            .is_none_or(|main| Arc::ptr_eq(&main.core, link));
-        if is_main {
-            full.clone()
-        } else {
-            HeartbeatBody::default()
+    /// Builds the heartbeat of one link: with content on the one in use, without on the other.
+    fn link_beat(
+        &self,
+        link: &Arc<LinkCore>,
+        sender: &mut ResidencySender,
+        full: &HeartbeatBody,
+    ) -> HeartbeatBody {
+        let mut peers = self.peers();
+        let main = peers
+            .get_mut(&link.identity.instance)
+            .filter(|entry| entry.is_main(link));
+        let Some(entry) = main else {
+            sender.reset();
+            return HeartbeatBody::default();
+        };
+        entry.sent_sequence += 1;
+        let sequence = entry.sent_sequence;
+        drop(peers);
+        HeartbeatBody {
+            sequence,
+            ..sender.reduce(full)
         }
     }
 
@@ -114,10 +132,22 @@
         let id = &link.identity.instance;
         let change = {
             let mut peers = self.peers();
-            let entry = peers.entry(id.clone()).or_default();
-            let starts = body.is_draining && !entry.is_draining;
+            let Some(entry) = peers.get_mut(id) else {
+                return;
+            };
+            // Heartbeats of two links may overtake each other; those of a process that was replaced
+            // count no more. Zero has no content.
+            let is_present = entry
+                .identity
+                .as_ref()
+                .is_some_and(|identity| identity.incarnation == link.identity.incarnation);
+            if !is_present || body.sequence <= entry.heard_sequence {
+                return;
+            }
+            entry.heard_sequence = body.sequence;
+            let is_new = body.is_draining && !entry.is_draining;
             entry.is_draining |= body.is_draining;
-            starts.then(|| PeerChange::Draining(id.clone()))
+            is_new.then(|| PeerChange::Draining(id.clone()))
         };
         if let Some(change) = change {
             (self.hooks.on_peer_change)(change);
@@ -130,18 +160,12 @@
         let (change, replaced) = {
             let mut peers = self.peers();
             let entry = peers.entry(identity.instance.clone()).or_default();
-            let slot = if core.is_dialled {
-                &mut entry.outgoing
-            } else {
-                &mut entry.incoming
-            };
-            let replaced = slot.replace(PeerLink {
-                core: Arc::clone(core),
-            });
+            let replaced = entry.add_link(core);
             let previous = entry.identity.replace(identity.clone());
             let change = match previous {
                 Some(previous) if previous.incarnation != identity.incarnation => {
                     entry.is_draining = false;
+                    entry.heard_sequence = 0;
                     Some(PeerChange::Replaced {
                         now: identity,
                         previous: previous.incarnation,
@@ -154,9 +178,10 @@
             entry.fault = None;
             (change, replaced)
         };
-        if let Some(link) = replaced {
-            link.core.close("the peer opened a newer connection");
+        for link in replaced {
+            link.core.close("a newer connection took its place");
         }
+        self.link_count.send_modify(|count| *count += 1);
         if let Some(change) = change {
             (self.hooks.on_peer_change)(change);
         }
@@ -164,18 +189,8 @@
 
     fn remove_link(&self, core: &Arc<LinkCore>) {
         let mut peers = self.peers();
-        let Some(entry) = peers.get_mut(&core.identity.instance) else {
-            return;
-        };
-        entry.heard_at = entry.heard_at.max(Some(core.heard_at()));
-        entry.fault = Some(core.fault().to_owned());
-        for slot in [&mut entry.outgoing, &mut entry.incoming] {
-            if slot
-                .as_ref()
-                .is_some_and(|link| Arc::ptr_eq(&link.core, core))
-            {
-                *slot = None;
-            }
+        if let Some(entry) = peers.get_mut(&core.identity.instance) {
+            entry.remove_link(core);
         }
     }
 
@@ -198,30 +213,44 @@
         }
     }
 
-    /// Declares peers dead that have been silent for too long, and forgets those without a dialler.
-    pub(super) fn sweep(&self, now: Instant) {
+    /// Declares peers dead that have been silent for too long, ends links that were opened for
+    /// single calls and are not used any more, and forgets peers that are neither live nor listed.
+    ///
+    /// Silence before `resumed_at` counts for nothing, as this process was paused itself.
+    pub(super) fn sweep(&self, now: Instant, resumed_at: Instant) {
         let mut silent = Vec::new();
+        let mut unused = Vec::new();
         self.peers().retain(|id, entry| {
-            if entry.is_live && entry.is_silent(now, self.config.peer_timeout) {
+            let is_silent = entry.is_silent(now, self.config.peer_timeout);
+            if entry.is_live && is_silent && now - resumed_at > self.config.peer_timeout {
                 entry.is_live = false;
                 silent.push(PeerChange::Silent(id.clone()));
             }
-            entry.is_live || entry.dialler.is_some() || entry.working_link().is_some()
+            let is_unused = |dialler: &mut PeerDialler| {
+                dialler
+                    .used_at
+                    .is_some_and(|used| now - used > UNUSED_LIMIT)
+            };
+            unused.extend(entry.dialler.take_if(is_unused));
+            entry.is_live || entry.address.is_some() || entry.working_link().is_some()
         });
+        drop(unused);
         for change in silent {
             (self.hooks.on_peer_change)(change);
         }
     }
 
+    /// Returns the working link to a peer, and notes its use.
     pub(super) fn link(&self, id: &InstanceId) -> Result<PeerLink> {
-        let peers = self.peers();
-        let entry = peers.get(id);
-        if let Some(link) = entry.and_then(PeerEntry::working_link) {
-            return Ok(link.clone());
+        let mut peers = self.peers();
+        let mut fault = "it is not listed";
+        if let Some(entry) = peers.get_mut(id) {
+            entry.note_use();
+            if let Some(link) = entry.working_link() {
+                return Ok(link.clone());
+            }
+            fault = entry.fault.as_deref().unwrap_or("it was not reached yet");
         }
-        let fault = entry
-            .and_then(|entry| entry.fault.as_deref())
-            .unwrap_or("it was not dialled");
         Err(Error::new(
             ErrorKind::Peer,
             format!("no link to peer {id}: {fault}"),
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -80,7 +80,8 @@
 /// What an instance tells its peers at each heartbeat.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeartbeatBody {
-    /// Counts heartbeats of this link.
+    /// Counts the heartbeats with content that the process has sent to this peer on any link; zero
+    /// if the heartbeat only shows that the link works.
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// The revision of the tables in force.
@@ -89,24 +90,29 @@
     /// Whether the instance is shutting down.
     #[prost(bool, tag = "3")]
     pub is_draining: bool,
-    /// Changes of upstreams that the sender owns since its previous heartbeat on this link.
+    /// Changes of upstreams that the sender owns since its previous heartbeat.
     #[prost(message, repeated, tag = "4")]
     pub residency: Vec<ResidencyItem>,
-    /// Fingerprints of requests that were in flight at an upstream crash, with the crash count.
+    /// Fingerprints of requests that were in flight at an upstream crash, with the crash count;
+    /// only those that changed.
     #[prost(btree_map = "uint64, uint32", tag = "5")]
     pub suspects: std::collections::BTreeMap<u64, u32>,
-    /// Failure domains that the sender reaches.
+    /// Failure domains that the sender reaches, its own among them; empty if unchanged.
     #[prost(string, repeated, tag = "6")]
     pub reachable: Vec<String>,
+    /// Whether the receiver has to forget what it was told before; set on the first heartbeat of a
+    /// link.
+    #[prost(bool, tag = "7")]
+    pub is_first: bool,
 }
 
 /// The state of one upstream, told by its owner.
 #[derive(Clone, PartialEq, Message)]
 pub struct ResidencyItem {
-    /// The upstream.
+    /// The upstream; empty in a later item of the same number.
     #[prost(string, tag = "1")]
     pub upstream: String,
-    /// The epoch of the owner.
+    /// The epoch of the owner; zero in a later item of the same number.
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
     /// Requests running.
@@ -127,6 +133,12 @@
     /// Whether the upstream answers its owner.
     #[prost(bool, tag = "8")]
     pub is_healthy: bool,
+    /// Stands for the upstream and the epoch in later items on the same link.
+    #[prost(uint32, tag = "9")]
+    pub number: u32,
+    /// Whether the sender has given up the upstream.
+    #[prost(bool, tag = "10")]
+    pub is_dropped: bool,
 }
 
 /// Forwards a request to the owner of an upstream.
--- a/src/peer/peer_entry.rs
+++ b/src/peer/peer_entry.rs
@@ -1,8 +1,10 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio_util::sync::DropGuard;
 
+use super::link_core::LinkCore;
 use super::{LivePeer, PeerIdentity, PeerLink};
 use crate::id::InstanceId;
 
@@ -18,6 +20,12 @@
     /// Whether the peer has joined and was not declared dead since.
     pub(super) is_live: bool,
     pub(super) is_draining: bool,
+    /// The sequence number of the last heartbeat with content that was sent.
+    pub(super) sent_sequence: u64,
+    /// The sequence number of the last one that was received from the present process.
+    pub(super) heard_sequence: u64,
+    /// The address in the list that was passed to the mesh.
+    pub(super) address: Option<SocketAddr>,
     /// Why the last link or attempt failed.
     pub(super) fault: Option<String>,
     pub(super) dialler: Option<PeerDialler>,
@@ -27,6 +35,8 @@
 #[derive(Debug)]
 pub(super) struct PeerDialler {
     pub(super) address: SocketAddr,
+    /// When a call or question last used the link; none if the link is kept without use.
+    pub(super) used_at: Option<Instant>,
     pub(super) _stop: DropGuard,
 }
 
@@ -39,6 +49,50 @@
             .find(|link| !link.is_closed())
     }
 
+    /// Returns whether heartbeats with content go over the link.
+    pub(super) fn is_main(&self, core: &Arc<LinkCore>) -> bool {
+        self.working_link()
+            .is_some_and(|main| Arc::ptr_eq(&main.core, core))
+    }
+
+    /// Adds a link; returns those whose place it takes or that lead to a former process.
+    pub(super) fn add_link(&mut self, core: &Arc<LinkCore>) -> Vec<PeerLink> {
+        let slot = if core.is_dialled {
+            &mut self.outgoing
+        } else {
+            &mut self.incoming
+        };
+        let link = PeerLink {
+            core: Arc::clone(core),
+        };
+        let mut replaced: Vec<_> = slot.replace(link).into_iter().collect();
+        let is_former =
+            |link: &mut PeerLink| link.identity().incarnation != core.identity.incarnation;
+        replaced.extend(self.outgoing.take_if(is_former));
+        replaced.extend(self.incoming.take_if(is_former));
+        replaced
+    }
+
+    /// Removes a link that was lost.
+    pub(super) fn remove_link(&mut self, core: &Arc<LinkCore>) {
+        let is_lost = |link: &mut PeerLink| Arc::ptr_eq(&link.core, core);
+        if self.outgoing.take_if(is_lost).is_some() || self.incoming.take_if(is_lost).is_some() {
+            self.heard_at = self.heard_at.max(Some(core.heard_at()));
+            self.fault = Some(core.fault().to_owned());
+        }
+    }
+
+    /// Notes that a call or question uses the link.
+    pub(super) fn note_use(&mut self) {
+        if let Some(used_at) = self
+            .dialler
+            .as_mut()
+            .and_then(|dialler| dialler.used_at.as_mut())
+        {
+            *used_at = Instant::now();
+        }
+    }
+
     pub(super) fn heard_at(&self) -> Option<Instant> {
         [&self.outgoing, &self.incoming]
             .into_iter()
--- a/src/peer/peer_mesh.rs
+++ b/src/peer/peer_mesh.rs
@@ -1,21 +1,22 @@
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use tokio::net::TcpListener;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::mesh_core::MeshCore;
-use super::peer_entry::PeerDialler;
 use super::{
-    CallEvents, CallOpen, LivePeer, MeshConfig, MeshHooks, PeerAsk, PeerReply, accept_task,
-    dial_task,
+    CallEvents, CallOpen, LivePeer, MeshConfig, MeshHooks, PeerAsk, PeerLink, PeerReply,
+    accept_task, dial_task,
 };
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
+use crate::member::rendezvous_score;
 use crate::platform::ListedInstance;
 
 /// The links of this instance to all its peers.
@@ -65,29 +66,36 @@
 
     /// Keeps one link to each of `peers`, without this instance, and drops links to others that
     /// were dialled before.
+    ///
+    /// With [`MeshConfig::max_links`], links to some of the peers are kept; the others are dialled
+    /// when a call or question goes to them.
     pub fn dial(&self, peers: &[ListedInstance]) {
-        let wanted: BTreeMap<&InstanceId, SocketAddr> = peers
+        let listed: BTreeMap<&InstanceId, SocketAddr> = peers
             .iter()
             .filter(|peer| peer.id != self.core.config.instance)
             .map(|peer| (&peer.id, peer.peer_address))
             .collect();
+        let kept = kept_peers(&self.core.config, peers);
+        let mut stopped = Vec::new();
         let mut entries = self.core.peers();
-        let mut dropped = Vec::new();
         for (id, entry) in entries.iter_mut() {
-            let address = wanted.get(id);
-            if entry.dialler.as_ref().map(|dialler| &dialler.address) != address {
-                dropped.extend(entry.dialler.take());
-            }
+            entry.address = listed.get(id).copied();
+            let address = entry.address;
+            stopped.extend(
+                entry
+                    .dialler
+                    .take_if(|dialler| Some(dialler.address) != address),
+            );
         }
-        for (id, address) in wanted {
+        for (id, address) in listed {
             let entry = entries.entry(id.clone()).or_default();
-            if entry.dialler.is_none() {
-                let stop = self.core.stop.child_token();
-                dial_task::spawn(Arc::clone(&self.core), id.clone(), address, stop.clone());
-                entry.dialler = Some(PeerDialler {
-                    address,
-                    _stop: stop.drop_guard(),
-                });
+            entry.address = Some(address);
+            let is_kept = kept.contains(id);
+            if let Some(dialler) = &mut entry.dialler {
+                let used_at = dialler.used_at.unwrap_or_else(Instant::now);
+                dialler.used_at = (!is_kept).then_some(used_at);
+            } else if is_kept {
+                entry.dialler = Some(dial_task::spawn(&self.core, id, address, None));
             }
         }
         drop(entries);
@@ -100,7 +108,7 @@
     /// Returns [`ErrorKind::Peer`] if there is no working link, and [`ErrorKind::Overloaded`] if too
     /// many calls are open on it. The request did not run then.
     pub async fn open_call(&self, to: &InstanceId, open: CallOpen) -> Result<CallEvents> {
-        self.core.link(to)?.open_call(open).await
+        self.link(to).await?.open_call(open).await
     }
 
     /// Sends a question to a peer and waits for the reply.
@@ -110,12 +118,54 @@
     /// Returns [`ErrorKind::Peer`] if there is no working link, if it is lost, or if no reply comes
     /// within the ask timeout.
     pub async fn ask(&self, to: &InstanceId, ask: PeerAsk) -> Result<PeerReply> {
-        self.core
-            .link(to)?
+        self.link(to)
+            .await?
             .ask(ask, self.core.config.ask_timeout)
             .await
     }
 
+    /// Returns the link to a peer; dials a listed peer to which no link is kept.
+    async fn link(&self, to: &InstanceId) -> Result<PeerLink> {
+        let mut link_count = self.core.link_count.subscribe();
+        let is_dialled = self.dial_for_use(to);
+        let linked = async {
+            loop {
+                // The sender is part of the mesh and outlives this call.
+                let _added = link_count.changed().await;
+                if let Ok(link) = self.core.link(to) {
+                    return link;
+                }
+            }
+        };
+        match self.core.link(to) {
+            Err(error) if is_dialled => timeout(self.core.config.dial_timeout(), linked)
+                .await
+                .or(Err(error)),
+            found => found,
+        }
+    }
+
+    /// Dials a listed peer to which no link is kept; returns whether such a link is being opened.
+    fn dial_for_use(&self, to: &InstanceId) -> bool {
+        let mut entries = self.core.peers();
+        let Some(entry) = entries.get_mut(to) else {
+            return false;
+        };
+        if entry.working_link().is_some() {
+            return false;
+        }
+        if entry.dialler.is_none() {
+            let now = Some(Instant::now());
+            entry.dialler = entry
+                .address
+                .map(|address| dial_task::spawn(&self.core, to, address, now));
+        }
+        entry
+            .dialler
+            .as_ref()
+            .is_some_and(|dialler| dialler.used_at.is_some())
+    }
+
     /// Returns the peers that have joined and were not declared dead since.
     #[must_use]
     pub fn live_peers(&self) -> Vec<LivePeer> {
@@ -168,8 +218,37 @@
 async fn sweep(core: Arc<MeshCore>) {
     let mut ticks = interval(core.config.peer_timeout / 30);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Instant::now();
+    let mut resumed_at = last;
     loop {
         ticks.tick().await;
-        core.sweep(Instant::now());
+        let now = Instant::now();
+        if now - last > core.config.link_timeout / 2 {
+            // This process was paused; peers are heard again once the links are redialled.
+            resumed_at = now;
+        }
+        last = now;
+        core.sweep(now, resumed_at);
     }
 }
+
+/// Returns the peers to which links are kept.
+///
+/// Among peers of other failure domains the choice differs from instance to instance, so that each
+/// of them is chosen by some.
+fn kept_peers<'a>(config: &MeshConfig, peers: &'a [ListedInstance]) -> BTreeSet<&'a InstanceId> {
+    let mut order: Vec<_> = peers
+        .iter()
+        .filter(|peer| peer.id != config.instance)
+        .map(|peer| {
+            let score = rendezvous_score(config.instance.as_str(), peer.id.as_str());
+            (peer.domain != config.domain, Reverse(score), &peer.id)
+        })
+        .collect();
+    order.sort_unstable();
+    order
+        .into_iter()
+        .take(config.max_links.unwrap_or(usize::MAX))
+        .map(|(_, _, id)| id)
+        .collect()
+}
--- a/tests/peer_mesh.rs
+++ b/tests/peer/calls.rs
@@ -1,9 +1,8 @@
-//! Links and meshes on loopback.
-
-mod peer_fixture;
+//! Calls and questions between two nodes.
 
 use comfreychute::peer::{CallOpen, PeerAsk, ask, chunk, reply};
-use peer_fixture::{TestNode, id};
+
+use crate::fixture::{TestNode, id};
 
 /// Guards against a mesh that does not connect, forward calls or reply to questions at all.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/peer_fixture/mod.rs
+++ b/tests/peer/fixture.rs
@@ -1,9 +1,4 @@
 //! Nodes for tests of the peer protocol.
-#![expect(
-    dead_code,
-    unreachable_pub,
-    reason = "each test file uses a part of the fixtures"
-)]
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -55,7 +50,6 @@
     pub changes: Vec<PeerChange>,
     pub beats: BTreeMap<InstanceId, Vec<HeartbeatBody>>,
     pub opened: Vec<(InstanceId, CallOpen)>,
-    pub cancelled: usize,
 }
 
 pub struct TestNode {
