--- a/src/member/member_state.rs
+++ b/src/member/member_state.rs
@@ -9,6 +9,8 @@
     pub(super) domain: DomainId,
     pub(super) listing: ListState,
     pub(super) link: LinkState,
+    /// Whether the mesh keeps a link to the instance, so that silence tells something.
+    pub(super) is_kept: bool,
     /// Whether the instance said that it is shutting down.
     pub(super) is_draining: bool,
     /// When it was last heard.
@@ -49,6 +51,7 @@
             domain,
             listing: ListState::Unlisted,
             link: LinkState::Down,
+            is_kept: true,
             is_draining: false,
             heard_at: None,
             incarnation: None,
@@ -68,7 +71,9 @@
             (LinkState::Up, _) => true,
             (LinkState::Refused, _) | (LinkState::Down, ListState::Removed) => false,
             (LinkState::Down, ListState::Unlisted) => is_heard,
-            (LinkState::Down, ListState::Listed { since, .. }) => is_heard || is_recent(since),
+            (LinkState::Down, ListState::Listed { since, .. }) => {
+                is_heard || is_recent(since) || !self.is_kept
+            }
         }
     }
 
--- a/src/member/member_view.rs
+++ b/src/member/member_view.rs
@@ -99,6 +99,14 @@
         self.forget_dead(now);
     }
 
+    /// Takes the instances to which the mesh keeps links; others count as live while they are
+    /// listed and not refused.
+    pub fn adopt_kept(&mut self, kept: &BTreeSet<InstanceId>) {
+        for (id, state) in &mut self.members {
+            state.is_kept = kept.contains(id);
+        }
+    }
+
     /// Takes a change of a peer before the next call of [`Self::adopt_peers`].
     pub fn adopt_change(&mut self, change: &PeerChange, now: Duration) {
         match change {
--- a/src/member/residency_sender.rs
+++ b/src/member/residency_sender.rs
@@ -46,7 +46,10 @@
 
     /// Reduces a heartbeat whose `residency` lists all owned upstreams with all their adapters in
     /// `added`, and whose `suspects` and `reachable` are complete.
-    pub fn reduce(&mut self, full: &HeartbeatBody) -> HeartbeatBody {
+    ///
+    /// Upstreams of which only the numbers of running and queued requests changed are left out
+    /// unless `is_load_due`; these numbers change all the time and make up most of the traffic.
+    pub fn reduce(&mut self, full: &HeartbeatBody, is_load_due: bool) -> HeartbeatBody {
         let mut body = HeartbeatBody {
             sequence: full.sequence,
             revision: full.revision,
@@ -62,7 +65,7 @@
         let mut room = MAX_BYTES;
         self.reduce_dropped(full, &mut body);
         for item in &full.residency {
-            let Some(change) = self.change(item) else {
+            let Some(change) = self.change(item, is_load_due) else {
                 continue;
             };
             let len = change.encoded_len();
@@ -78,7 +81,7 @@
     }
 
     /// Returns what changed; none if the peer knows everything.
-    fn change(&mut self, item: &ResidencyItem) -> Option<ResidencyItem> {
+    fn change(&mut self, item: &ResidencyItem, is_load_due: bool) -> Option<ResidencyItem> {
         let Some(sent) = self
             .sent
             .get(&item.upstream)
@@ -106,9 +109,8 @@
         let removed: Vec<_> = sent.adapters.iter().filter(is_removed).cloned().collect();
         let is_same = added.is_empty()
             && removed.is_empty()
-            && sent.running == item.running
-            && sent.queued == item.queued
-            && sent.is_healthy == item.is_healthy;
+            && sent.is_healthy == item.is_healthy
+            && (!is_load_due || sent.running == item.running && sent.queued == item.queued);
         (!is_same).then(|| ResidencyItem {
             number: sent.number,
             running: item.running,
--- a/src/peer/frame_limit.rs
+++ b/src/peer/frame_limit.rs
@@ -5,14 +5,27 @@
 
 use prost::encoding::{DecodeContext, WireType, decode_key, decode_varint, skip_field};
 
+use super::FrameCodec;
 use crate::error::{Error, ErrorKind};
 
-const fn max_len(field: u32) -> u64 {
+/// The largest question.
+pub(super) const ASK_LEN: usize = 256 * 1024;
+
+/// Returns the limit of a field of [`PeerFrame`](super::PeerFrame).
+const fn max_len(field: u32) -> usize {
+    const HELLO: u32 = 2;
+    const HEARTBEAT: u32 = 3;
+    const OPEN: u32 = 4;
+    const CHUNK: u32 = 5;
+    const CANCEL: u32 = 6;
+    const ASK: u32 = 7;
+    const REPLY: u32 = 8;
     match field {
-        2 => 1024,                    // Hello
-        3 | 7 => 256 * 1024,          // Heartbeat, Ask
-        4 | 5 | 8 => 4 * 1024 * 1024, // Open, Chunk, Reply
-        6 => 4 * 1024,                // Cancel
+        HELLO => FrameCodec::HELLO_LEN,
+        HEARTBEAT => 256 * 1024,
+        ASK => ASK_LEN,
+        OPEN | CHUNK | REPLY => FrameCodec::MAX_LEN,
+        CANCEL => 4 * 1024,
         _ => 64,
     }
 }
@@ -38,15 +51,15 @@
         if wire == WireType::LengthDelimited {
             let len = decode_varint(&mut frame)
                 .map_err(|error| bad(format!("unreadable frame: {error}")))?;
+            let len = usize::try_from(len).unwrap_or(usize::MAX);
             if len > max_len(field) {
                 return Err(bad(format!(
                     "field {field} of a frame has {len} bytes, the limit is {}",
                     max_len(field)
                 )));
             }
-            frame = usize::try_from(len)
-                .ok()
-                .and_then(|len| frame.get(len..))
+            frame = frame
+                .get(len..)
                 .ok_or_else(|| bad("a frame ends inside a field".to_owned()))?;
         } else {
             skip_field(wire, field, &mut frame, DecodeContext::default())
--- a/src/peer/link_writer.rs
+++ b/src/peer/link_writer.rs
@@ -2,15 +2,15 @@
 use std::time::Duration;
 
 use futures_util::SinkExt;
-use prost::Message;
 use tokio::io::AsyncWrite;
 use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_util::codec::FramedWrite;
 
+use super::FrameCodec;
+use super::link_beats::{LinkBeats, NodeBeat};
 use super::link_core::{LinkCore, LinkQueues};
 use super::outgoing::Outgoing;
-use super::{FrameCodec, HeartbeatBody, PeerFrame, frame};
 use crate::error::{Error, ErrorKind, Result};
 
 /// Frames that are written together at most, so that heartbeats are not held up.
@@ -23,11 +23,8 @@
     pub(super) frames: FramedWrite<W, FrameCodec>,
     pub(super) write_timeout: Duration,
     /// Changes at each heartbeat.
-    pub(super) beats: watch::Receiver<Arc<HeartbeatBody>>,
-    /// Builds the heartbeat of this link.
-    pub(super) body: Box<dyn FnMut(&HeartbeatBody) -> HeartbeatBody + Send>,
-    /// Takes the bytes of each heartbeat.
-    pub(super) on_sent: Box<dyn Fn(u64) + Send>,
+    pub(super) ticks: watch::Receiver<Arc<NodeBeat>>,
+    pub(super) beats: LinkBeats,
 }
 
 impl<W: AsyncWrite + Unpin> LinkWriter<W> {
@@ -41,12 +38,12 @@
     }
 
     async fn write_all(&mut self) -> Result<()> {
-        self.beats.mark_changed();
+        self.ticks.mark_changed();
         loop {
             tokio::select! {
                 biased;
-                beat = self.beats.changed() => {
-                    if beat.is_err() {
+                tick = self.ticks.changed() => {
+                    if tick.is_err() {
                         return Err(Error::new(ErrorKind::ShuttingDown, "the mesh was stopped"));
                     }
                     self.feed_beat().await?;
@@ -73,13 +70,11 @@
     }
 
     async fn feed_beat(&mut self) -> Result<()> {
-        let full = Arc::clone(&self.beats.borrow_and_update());
-        let frame = PeerFrame {
-            stream: 0,
-            body: Some(frame::Body::Heartbeat((self.body)(&full))),
-        };
-        (self.on_sent)(4 + frame.encoded_len() as u64);
-        in_time(self.write_timeout, self.frames.feed(frame)).await
+        let beat = Arc::clone(&self.ticks.borrow_and_update());
+        if let Some(frame) = self.beats.next(&beat) {
+            in_time(self.write_timeout, self.frames.feed(frame)).await?;
+        }
+        Ok(())
     }
 }
 
--- a/src/peer/mesh_config.rs
+++ b/src/peer/mesh_config.rs
@@ -27,8 +27,12 @@
     pub secret: Option<SharedSecret>,
     /// Limits of each link.
     pub limits: LinkLimits,
+    /// Links up to which each heartbeat tells the load of the owned upstreams; with `n` times as many
+    /// links, every `n`th heartbeat does, which bounds the traffic of an instance.
+    pub load_links: usize,
     /// The most peers to which links are kept; none means all. Peers of the own failure domain come
-    /// first. Others are dialled when a call or question goes to them.
+    /// first and should all be included, since ownership rests on the links among them. Others are
+    /// dialled when a call or question goes to them.
     pub max_links: Option<usize>,
 }
 
@@ -52,10 +56,19 @@
             ask_timeout: Duration::from_secs(2),
             secret: None,
             limits: LinkLimits::default(),
+            load_links: 16,
             max_links: None,
         }
     }
 
+    /// Returns every how many heartbeats a link shows that it works if it has no content to send.
+    ///
+    /// Twice per link timeout, so that one delayed heartbeat does not end a link.
+    pub(super) fn idle_beats(&self) -> u32 {
+        let beats = (self.link_timeout / 2).as_nanos() / self.heartbeat_interval.as_nanos().max(1);
+        u32::try_from(beats).unwrap_or(u32::MAX).max(1)
+    }
+
     /// Returns the time allowed for connecting and for the handshake.
     ///
     /// Two attempts fit between the loss of a silent link and the declaration of death.
--- a/src/peer/mesh_core.rs
+++ b/src/peer/mesh_core.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,6 +9,7 @@
 use tokio_util::codec::{Framed, FramedRead, FramedWrite};
 use tokio_util::sync::CancellationToken;
 
+use super::link_beats::{LinkBeats, NodeBeat};
 use super::link_core::LinkCore;
 use super::link_reader::LinkReader;
 use super::link_writer::LinkWriter;
@@ -16,7 +17,6 @@
 use super::{FrameCodec, HeartbeatBody, MeshConfig, MeshHooks, PeerChange, PeerIdentity, PeerLink};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
-use crate::member::ResidencySender;
 
 /// The time after its last use for which a link stays that was opened for single calls.
 const UNUSED_LIMIT: Duration = Duration::from_secs(30);
@@ -28,7 +28,7 @@
     pub(super) hooks: MeshHooks,
     pub(super) address: SocketAddr,
     pub(super) stop: CancellationToken,
-    pub(super) beats: watch::Sender<Arc<HeartbeatBody>>,
+    pub(super) beats: watch::Sender<Arc<NodeBeat>>,
     pub(super) beat_bytes: AtomicU64,
     /// Changes whenever a link was added.
     pub(super) link_count: watch::Sender<u64>,
@@ -42,7 +42,10 @@
         address: SocketAddr,
         stop: CancellationToken,
     ) -> Self {
-        let first = Arc::new((hooks.heartbeat)());
+        let first = Arc::new(NodeBeat {
+            full: (hooks.heartbeat)(),
+            load_beats: 1,
+        });
         Self {
             config,
             hooks,
@@ -59,6 +62,19 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes the state of the node for the next heartbeat of all links.
+    pub(super) fn beat(&self) {
+        let links = self
+            .peers()
+            .values()
+            .filter(|entry| entry.working_link().is_some())
+            .count();
+        let load_beats = links.div_ceil(self.config.load_links.max(1)).max(1) as u64;
+        let full = (self.hooks.heartbeat)();
+        self.beats
+            .send_replace(Arc::new(NodeBeat { full, load_beats }));
+    }
+
     /// Runs a link after its handshake until it is lost.
     pub(super) async fn run_link(
         self: &Arc<Self>,
@@ -75,19 +91,13 @@
         let (core, queues) = LinkCore::new(identity, is_dialled, self.config.limits);
         core.hear();
         self.add_link(&core);
-        let (mesh, link) = (Arc::clone(self), Arc::clone(&core));
-        let sent = Arc::clone(self);
-        let mut residency = ResidencySender::new();
         let writer = LinkWriter {
             core: Arc::clone(&core),
             queues,
             frames: FramedWrite::new(write_half, FrameCodec::new(FrameCodec::MAX_LEN)),
             write_timeout: self.config.link_timeout,
-            beats: self.beats.subscribe(),
-            body: Box::new(move |full| mesh.link_beat(&link, &mut residency, full)),
-            on_sent: Box::new(move |bytes| {
-                sent.beat_bytes.fetch_add(bytes, Ordering::Relaxed);
-            }),
+            ticks: self.beats.subscribe(),
+            beats: LinkBeats::new(Arc::clone(self), Arc::clone(&core)),
         };
         let reader = LinkReader {
             core: Arc::clone(&core),
@@ -104,30 +114,6 @@
         self.stop.run_until_cancelled(run).await;
     }
 
-    /// Builds the heartbeat of one link: with content on the one in use, without on the other.
-    fn link_beat(
-        &self,
-        link: &Arc<LinkCore>,
-        sender: &mut ResidencySender,
-        full: &HeartbeatBody,
-    ) -> HeartbeatBody {
-        let mut peers = self.peers();
-        let main = peers
-            .get_mut(&link.identity.instance)
-            .filter(|entry| entry.is_main(link));
-        let Some(entry) = main else {
-            sender.reset();
-            return HeartbeatBody::default();
-        };
-        entry.sent_sequence += 1;
-        let sequence = entry.sent_sequence;
-        drop(peers);
-        HeartbeatBody {
-            sequence,
-            ..sender.reduce(full)
-        }
-    }
-
     pub(super) fn take_heartbeat(&self, link: &Arc<LinkCore>, body: HeartbeatBody) {
         let id = &link.identity.instance;
         let change = {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod frame_codec;
 mod frame_limit;
 mod handshake;
+mod link_beats;
 mod link_core;
 mod link_limits;
 mod link_reader;
--- a/src/peer/peer_link.rs
+++ b/src/peer/peer_link.rs
@@ -1,10 +1,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use prost::Message;
 use tokio::sync::{mpsc, oneshot};
 
 use super::call_state::CallState;
 use super::call_window::MAX_CHUNKS;
+use super::frame_limit::ASK_LEN;
 use super::link_core::LinkCore;
 use super::link_streams::CallSlot;
 use super::{CallEvents, CallOpen, PeerAsk, PeerIdentity, PeerReply, frame};
@@ -82,9 +84,17 @@
     /// # Errors
     ///
     /// Returns [`ErrorKind::Peer`] if the link is lost or no reply comes within `timeout`; the run
-    /// state is [`RunState::Unknown`] then.
+    /// state is [`RunState::Unknown`] then. Returns [`ErrorKind::BodyTooLarge`] for a question that
+    /// exceeds 256 KiB.
     pub async fn ask(&self, ask: PeerAsk, timeout: Duration) -> Result<PeerReply> {
         let core = &self.core;
+        let len = ask.encoded_len();
+        if len > ASK_LEN {
+            return Err(Error::new(
+                ErrorKind::BodyTooLarge,
+                format!("a question of {len} bytes exceeds the limit of {ASK_LEN} bytes"),
+            ));
+        }
         let stream = core.new_stream();
         let slot = AskSlot { core, stream };
         let exchange = async {
--- a/src/peer/peer_mesh.rs
+++ b/src/peer/peer_mesh.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::mesh_core::MeshCore;
+use super::peer_entry::PeerDialler;
 use super::{
     CallEvents, CallOpen, LivePeer, MeshConfig, MeshHooks, PeerAsk, PeerLink, PeerReply,
     accept_task, dial_task,
@@ -177,6 +178,19 @@
             .collect()
     }
 
+    /// Returns the peers to which links are kept without use; with [`MeshConfig::max_links`] these are
+    /// fewer than the listed ones.
+    #[must_use]
+    pub fn kept_peers(&self) -> BTreeSet<InstanceId> {
+        let is_kept = |dialler: &PeerDialler| dialler.used_at.is_none();
+        self.core
+            .peers()
+            .iter()
+            .filter(|(_, entry)| entry.dialler.as_ref().is_some_and(is_kept))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     /// Returns why the last link or attempt to a peer failed; none while a link works.
     #[must_use]
     pub fn fault(&self, peer: &InstanceId) -> Option<String> {
@@ -210,8 +224,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let body = (core.hooks.heartbeat)();
-        core.beats.send_replace(Arc::new(body));
+        core.beat();
     }
 }
 
--- /dev/null
+++ b/tests/peer/handshake.rs
@@ -0,0 +1,257 @@
+//! The first frames of a link: versions, the shared secret and hostile bytes.
+
+use comfreychute::peer::{
+    CallOpen, FrameCodec, MeshConfig, PROTOCOL_VERSION, PeerFrame, PeerHello, SharedSecret, frame,
+};
+use futures_util::{SinkExt, StreamExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::fixture::{LIMIT, TestNode, answer_three, config, id, listed, until};
+
+fn with_secret(name: &str, secret: Option<&str>) -> MeshConfig {
+    let mut config = config(name, 1);
+    config.secret = secret.map(|text| SharedSecret::from_bytes(text.as_bytes()));
+    config
+}
+
+async fn refused(ours: Option<&str>, theirs: Option<&str>, expected: &str) {
+    let a = TestNode::start_with(with_secret("a", ours), answer_three);
+    let b = TestNode::start_with(with_secret("b", theirs), answer_three);
+
+    a.dial(&[&b]);
+
+    let fault = until("a fault", || a.mesh.fault(&id("b"))).await;
+    assert!(fault.contains(expected), "{fault}");
+    assert!(a.changes().is_empty() && b.changes().is_empty());
+}
+
+/// Guards against peers of another fleet, or without the secret, that are let in.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn wrong_or_missing_secret_is_refused() {
+    refused(Some("one"), Some("two"), "has another shared secret").await;
+    refused(Some("one"), None, "gives no proof of the shared secret").await;
+    refused(None, Some("two"), "this instance has none").await;
+}
+
+/// Guards against a check that refuses everybody.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn same_secret_is_accepted() {
+    let a = TestNode::start_with(with_secret("a", Some("one")), answer_three);
+    let b = TestNode::start_with(with_secret("b", Some("one")), answer_three);
+
+    a.dial(&[&b]);
+
+    a.linked("b").await;
+    b.linked("a").await;
+}
+
+/// Guards against a secret that ends up in logs.
+#[test]
+fn secret_is_not_shown() {
+    let config = with_secret("a", Some("one-secret"));
+
+    let shown = format!("{config:?}");
+
+    assert!(
+        shown.contains("redacted") && !shown.contains("one-secret"),
+        "{shown}"
+    );
+}
+
+type RawLink = Framed<TcpStream, FrameCodec>;
+
+async fn raw_link(node: &TestNode) -> RawLink {
+    let stream = TcpStream::connect(node.mesh.address())
+        .await
+        .expect("the node listens");
+    Framed::new(stream, FrameCodec::new(FrameCodec::MAX_LEN))
+}
+
+fn hello(protocol: u32, proof: Vec<u8>) -> PeerFrame {
+    PeerFrame {
+        stream: 0,
+        body: Some(frame::Body::Hello(PeerHello {
+            protocol,
+            instance: "raw".to_owned(),
+            incarnation: 1,
+            domain: "zone-1".to_owned(),
+            nonce: vec![7; 16],
+            proof,
+        })),
+    }
+}
+
+fn open(stream: u64) -> PeerFrame {
+    PeerFrame {
+        stream,
+        body: Some(frame::Body::Open(CallOpen::default())),
+    }
+}
+
+async fn next_hello(link: &mut RawLink) -> PeerHello {
+    let frame = timeout(LIMIT, link.next()).await.expect("in time");
+    match frame.expect("a frame").expect("readable").body {
+        Some(frame::Body::Hello(hello)) => hello,
+        other => panic!("expected a hello, got {other:?}"),
+    }
+}
+
+/// Waits until the node has closed the connection.
+async fn closed(link: &mut RawLink) {
+    let end = async { while let Some(Ok(_)) = link.next().await {} };
+    timeout(LIMIT, end)
+        .await
+        .expect("the node closes the connection");
+}
+
+/// Guards against work that a stranger gets done before it has proved the secret.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_is_run_before_the_proof() {
+    let node = TestNode::start_with(with_secret("b", Some("one")), answer_three);
+    for second in [
+        open(1),
+        hello(PROTOCOL_VERSION, vec![0; 32]),
+        hello(PROTOCOL_VERSION, Vec::new()),
+    ] {
+        let mut link = raw_link(&node).await;
+        link.send(hello(PROTOCOL_VERSION, Vec::new()))
+            .await
+            .expect("sent");
+        let theirs = next_hello(&mut link).await;
+        assert_eq!(theirs.proof.len(), 32);
+
+        link.send(second).await.expect("sent");
+        // The node may have closed the connection already.
+        let _closed = link.send(open(1)).await;
+
+        closed(&mut link).await;
+    }
+    assert!(node.seen.lock().expect("not poisoned").opened.is_empty());
+    assert!(node.changes().is_empty());
+}
+
+/// Guards against a recorded handshake that is accepted a second time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn proof_of_another_connection_is_refused() {
+    let node = TestNode::start_with(with_secret("b", Some("one")), answer_three);
+    // The node's own proof is a digest by the same secret for the other role.
+    let mut link = raw_link(&node).await;
+    link.send(hello(PROTOCOL_VERSION, Vec::new()))
+        .await
+        .expect("sent");
+    let theirs = next_hello(&mut link).await;
+
+    link.send(hello(PROTOCOL_VERSION, theirs.proof))
+        .await
+        .expect("sent");
+
+    closed(&mut link).await;
+    assert!(node.changes().is_empty());
+}
+
+/// Guards against builds that misread each other, and against an error that does not say why.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn other_protocol_version_is_refused_with_both_versions() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut link = Framed::new(stream, FrameCodec::new(FrameCodec::MAX_LEN));
+            let _first = link.next().await;
+            let _sent = link.send(hello(99, Vec::new())).await;
+        }
+    });
+    let node = TestNode::start("a");
+    node.mesh.dial(&[listed("raw", address)]);
+
+    let fault = until("a fault", || node.mesh.fault(&id("raw"))).await;
+    let mut link = raw_link(&node).await;
+    link.send(hello(99, Vec::new())).await.expect("sent");
+    let theirs = next_hello(&mut link).await;
+
+    assert!(fault.contains("version 99"), "{fault}");
+    assert!(
+        fault.contains(&format!("version {PROTOCOL_VERSION}")),
+        "{fault}"
+    );
+    assert_eq!(theirs.protocol, PROTOCOL_VERSION);
+    closed(&mut link).await;
+}
+
+/// Guards against large allocations and connections that stay open for hostile bytes, before and
+/// after the handshake.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn oversized_frame_closes_the_connection() {
+    let node = TestNode::start("b");
+    for len in [2_000_u32, u32::MAX] {
+        let mut stream = TcpStream::connect(node.mesh.address())
+            .await
+            .expect("the node listens");
+        stream.write_all(&len.to_be_bytes()).await.expect("sent");
+        let read = timeout(LIMIT, stream.read_to_end(&mut Vec::new())).await;
+        // Closed or reset, depending on what was unread.
+        let _end = read.expect("the node closes the connection");
+    }
+    let mut link = raw_link(&node).await;
+    link.send(hello(PROTOCOL_VERSION, Vec::new()))
+        .await
+        .expect("sent");
+    next_hello(&mut link).await;
+    link.send(hello(PROTOCOL_VERSION, Vec::new()))
+        .await
+        .expect("sent");
+    node.linked("raw").await;
+
+    let header = (4 * 1024 * 1024_u32 + 1).to_be_bytes();
+    link.get_mut().write_all(&header).await.expect("sent");
+
+    closed(&mut link).await;
+    let fault = until("a fault", || node.mesh.fault(&id("raw"))).await;
+    assert!(fault.contains("exceeds the limit"), "{fault}");
+}
+
+/// Guards against a peer that breaks the rules of streams and stays connected.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn broken_rules_close_the_link() {
+    let credit = PeerFrame {
+        stream: 1,
+        body: Some(frame::Body::Credit(u32::MAX)),
+    };
+    let cases = [
+        vec![open(2)],
+        vec![open(0)],
+        vec![open(1), open(1)],
+        vec![open(1), credit],
+        vec![hello(PROTOCOL_VERSION, Vec::new())],
+    ];
+    for frames in cases {
+        let node = TestNode::start_with(
+            config("b", 1),
+            |_, sink: comfreychute::peer::CallSink| async move {
+                sink.closed().await;
+            },
+        );
+        let mut link = raw_link(&node).await;
+        link.send(hello(PROTOCOL_VERSION, Vec::new()))
+            .await
+            .expect("sent");
+        next_hello(&mut link).await;
+        link.send(hello(PROTOCOL_VERSION, Vec::new()))
+            .await
+            .expect("sent");
+
+        for frame in frames.clone() {
+            link.send(frame).await.expect("sent");
+        }
+
+        closed(&mut link).await;
+        let fault = until("a fault", || node.mesh.fault(&id("raw"))).await;
+        assert!(
+            !fault.contains("nothing was received"),
+            "{frames:?}: {fault}"
+        );
+    }
+}
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -3,4 +3,5 @@
 mod calls;
 mod failures;
 mod fixture;
+mod handshake;
 mod test_proxy;
