--- a/src/peer/mesh_config.rs
+++ b/src/peer/mesh_config.rs
@@ -5,6 +5,9 @@
 use crate::id::{DomainId, InstanceId};
 
 /// The settings of a [`PeerMesh`](super::PeerMesh).
+///
+/// Intervals and timeouts must be the same on all instances: a peer with a shorter link timeout than
+/// this instance's would drop links on which nothing is due yet.
 #[derive(Debug, Clone)]
 pub struct MeshConfig {
     /// This instance.
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the peer protocol: codec, handshake, links and mesh, on loopback.
 
 mod calls;
+mod codec;
 mod failures;
 mod fixture;
 mod handshake;
 mod test_proxy;
+mod traffic;
--- /dev/null
+++ b/tests/peer/traffic.rs
@@ -0,0 +1,114 @@
+//! Bytes of heartbeats.
+
+use std::time::Duration;
+
+use comfreychute::peer::{HeartbeatBody, MeshConfig, ResidencyItem};
+
+use crate::fixture::{LIMIT, TestNode, answer_three, config, until};
+
+/// Upstreams of one owner at the two-year scale: 216 workers over 52 instances.
+const UPSTREAMS: usize = 4;
+
+/// Heartbeats over which the bytes are counted.
+const BEATS: usize = 24;
+
+fn state(step: u32) -> HeartbeatBody {
+    let residency = (0..UPSTREAMS)
+        .map(|number| ResidencyItem {
+            upstream: format!("lanka-zone-1-engine-{number}"),
+            epoch: 3 << 32 | 0xabcd_1234,
+            running: 4 + step % 8,
+            queued: vec![step % 3, 10 + step % 20, 200 + step % 50],
+            added: (0..8)
+                .map(|adapter| format!("adapter-{adapter}@3"))
+                .collect(),
+            is_healthy: true,
+            ..ResidencyItem::default()
+        })
+        .collect();
+    HeartbeatBody {
+        revision: 20_000,
+        residency,
+        reachable: vec!["lanka-zone-1".to_owned(), "lanka-zone-2".to_owned()],
+        ..HeartbeatBody::default()
+    }
+}
+
+/// Bytes of the heartbeats without content on a link in reserve, per two intervals. The long link
+/// timeout of these tests makes them rare, so they are added to the count.
+const RESERVE: u64 = 6;
+
+/// Shortens the interval, on which the bytes per interval do not depend; long timeouts keep a busy
+/// machine from dropping links, which would add complete states to the count.
+fn brisk(name: &str) -> MeshConfig {
+    let mut config = config(name, 1);
+    config.heartbeat_interval = Duration::from_millis(100);
+    config.link_timeout = LIMIT;
+    config.peer_timeout = 2 * LIMIT;
+    config
+}
+
+/// Returns the bytes that one node sends per heartbeat interval to `peers` peers, in steady state.
+async fn bytes_per_beat(peers: usize, is_busy: bool) -> u64 {
+    let hub = TestNode::start_with(brisk("hub"), answer_three);
+    *hub.beat.lock().expect("not poisoned") = state(0);
+    let nodes: Vec<_> = (0..peers)
+        .map(|number| TestNode::start_with(brisk(&format!("node-{number}")), answer_three))
+        .collect();
+    hub.dial(&nodes.iter().collect::<Vec<_>>());
+    for node in &nodes {
+        node.dial(&[&hub]);
+    }
+    for node in &nodes {
+        node.linked("hub").await;
+        hub.linked(&node.name).await;
+    }
+    let beats_at = |node: &TestNode| {
+        let seen = node.seen.lock().expect("not poisoned");
+        seen.beats.values().map(Vec::len).sum::<usize>()
+    };
+    let started = nodes.iter().map(beats_at).max().unwrap_or(0).max(2);
+    until("the complete state at all peers", || {
+        nodes
+            .iter()
+            .all(|node| beats_at(node) > started)
+            .then_some(())
+    })
+    .await;
+
+    let (first_beat, first_bytes) = (beats_at(&nodes[0]), hub.mesh.heartbeat_bytes());
+    let mut step = 0;
+    until("enough heartbeats", || {
+        let beats = beats_at(&nodes[0]) - first_beat;
+        if is_busy && beats > step {
+            step = beats;
+            let step = u32::try_from(step).expect("few");
+            *hub.beat.lock().expect("not poisoned") = state(step);
+        }
+        (beats >= BEATS).then_some(())
+    })
+    .await;
+    let bytes = hub.mesh.heartbeat_bytes() - first_bytes;
+    let beats = beats_at(&nodes[0]) - first_beat;
+    bytes / beats as u64 + peers as u64 * RESERVE / 2
+}
+
+/// Guards against control traffic that grows beyond the budget of 3 KB/s for a failure domain of 52
+/// instances, at two heartbeats per second.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn heartbeats_stay_within_the_control_budget() {
+    let mut figures = Vec::new();
+    for peers in [8, 51] {
+        for is_busy in [false, true] {
+            figures.push((peers, is_busy, bytes_per_beat(peers, is_busy).await));
+        }
+    }
+
+    for (peers, is_busy, bytes) in &figures {
+        println!("{peers} peers, busy {is_busy}: {bytes} bytes per heartbeat interval");
+    }
+    for (_, _, bytes) in figures {
+        // Two intervals per second.
+        assert!(2 * bytes <= 3_000, "{bytes} bytes per interval");
+    }
+}
