Add the clients of the platform and of the upstreams

Conclusion: clients over hyper-util's pooled client. Each timeout abandons the pool, because other idle connections to a host that went silent may be unresponsive too.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod table;
 pub mod telemetry;
 pub mod time;
+mod transport;
 pub mod unit;
 pub mod upstream;
 
--- /dev/null
+++ b/src/platform/object_query.rs
@@ -0,0 +1,18 @@
+use std::fmt::{self, Write as _};
+
+/// Writes a text into a query, with reserved characters escaped.
+#[derive(Debug)]
+pub(super) struct ObjectQuery<'a>(pub(super) &'a str);
+
+impl fmt::Display for ObjectQuery<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0.bytes() {
+            if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'/') {
+                f.write_char(char::from(byte))?;
+            } else {
+                write!(f, "%{byte:02X}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/transport/http_transport.rs
@@ -0,0 +1,140 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use crate::error::{Error, ErrorKind, Result, RunState};
+
+type PooledClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Idle connections are closed before common servers close them, so that few requests meet a
+/// connection that is being closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Sends requests to one address over pooled connections.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpTransport {
+    address: SocketAddr,
+    timeout: Duration,
+    kind: ErrorKind,
+    client: Arc<Mutex<PooledClient>>,
+}
+
+impl HttpTransport {
+    /// Creates a transport whose failures have the kind `kind`.
+    pub(crate) fn new(address: SocketAddr, timeout: Duration, kind: ErrorKind) -> Self {
+        Self {
+            address,
+            timeout,
+            kind,
+            client: Arc::new(Mutex::new(build_client(timeout))),
+        }
+    }
+
+    /// Returns the longest wait for an answer.
+    pub(crate) const fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
+    /// Joins the address and a path with its query.
+    pub(crate) fn uri(&self, path: &str) -> Result<Uri> {
+        format!("http://{}{path}", self.address)
+            .parse()
+            .map_err(|error| Error::new(ErrorKind::BadRequest, format!("path {path:?}: {error}")))
+    }
+
+    /// Sends a request and waits up to `wait` for the head of the answer.
+    ///
+    /// The error is "not run" only if no connection was established, so that no byte of the
+    /// request was written.
+    pub(crate) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Response<Incoming>> {
+        let client = self
+            .client
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        match tokio::time::timeout(wait, client.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) => {
+                let run_state = if error.is_connect() {
+                    RunState::NotRun
+                } else {
+                    RunState::Unknown
+                };
+                Err(self.fail(&describe(&error), run_state))
+            }
+            Err(_) => {
+                // The other idle connections may be unresponsive too, while new ones work.
+                self.renew();
+                Err(self.fail(&format!("no answer within {wait:?}"), RunState::Unknown))
+            }
+        }
+    }
+
+    /// Reads the rest of an answer, up to `limit` bytes.
+    pub(crate) async fn read_body(
+        &self,
+        response: Response<Incoming>,
+        limit: usize,
+    ) -> Result<Bytes> {
+        let body = Limited::new(response.into_body(), limit).collect();
+        match tokio::time::timeout(self.timeout, body).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) => {
+                Err(self.fail(&format!("answer cut off: {error}"), RunState::Unknown))
+            }
+            Err(_) => {
+                self.renew();
+                Err(self.fail(
+                    &format!("answer not complete within {:?}", self.timeout),
+                    RunState::Unknown,
+                ))
+            }
+        }
+    }
+
+    /// Abandons all pooled connections; the next request opens a new one.
+    pub(crate) fn renew(&self) {
+        *self.client.lock().unwrap_or_else(PoisonError::into_inner) = build_client(self.timeout);
+    }
+
+    /// Creates an error that names the address.
+    pub(crate) fn fail(&self, detail: &str, run_state: RunState) -> Error {
+        Error::new(self.kind, format!("{}: {detail}", self.address)).with_run_state(run_state)
+    }
+}
+
+fn build_client(timeout: Duration) -> PooledClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    // Shorter than the wait for the answer, so that a connection that was never established is
+    // told apart from a request without an answer.
+    connector.set_connect_timeout(Some(timeout / 2));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_LIMIT)
+        .build(connector)
+}
+
+/// Joins an error and its causes; the client's own text names only the step that failed.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,5 @@
+//! The HTTP client that the clients of the platform and of upstreams share.
+
+mod http_transport;
+
+pub(crate) use http_transport::HttpTransport;
--- /dev/null
+++ b/src/upstream/engine_order.rs
@@ -0,0 +1,16 @@
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
+
+use crate::id::{EngineName, OwnerEpoch};
+
+/// The JSON form of an order to load or evict an adapter.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// The name at the engine.
+    #[serde_as(as = "DisplayFromStr")]
+    pub name: EngineName,
+    /// The epoch of the owner, which is the fencing token.
+    #[serde_as(as = "DisplayFromStr")]
+    pub epoch: OwnerEpoch,
+}
--- /dev/null
+++ b/src/upstream/event_parser.rs
@@ -0,0 +1,47 @@
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Bounds one line of an event stream, so that a faulty upstream can't exhaust the memory.
+const LINE_LIMIT: usize = 1 << 20;
+
+/// Splits server-sent events into the payloads of their data lines.
+#[derive(Debug, Default)]
+pub(super) struct EventParser {
+    buffer: BytesMut,
+    searched: usize,
+}
+
+impl EventParser {
+    /// Adds bytes from the stream.
+    pub(super) fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns whether a line exceeds the limit.
+    pub(super) fn is_overlong(&self) -> bool {
+        self.searched > LINE_LIMIT
+    }
+
+    /// Takes the payload of the next complete data line; comments and other fields are skipped.
+    pub(super) fn next_payload(&mut self) -> Option<Bytes> {
+        loop {
+            let rest = &self.buffer[self.searched..];
+            let Some(offset) = rest.iter().position(|&byte| byte == b'\n') else {
+                self.searched = self.buffer.len();
+                return None;
+            };
+            let mut line = self.buffer.split_to(self.searched + offset + 1).freeze();
+            self.searched = 0;
+            line.truncate(line.len() - 1);
+            if line.ends_with(b"\r") {
+                line.truncate(line.len() - 1);
+            }
+            if line.starts_with(b"data:") {
+                line.advance(b"data:".len());
+                if line.starts_with(b" ") {
+                    line.advance(1);
+                }
+                return Some(line);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/upstream/plain_client.rs
@@ -0,0 +1,64 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::{HeaderValue, Request};
+use http_body_util::Full;
+
+use super::{ATTEMPT_HEADER, PlainAnswer, PlainCall};
+use crate::error::{ErrorKind, Result, RunState};
+use crate::transport::HttpTransport;
+
+/// Bounds an answer, which is held in memory as a whole.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Sends calls to one plain service.
+#[derive(Debug, Clone)]
+pub struct PlainClient {
+    transport: HttpTransport,
+}
+
+impl PlainClient {
+    /// Creates a client of the service at `address` that waits at most `timeout` for an answer.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            transport: HttpTransport::new(address, timeout, ErrorKind::Unavailable),
+        }
+    }
+
+    /// Dispatches a call; an answer with an error status is an answer.
+    ///
+    /// # Errors
+    ///
+    /// The run state of the error is "not run" only if no connection could be established,
+    /// "ran" if the answer began and was cut off, and "unknown" otherwise.
+    pub async fn call(&self, call: &PlainCall) -> Result<PlainAnswer> {
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = self.transport.uri(&call.path)?;
+        *request.headers_mut() = call.headers.clone();
+        // These describe the caller's connection, not the one to the service.
+        for name in [HOST, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING] {
+            request.headers_mut().remove(name);
+        }
+        let attempt = HeaderValue::from_str(&call.attempt.to_string())
+            .map_err(|error| self.transport.fail(&error.to_string(), RunState::NotRun))?;
+        request.headers_mut().insert(ATTEMPT_HEADER, attempt);
+        let response = self
+            .transport
+            .send(request, self.transport.timeout())
+            .await?;
+        let (status, headers) = (response.status(), response.headers().clone());
+        let body = self
+            .transport
+            .read_body(response, ANSWER_LIMIT)
+            .await
+            .map_err(|error| error.with_run_state(RunState::Ran))?;
+        Ok(PlainAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+}
--- /dev/null
+++ b/src/upstream/resident_adapter.rs
@@ -0,0 +1,15 @@
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
+
+use crate::id::EngineName;
+
+/// An adapter that an engine has loaded.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResidentAdapter {
+    /// The name at the engine.
+    #[serde_as(as = "DisplayFromStr")]
+    pub name: EngineName,
+    /// The number of requests that run or wait on it.
+    pub running: u32,
+}
