Add the claim store

Requests that may not be repeated need a durable claim before dispatch. A write with an unknown effect is settled by another read and a write at the same expected version; if that fails, the claim is refused as not run and marked as not run once the store answers again.

Ruled out: concluding from a read at an unchanged version that the write did not happen, because it may still arrive. Not measured yet.

--- /dev/null
+++ b/src/claim/claim_batch.rs
@@ -0,0 +1,183 @@
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+
+use super::claim_change::{ChangeKind, ChangeReply, ChangeTarget, ClaimChange};
+use super::claim_context::ClaimContext;
+use super::claim_counters::ClaimCounters;
+use super::waiting_change::WaitingChange;
+use super::{ClaimDocument, StorageWrite};
+use crate::error::{Error, ErrorKind, Result, RunState};
+use crate::id::AttemptId;
+
+/// Changes that are written together, with the state of their write.
+#[derive(Debug)]
+pub(super) struct ClaimBatch<'a> {
+    name: &'a str,
+    context: &'a ClaimContext,
+    changes: Vec<WaitingChange>,
+    replies: Vec<Result<ChangeReply>>,
+    withdrawn: BTreeSet<(u128, AttemptId)>,
+    failures: u32,
+    conflicts: u32,
+}
+
+impl<'a> ClaimBatch<'a> {
+    pub(super) const fn new(
+        name: &'a str,
+        context: &'a ClaimContext,
+        changes: Vec<WaitingChange>,
+        withdrawn: BTreeSet<(u128, AttemptId)>,
+    ) -> Self {
+        Self {
+            name,
+            context,
+            changes,
+            replies: Vec::new(),
+            withdrawn,
+            failures: 0,
+            conflicts: 0,
+        }
+    }
+
+    /// Reads the object, applies the changes and writes it back once.
+    ///
+    /// Returns true once the replies are final, and false if another try is needed.
+    pub(super) async fn attempt(&mut self) -> Result<bool> {
+        let counters = &self.context.counters;
+        ClaimCounters::add(&counters.reads);
+        let stored = match self.context.storage.read(self.name).await {
+            Ok(stored) => stored,
+            Err(error) => return self.failed(&error),
+        };
+        let mut document = match &stored {
+            Some(stored) => ClaimDocument::decode(&stored.value)?,
+            None => ClaimDocument::default(),
+        };
+        if !self.apply(&mut document) {
+            return Ok(true);
+        }
+        ClaimCounters::add(&counters.writes);
+        let expected = stored.map(|stored| stored.version);
+        let outcome = self
+            .context
+            .storage
+            .write(self.name, document.encode(), expected)
+            .await;
+        match outcome {
+            Ok(StorageWrite::Written(_)) => Ok(true),
+            Ok(StorageWrite::Conflict(_)) => self.conflicted(),
+            Err(error) => {
+                // The write may have happened, and may still happen until the version moves on.
+                // The next try reads the object back and finds its own attempts, or writes again
+                // with the same expected version, after which this write cannot succeed any more.
+                for (waiting, reply) in self.changes.iter_mut().zip(&self.replies) {
+                    waiting.is_maybe_written |= reply.as_ref().is_ok_and(ChangeReply::is_grant);
+                }
+                self.failed(&error)
+            }
+        }
+    }
+
+    /// Applies all changes and returns whether the document must be written.
+    fn apply(&mut self, document: &mut ClaimDocument) -> bool {
+        let config = &self.context.config;
+        let now = self.context.hooks.now();
+        document.drop_expired(now, config.retention);
+        let mut target = ChangeTarget {
+            room: config.object_limit.saturating_sub(document.reserved_size()),
+            document,
+            hooks: &self.context.hooks,
+            now,
+            retention: config.retention,
+            is_changed: false,
+        };
+        for (digest, attempt) in &self.withdrawn {
+            let change = ClaimChange {
+                digest: *digest,
+                attempt: *attempt,
+                kind: ChangeKind::Abandon,
+            };
+            if let Err(error) = change.apply(&mut target, false) {
+                log::error!("claim of a withdrawn attempt cannot be marked as not run: {error}");
+            }
+        }
+        self.replies = self
+            .changes
+            .iter()
+            .map(|waiting| waiting.change.apply(&mut target, waiting.is_maybe_written))
+            .collect();
+        // A write also makes sure that no earlier write with a withdrawn attempt succeeds later.
+        let is_changed = target.is_changed || !self.withdrawn.is_empty();
+        document.shrink_to(config.object_limit);
+        is_changed
+    }
+
+    fn failed(&mut self, error: &Error) -> Result<bool> {
+        ClaimCounters::add(&self.context.counters.failures);
+        self.failures += 1;
+        if self.failures < self.context.config.max_failures {
+            return Ok(false);
+        }
+        Err(Error::new(
+            ErrorKind::Platform,
+            format!("{} could not be updated: {}", self.name, error.detail()),
+        ))
+    }
+
+    fn conflicted(&mut self) -> Result<bool> {
+        ClaimCounters::add(&self.context.counters.conflicts);
+        self.conflicts += 1;
+        if self.conflicts < self.context.config.max_conflicts {
+            return Ok(false);
+        }
+        Err(Error::new(
+            ErrorKind::Platform,
+            format!(
+                "{} was changed by others {} times",
+                self.name, self.conflicts
+            ),
+        ))
+    }
+
+    /// Borrows the withdrawn attempts that the batch included.
+    pub(super) const fn withdrawn(&self) -> &BTreeSet<(u128, AttemptId)> {
+        &self.withdrawn
+    }
+
+    /// Refuses all changes and returns the attempts that must be withdrawn.
+    pub(super) fn refuse(&mut self, error: &Error) -> Vec<(u128, AttemptId)> {
+        let mut withdrawn = Vec::new();
+        self.replies.clear();
+        for waiting in &self.changes {
+            let change = &waiting.change;
+            let run_state = match change.kind {
+                ChangeKind::Claim(_) | ChangeKind::Abandon => RunState::NotRun,
+                ChangeKind::Finish(_) => RunState::Ran,
+            };
+            if waiting.is_maybe_written || matches!(change.kind, ChangeKind::Abandon) {
+                withdrawn.push((change.digest, change.attempt));
+            }
+            self.replies.push(Err(
+                Error::new(error.kind(), error.detail()).with_run_state(run_state)
+            ));
+        }
+        withdrawn
+    }
+
+    /// Sends the replies.
+    pub(super) fn answer(self) {
+        let counters = &self.context.counters;
+        for (waiting, reply) in self.changes.into_iter().zip(self.replies) {
+            let counter = match &reply {
+                Ok(reply) if reply.is_grant() => Some(&counters.granted),
+                Ok(_) => None,
+                Err(_) => Some(&counters.refused),
+            };
+            if let Some(counter) = counter {
+                counter.fetch_add(1, Ordering::Relaxed);
+            }
+            // A caller that has gone away has withdrawn its claim itself.
+            drop(waiting.reply.send(reply));
+        }
+    }
+}
--- /dev/null
+++ b/src/claim/claim_record.rs
@@ -0,0 +1,99 @@
+use std::time::Duration;
+
+use prost::Message;
+
+use super::{ClaimState, StoredAnswer};
+use crate::id::AttemptId;
+
+/// Tag and length of a message of less than 1 MiB.
+const FRAME_SIZE: usize = 6;
+
+/// Size that an answer without body is given room for when the key is claimed.
+const ANSWER_SIZE: usize = 64;
+
+/// One claim as it is stored.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ClaimRecord {
+    /// The digest of the key, 16 bytes in big-endian order.
+    #[prost(bytes = "vec", tag = "1")]
+    pub key: Vec<u8>,
+    /// The digest of the body.
+    #[prost(fixed64, tag = "2")]
+    pub body_digest: u64,
+    /// The request id, 16 bytes in big-endian order.
+    #[prost(bytes = "vec", tag = "3")]
+    pub request: Vec<u8>,
+    /// The number of the attempt.
+    #[prost(uint32, tag = "4")]
+    pub attempt: u32,
+    /// The instance that holds the claim.
+    #[prost(string, tag = "5")]
+    pub instance: String,
+    /// The incarnation of that instance.
+    #[prost(fixed64, tag = "6")]
+    pub incarnation: u64,
+    /// The state.
+    #[prost(enumeration = "ClaimState", tag = "7")]
+    pub state: i32,
+    /// Time of the last change in milliseconds since the Unix epoch; retention counts from here.
+    #[prost(uint64, tag = "8")]
+    pub changed_ms: u64,
+    /// Time until which a pending claim counts as in progress, in milliseconds since the Unix
+    /// epoch.
+    #[prost(uint64, tag = "9")]
+    pub deadline_ms: u64,
+    /// The answer of a finished claim.
+    #[prost(message, optional, tag = "10")]
+    pub answer: Option<StoredAnswer>,
+}
+
+impl ClaimRecord {
+    /// Returns whether the record belongs to `attempt`.
+    #[must_use]
+    pub fn is_of(&self, attempt: AttemptId) -> bool {
+        self.request == attempt.request().to_u128().to_be_bytes()
+            && self.attempt == attempt.number()
+    }
+
+    /// Returns the digest of the key, if the record is well formed.
+    #[must_use]
+    pub fn digest(&self) -> Option<u128> {
+        self.key.as_slice().try_into().ok().map(u128::from_be_bytes)
+    }
+
+    /// Returns whether the record has a request id and a known state.
+    #[must_use]
+    pub fn is_well_formed(&self) -> bool {
+        self.request.len() == size_of::<u128>() && ClaimState::try_from(self.state).is_ok()
+    }
+
+    /// Returns an upper bound of the size in bytes that the record takes in the object.
+    #[must_use]
+    pub fn size_bound(&self) -> usize {
+        self.encoded_len() + FRAME_SIZE
+    }
+
+    /// Returns the size in bytes that the record takes at most once its request has finished and
+    /// the body was dropped.
+    #[must_use]
+    pub fn reserved_size(&self) -> usize {
+        let answer = self.answer.as_ref().map_or(0, Message::encoded_len);
+        self.size_bound() - answer + ANSWER_SIZE
+    }
+
+    /// Drops the body, and a content type that would not fit into the reserved size.
+    pub fn drop_body(&mut self) {
+        if let Some(answer) = &mut self.answer {
+            answer.body = None;
+            if answer.encoded_len() + FRAME_SIZE > ANSWER_SIZE {
+                answer.content_type.clear();
+            }
+        }
+    }
+
+    /// Returns the time of the last change.
+    #[must_use]
+    pub const fn changed(&self) -> Duration {
+        Duration::from_millis(self.changed_ms)
+    }
+}
--- /dev/null
+++ b/src/claim/claim_shard.rs
@@ -0,0 +1,166 @@
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::runtime::Handle;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep, timeout};
+
+use super::claim_batch::ClaimBatch;
+use super::claim_change::{ChangeReply, ClaimChange};
+use super::claim_context::ClaimContext;
+use super::claim_queue::ClaimQueue;
+use super::waiting_change::WaitingChange;
+use crate::error::{Error, ErrorKind, Result};
+use crate::id::AttemptId;
+
+/// The first delay before withdrawn attempts are tried again; doubled up to the configured one.
+const FIRST_WITHDRAW_DELAY: Duration = Duration::from_secs(1);
+
+/// One object of claims with the changes that wait for it.
+///
+/// At most one write of this instance is in flight for the object. Changes that arrive meanwhile
+/// go into the next write together, so the number of writes does not grow with the load.
+#[derive(Debug)]
+pub(super) struct ClaimShard {
+    name: String,
+    context: Arc<ClaimContext>,
+    queue: Mutex<ClaimQueue>,
+    arrival: Notify,
+}
+
+impl ClaimShard {
+    pub(super) fn new(index: usize, context: Arc<ClaimContext>) -> Self {
+        Self {
+            name: format!("claims/{index}"),
+            context,
+            queue: Mutex::default(),
+            arrival: Notify::new(),
+        }
+    }
+
+    /// Queues a change and returns the receiver of its result.
+    pub(super) fn submit(
+        self: &Arc<Self>,
+        change: ClaimChange,
+    ) -> Result<oneshot::Receiver<Result<ChangeReply>>> {
+        let (reply, receiver) = oneshot::channel();
+        let waiting = WaitingChange {
+            change,
+            reply,
+            is_maybe_written: false,
+        };
+        let limit = self.context.config.queue_limit;
+        let mut queue = self.lock();
+        // The end of a granted claim finds room beyond the limit for new ones.
+        let limit = if waiting.is_claim() { limit } else { limit * 2 };
+        if queue.waiting.len() >= limit {
+            return Err(Error::new(
+                ErrorKind::Overloaded,
+                format!("{limit} changes wait for {}", self.name),
+            )
+            .with_retry_after(Duration::from_secs(1)));
+        }
+        let withdrawn = (waiting.change.digest, waiting.change.attempt);
+        if waiting.is_claim() && queue.withdrawn.contains(&withdrawn) {
+            return Err(Error::new(
+                ErrorKind::Internal,
+                format!(
+                    "attempt {} was refused before; use a new attempt id",
+                    withdrawn.1
+                ),
+            ));
+        }
+        queue.waiting.push_back(waiting);
+        self.start(&mut queue);
+        Ok(receiver)
+    }
+
+    /// Has a claim that will never be dispatched marked as not run, now or when the store answers.
+    pub(super) fn withdraw(self: &Arc<Self>, digest: u128, attempt: AttemptId) {
+        let mut queue = self.lock();
+        if !queue.remove_claim(digest, attempt) {
+            queue.withdraw(digest, attempt, self.context.config.queue_limit);
+            self.start(&mut queue);
+        }
+    }
+
+    fn start(self: &Arc<Self>, queue: &mut ClaimQueue) {
+        self.arrival.notify_one();
+        // Without a runtime the process is ending, and nobody is left to write.
+        if let Ok(runtime) = Handle::try_current()
+            && !queue.is_running
+        {
+            queue.is_running = true;
+            runtime.spawn(Arc::clone(self).run());
+        }
+    }
+
+    async fn run(self: Arc<Self>) {
+        let mut delay = FIRST_WITHDRAW_DELAY;
+        loop {
+            let (changes, withdrawn) = {
+                let mut queue = self.lock();
+                if queue.waiting.is_empty() && queue.withdrawn.is_empty() {
+                    queue.is_running = false;
+                    return;
+                }
+                let changes = queue.take_batch(self.context.config.batch_limit);
+                (changes, queue.withdrawn.clone())
+            };
+            if self.run_batch(changes, withdrawn).await {
+                delay = FIRST_WITHDRAW_DELAY;
+            } else if self.lock().waiting.is_empty() {
+                // Changes that arrive end the wait; only withdrawn attempts are in no hurry.
+                if timeout(delay, self.arrival.notified()).await.is_err() {
+                    delay = (delay * 2).min(self.context.config.withdraw_delay);
+                }
+            }
+        }
+    }
+
+    /// Applies changes until they are stored or refused; returns whether the store answered.
+    async fn run_batch(
+        &self,
+        changes: Vec<WaitingChange>,
+        withdrawn: BTreeSet<(u128, AttemptId)>,
+    ) -> bool {
+        let mut batch = ClaimBatch::new(&self.name, &self.context, changes, withdrawn);
+        let result = loop {
+            match batch.attempt().await {
+                Ok(true) => break Ok(()),
+                Ok(false) => sleep(self.context.retry_delay()).await,
+                Err(error) => break Err(error),
+            }
+        };
+        let late = {
+            let mut queue = self.lock();
+            match &result {
+                Ok(()) => {
+                    for item in batch.withdrawn() {
+                        queue.withdrawn.remove(item);
+                    }
+                    Vec::new()
+                }
+                Err(error) => {
+                    for (digest, attempt) in batch.refuse(error) {
+                        queue.withdraw(digest, attempt, self.context.config.queue_limit);
+                    }
+                    queue.take_claims()
+                }
+            }
+        };
+        batch.answer();
+        if let Err(error) = &result {
+            // Claims that arrived meanwhile would wait as long for the same refusal.
+            let mut batch = ClaimBatch::new(&self.name, &self.context, late, BTreeSet::new());
+            batch.refuse(error);
+            batch.answer();
+        }
+        result.is_ok()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ClaimQueue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/claim/waiting_change.rs
@@ -0,0 +1,26 @@
+use tokio::sync::oneshot;
+
+use super::ClaimOutcome;
+use super::claim_change::{ChangeKind, ChangeReply, ClaimChange};
+use crate::error::Result;
+
+/// A change together with the caller that waits for its result.
+#[derive(Debug)]
+pub(super) struct WaitingChange {
+    pub(super) change: ClaimChange,
+    pub(super) reply: oneshot::Sender<Result<ChangeReply>>,
+    /// Whether a write that contains the change had an unknown effect.
+    pub(super) is_maybe_written: bool,
+}
+
+impl WaitingChange {
+    pub(super) const fn is_claim(&self) -> bool {
+        matches!(self.change.kind, ChangeKind::Claim(_))
+    }
+}
+
+impl ChangeReply {
+    pub(super) const fn is_grant(&self) -> bool {
+        matches!(self, Self::Claim(ClaimOutcome::Granted))
+    }
+}
