Add the first version of the decision code

The owner and the measurements need one scheduler, placement, permit bucket and fault counters to code against. This version dispatches by rank with floors, evicts by last use and bids by the number and age of waiting requests.

--- /dev/null
+++ b/src/policy/admission_policy.rs
@@ -0,0 +1,97 @@
+use std::time::Duration;
+
+use super::SchedulerConfig;
+use crate::id::RequestRank;
+
+/// Weight of the newest observation in the running averages.
+const NEWEST: f64 = 0.05;
+
+/// Predicts waits and refuses requests that cannot meet their deadline.
+#[derive(Debug, Clone)]
+pub struct AdmissionPolicy {
+    max_running: f64,
+    floors: [f64; 3],
+    load_time: f64,
+    token_time: f64,
+    most_tokens: u32,
+}
+
+impl AdmissionPolicy {
+    /// Creates the policy with the estimates of the settings.
+    #[must_use]
+    pub fn new(config: &SchedulerConfig) -> Self {
+        Self {
+            max_running: f64::from(config.max_running.max(1)),
+            floors: config.floors,
+            load_time: config.load_time.as_secs_f64(),
+            token_time: config.token_time.as_secs_f64(),
+            most_tokens: 0,
+        }
+    }
+
+    /// Notes the size of a request, for [`AdmissionPolicy::longest_time`].
+    pub fn observe_size(&mut self, tokens: u32) {
+        self.most_tokens = self.most_tokens.max(tokens);
+    }
+
+    /// Returns the longest time that is predicted for any request, with its load.
+    #[must_use]
+    pub fn longest_time(&self) -> Duration {
+        self.run_time(self.most_tokens) + self.load_time()
+    }
+
+    /// Learns from a finished request.
+    pub fn observe_run(&mut self, tokens: u32, took: Duration) {
+        let sample = took.as_secs_f64() / f64::from(tokens.max(1));
+        self.token_time += NEWEST * (sample - self.token_time);
+    }
+
+    /// Learns from a finished load.
+    pub fn observe_load(&mut self, took: Duration) {
+        self.load_time += NEWEST * (took.as_secs_f64() - self.load_time);
+    }
+
+    /// Predicts how long a request runs.
+    #[must_use]
+    pub fn run_time(&self, tokens: u32) -> Duration {
+        seconds(f64::from(tokens) * self.token_time)
+    }
+
+    /// Predicts how long a load takes once it has started.
+    #[must_use]
+    pub fn load_time(&self) -> Duration {
+        seconds(self.load_time)
+    }
+
+    /// Predicts how long a request of `rank` waits behind the queued `tokens` of each rank.
+    ///
+    /// A rank waits for the ranks before it, but never longer than its floor allows.
+    #[must_use]
+    pub fn queue_wait(&self, rank: RequestRank, tokens: [u64; 3]) -> Duration {
+        let index = rank.index();
+        let rate = self.max_running / self.token_time.max(1e-6);
+        let ahead: f64 = tokens.iter().take(index + 1).map(|sum| to_f64(*sum)).sum();
+        let own = to_f64(tokens[index]);
+        let floor = self.floors[index];
+        let by_order = ahead / rate;
+        let by_floor = if floor > 0.0 {
+            own / (rate * floor)
+        } else {
+            f64::INFINITY
+        };
+        seconds(by_order.min(by_floor))
+    }
+}
+
+/// Converts a prediction, with an upper bound that keeps sums of durations from overflowing.
+fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value.clamp(0.0, 1e6))
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token sums stay far below 2^52 because queues are bounded"
+)]
+const fn to_f64(value: u64) -> f64 {
+    value as f64
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,1 +1,58 @@
 //! Decisions on placement, residency, order of service and load permits, without input or output.
+//!
+//! All decisions take the time as a duration since the start of a clock, and a random source where
+//! they draw. [`UpstreamScheduler`] combines [`RankQueue`], [`ResidencyPolicy`] and
+//! [`AdmissionPolicy`] for one upstream; [`PlacementPolicy`] serves entries, [`PermitBucket`] the
+//! permit holder.
+
+mod admission_policy;
+mod fair_clock;
+mod load_attempt;
+mod load_bid;
+mod load_estimate;
+mod permit_bucket;
+mod permit_config;
+mod permit_grant;
+mod placement_candidate;
+mod placement_policy;
+mod popularity_counter;
+mod queued_item;
+mod rank_queue;
+mod rendezvous;
+mod residency_policy;
+mod residency_rule;
+mod retry_budget;
+mod running_item;
+mod schedule_action;
+mod scheduler_admission;
+mod scheduler_config;
+mod scheduler_dispatch;
+mod scheduler_loads;
+mod slot_state;
+mod suspect_list;
+mod suspect_verdict;
+mod upstream_scheduler;
+mod work_item;
+
+pub use admission_policy::AdmissionPolicy;
+pub use load_bid::LoadBid;
+pub use load_estimate::LoadEstimate;
+pub use permit_bucket::PermitBucket;
+pub use permit_config::PermitConfig;
+pub use permit_grant::PermitGrant;
+pub use placement_candidate::PlacementCandidate;
+pub use placement_policy::PlacementPolicy;
+pub use popularity_counter::PopularityCounter;
+pub use queued_item::QueuedItem;
+pub use rank_queue::RankQueue;
+pub use rendezvous::rendezvous_score;
+pub use residency_policy::ResidencyPolicy;
+pub use residency_rule::ResidencyRule;
+pub use retry_budget::RetryBudget;
+pub use schedule_action::ScheduleAction;
+pub use scheduler_config::SchedulerConfig;
+pub use slot_state::SlotState;
+pub use suspect_list::SuspectList;
+pub use suspect_verdict::SuspectVerdict;
+pub use upstream_scheduler::UpstreamScheduler;
+pub use work_item::WorkItem;
--- /dev/null
+++ b/src/policy/popularity_counter.rs
@@ -0,0 +1,91 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id::AdapterRef;
+
+/// Counts requests per adapter with exponential decay.
+#[derive(Debug, Clone)]
+pub struct PopularityCounter {
+    half_life: Duration,
+    limit: usize,
+    counts: BTreeMap<AdapterRef, DecayedCount>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct DecayedCount {
+    value: f64,
+    at: Duration,
+}
+
+impl PopularityCounter {
+    /// Creates a counter that remembers at most `limit` adapters.
+    #[must_use]
+    pub const fn new(half_life: Duration, limit: usize) -> Self {
+        Self {
+            half_life,
+            limit,
+            counts: BTreeMap::new(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn record(&mut self, adapter: &AdapterRef, now: Duration) {
+        let value = self.score(adapter, now) + 1.0;
+        let count = DecayedCount { value, at: now };
+        if let Some(slot) = self.counts.get_mut(adapter) {
+            *slot = count;
+            return;
+        }
+        if self.counts.len() >= self.limit.max(1) {
+            self.prune(now);
+        }
+        self.counts.insert(adapter.clone(), count);
+    }
+
+    /// Returns the decayed number of requests.
+    #[must_use]
+    pub fn score(&self, adapter: &AdapterRef, now: Duration) -> f64 {
+        self.counts
+            .get(adapter)
+            .map_or(0.0, |count| self.decay(*count, now))
+    }
+
+    /// Returns the number of adapters remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Returns whether no adapter is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    fn decay(&self, count: DecayedCount, now: Duration) -> f64 {
+        let age = now.saturating_sub(count.at).as_secs_f64();
+        let half_life = self.half_life.as_secs_f64().max(1e-3);
+        count.value * (-age / half_life).exp2()
+    }
+
+    /// Forgets the less popular half, so that the cost per request stays constant on average.
+    fn prune(&mut self, now: Duration) {
+        let mut scores: Vec<f64> = self
+            .counts
+            .values()
+            .map(|count| self.decay(*count, now))
+            .collect();
+        scores.sort_by(f64::total_cmp);
+        let median = scores.get(scores.len() / 2).copied().unwrap_or(0.0);
+        let mut excess = scores.len() / 2 + 1;
+        let (half_life, limit) = (self.half_life, self.limit);
+        let reader = Self::new(half_life, limit);
+        self.counts.retain(|_, count| {
+            let is_dropped = excess > 0 && reader.decay(*count, now) <= median;
+            if is_dropped {
+                excess -= 1;
+            }
+            !is_dropped
+        });
+    }
+}
--- /dev/null
+++ b/src/policy/running_item.rs
@@ -0,0 +1,11 @@
+use std::time::Duration;
+
+use super::WorkItem;
+
+/// A dispatched request.
+#[derive(Debug, Clone)]
+pub(super) struct RunningItem {
+    pub(super) item: WorkItem,
+    pub(super) started_at: Duration,
+    pub(super) is_cancelled: bool,
+}
--- /dev/null
+++ b/src/policy/scheduler_loads.rs
@@ -0,0 +1,153 @@
+//! The part of the scheduler that bids for loads, makes room for them and starts them.
+
+use std::time::Duration;
+
+use super::{LoadBid, ScheduleAction, UpstreamScheduler};
+use crate::error::ErrorKind;
+use crate::id::{AdapterRef, RequestId, RequestRank};
+
+/// Bids that one upstream makes at a time; further ones could not be granted soon anyway.
+const MAX_BIDS: usize = 16;
+
+/// Failed loads in a row after which waiting requests are sent back to their entries.
+const MAX_LOAD_FAILURES: u32 = 2;
+
+impl UpstreamScheduler {
+    /// Lists the loads that waiting requests need, the most valuable first.
+    #[must_use]
+    pub fn bids(&self, now: Duration) -> Vec<LoadBid> {
+        let mut bids = Vec::new();
+        for (index, rank) in RequestRank::ALL.into_iter().enumerate() {
+            for adapter in self.queues[index].adapters() {
+                let is_counted = self.queues[..index]
+                    .iter()
+                    .any(|queue| queue.has_adapter(adapter));
+                if !is_counted && self.needs_permit(adapter, now) {
+                    bids.push(LoadBid::new(
+                        adapter.clone(),
+                        rank,
+                        self.worth(adapter, now),
+                    ));
+                }
+            }
+            if bids.len() >= MAX_BIDS {
+                break;
+            }
+        }
+        bids.sort_by(|left, right| right.value.total_cmp(&left.value));
+        bids.truncate(MAX_BIDS);
+        bids
+    }
+
+    /// Returns whether requests wait for the adapter.
+    pub(super) fn is_wanted(&self, adapter: &AdapterRef) -> bool {
+        self.queues.iter().any(|queue| queue.has_adapter(adapter))
+    }
+
+    /// Starts permitted loads in free slots and orders evictions for the others.
+    pub(super) fn start_loads(&mut self, now: Duration, actions: &mut Vec<ScheduleAction>) {
+        self.drop_stale_attempts(now);
+        let mut permitted: Vec<(f64, AdapterRef)> = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.permit_until.is_some())
+            .map(|(adapter, _)| (self.worth(adapter, now), adapter.clone()))
+            .collect();
+        permitted.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let mut evicting = self.residency.evicting();
+        for (_, adapter) in permitted {
+            if self.residency.begin_load(&adapter, now) {
+                if let Some(attempt) = self.attempts.get_mut(&adapter) {
+                    attempt.permit_until = None;
+                    attempt.started_at = Some(now);
+                }
+                actions.push(ScheduleAction::Load(adapter));
+            } else if evicting > 0 {
+                evicting -= 1;
+            } else if let Some(victim) = self.victim(now) {
+                self.residency.begin_evict(&victim);
+                actions.push(ScheduleAction::Evict(victim));
+            }
+        }
+    }
+
+    /// Learns from the end of a load and refuses requests after repeated failures.
+    pub(super) fn note_load(
+        &mut self,
+        adapter: &AdapterRef,
+        is_ok: bool,
+        now: Duration,
+        actions: &mut Vec<ScheduleAction>,
+    ) {
+        if is_ok {
+            if let Some(started_at) = self
+                .attempts
+                .remove(adapter)
+                .and_then(|attempt| attempt.started_at)
+            {
+                self.admission.observe_load(now.saturating_sub(started_at));
+            }
+            return;
+        }
+        let attempt = self.attempts.entry(adapter.clone()).or_default();
+        attempt.started_at = None;
+        attempt.failures += 1;
+        attempt.retry_at = now + self.config.load_time * attempt.failures;
+        if attempt.failures >= MAX_LOAD_FAILURES {
+            self.attempts.remove(adapter);
+            self.refuse_adapter(adapter, actions);
+        }
+    }
+
+    fn needs_permit(&self, adapter: &AdapterRef, now: Duration) -> bool {
+        self.residency.state(adapter).is_none()
+            && self
+                .attempts
+                .get(adapter)
+                .is_none_or(|attempt| attempt.permit_until.is_none() && attempt.retry_at <= now)
+    }
+
+    /// Weighs the requests that one load would serve, and how long they have waited.
+    fn worth(&self, adapter: &AdapterRef, now: Duration) -> f64 {
+        self.queues
+            .iter()
+            .flat_map(|queue| queue.of_adapter(adapter))
+            .map(|queued| 1.0 + now.saturating_sub(queued.queued_at).as_secs_f64())
+            .sum()
+    }
+
+    fn victim(&self, now: Duration) -> Option<AdapterRef> {
+        self.residency
+            .victim(|adapter| self.is_wanted(adapter), now)
+    }
+
+    /// Forgets lapsed permits and adapters that nobody waits for any more.
+    fn drop_stale_attempts(&mut self, now: Duration) {
+        let queues = &self.queues;
+        self.attempts.retain(|adapter, attempt| {
+            if attempt.permit_until.is_some_and(|until| until <= now) {
+                attempt.permit_until = None;
+            }
+            attempt.started_at.is_some()
+                || (queues.iter().any(|queue| queue.has_adapter(adapter))
+                    && (attempt.permit_until.is_some() || attempt.failures > 0))
+        });
+    }
+
+    fn refuse_adapter(&mut self, adapter: &AdapterRef, actions: &mut Vec<ScheduleAction>) {
+        for queue in &mut self.queues {
+            let requests: Vec<RequestId> = queue
+                .of_adapter(adapter)
+                .map(|queued| queued.item.request)
+                .collect();
+            for request in requests {
+                queue.remove(request);
+                actions.push(ScheduleAction::Refuse {
+                    request,
+                    kind: ErrorKind::Unavailable,
+                    retry_after: self.config.load_time,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/suspect_verdict.rs
@@ -0,0 +1,10 @@
+/// What to do with a request, judged by the crashes that it is charged with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectVerdict {
+    /// Runs like any other request.
+    Clear,
+    /// Runs alone on its upstream.
+    Alone,
+    /// Is refused.
+    Refused,
+}
--- /dev/null
+++ b/src/policy/upstream_scheduler.rs
@@ -0,0 +1,188 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::load_attempt::LoadAttempt;
+use super::rank_queue::{RankQueues, queue_of};
+use super::running_item::RunningItem;
+use super::{AdmissionPolicy, ResidencyPolicy, ScheduleAction, SchedulerConfig, WorkItem};
+use crate::error::ErrorKind;
+use crate::id::{AdapterRef, RequestId, RequestRank};
+
+/// Decides what one upstream runs, loads and evicts.
+///
+/// A state machine without input or output: its driver reports events with the present time and
+/// carries out the actions that it returns. Events in an unexpected order are ignored.
+#[derive(Debug, Clone)]
+pub struct UpstreamScheduler {
+    pub(super) config: SchedulerConfig,
+    pub(super) queues: RankQueues,
+    pub(super) running: BTreeMap<RequestId, RunningItem>,
+    pub(super) running_by_rank: [u32; 3],
+    pub(super) residency: ResidencyPolicy,
+    pub(super) admission: AdmissionPolicy,
+    pub(super) attempts: BTreeMap<AdapterRef, LoadAttempt>,
+}
+
+impl UpstreamScheduler {
+    /// Creates the scheduler of an upstream on which nothing runs and no adapter is resident.
+    #[must_use]
+    pub fn new(config: SchedulerConfig, _now: Duration) -> Self {
+        Self {
+            queues: RankQueues::default(),
+            running: BTreeMap::new(),
+            running_by_rank: [0; 3],
+            residency: ResidencyPolicy::new(&config),
+            admission: AdmissionPolicy::new(&config),
+            attempts: BTreeMap::new(),
+            config,
+        }
+    }
+
+    /// Offers a request; it is dispatched, queued or refused.
+    ///
+    /// A request that is already waiting or running is ignored.
+    pub fn offer(&mut self, item: WorkItem, now: Duration) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        let is_known = self.running.contains_key(&item.request)
+            || self.queues.iter().any(|queue| queue.contains(item.request));
+        if is_known {
+            return actions;
+        }
+        if let Some(adapter) = &item.adapter {
+            self.residency.requested(adapter, now);
+        }
+        if let Some(retry_after) = self.refusal(&item, now) {
+            actions.push(ScheduleAction::Refuse {
+                request: item.request,
+                kind: ErrorKind::Overloaded,
+                retry_after,
+            });
+            return actions;
+        }
+        self.admission.observe_size(item.tokens);
+        queue_of(&mut self.queues, item.rank).push(item, now);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Takes a load permit; the load starts as soon as a slot is free.
+    pub fn permit_granted(&mut self, adapter: &AdapterRef, now: Duration) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        if self.residency.state(adapter).is_none() && self.is_wanted(adapter) {
+            let attempt = self.attempts.entry(adapter.clone()).or_default();
+            attempt.permit_until = Some(now + self.config.permit_expiry);
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Notes the end of a load.
+    ///
+    /// The requests that wait for an adapter whose load failed twice in a row are refused, so that
+    /// their entries can try another upstream.
+    pub fn load_finished(
+        &mut self,
+        adapter: &AdapterRef,
+        is_ok: bool,
+        now: Duration,
+    ) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        if self.residency.end_load(adapter, is_ok, now) {
+            self.note_load(adapter, is_ok, now, &mut actions);
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Notes the end of an eviction.
+    pub fn evict_finished(
+        &mut self,
+        adapter: &AdapterRef,
+        is_ok: bool,
+        now: Duration,
+    ) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        self.residency.end_evict(adapter, is_ok, now);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Notes the end of a dispatched request, whatever its outcome.
+    pub fn finished(&mut self, request: RequestId, now: Duration) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        if let Some(running) = self.running.remove(&request) {
+            self.running_by_rank[running.item.rank.index()] -= 1;
+            if let Some(adapter) = &running.item.adapter {
+                self.residency.unpin(adapter, now);
+            }
+            if !running.is_cancelled {
+                let took = now.saturating_sub(running.started_at);
+                self.admission.observe_run(running.item.tokens, took);
+            }
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Drops a queued request whose caller hung up; a dispatched one is left alone.
+    pub fn withdrawn(&mut self, request: RequestId, now: Duration) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        for queue in &mut self.queues {
+            queue.remove(request);
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Notes that the engine restarted and lost its adapters.
+    ///
+    /// Dispatched requests count as running until the driver reports each of them as finished.
+    pub fn restarted(&mut self, now: Duration) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        self.residency.clear();
+        self.attempts.clear();
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Notes an adapter that the engine already holds, as seen after a change of owner.
+    pub fn adopted(&mut self, adapter: &AdapterRef, now: Duration) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        self.residency.adopt(adapter, now);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Refuses what can no longer meet its deadline and lets unused permits lapse.
+    pub fn tick(&mut self, now: Duration) -> Vec<ScheduleAction> {
+        let mut actions = Vec::new();
+        self.refuse_late(now, &mut actions);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Returns the state of adapter slots.
+    #[must_use]
+    pub const fn residency(&self) -> &ResidencyPolicy {
+        &self.residency
+    }
+
+    /// Returns the number of dispatched requests that have not finished.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running_by_rank.iter().sum()
+    }
+
+    /// Returns the number of waiting requests per rank.
+    #[must_use]
+    pub fn queued(&self) -> [u32; 3] {
+        RequestRank::ALL
+            .map(|rank| u32::try_from(self.queues[rank.index()].len()).unwrap_or(u32::MAX))
+    }
+
+    /// Dispatches, evicts and loads as far as the present state allows.
+    fn advance(&mut self, now: Duration, actions: &mut Vec<ScheduleAction>) {
+        self.dispatch_ready(now, actions);
+        self.start_loads(now, actions);
+    }
+}
