Add settings and telemetry

Settings come from one TOML file, environment variables and flags. Each value is typed by itself first, so that one run names every fault with its file and line; serde alone stops at the first. Log events have one name, level and message each; library records are wrapped into JSON.

--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -1,12 +1,16 @@
 //! The error type of the crate.
 
 mod error_kind;
+mod input_fault;
+mod input_place;
 mod run_state;
 
 use std::fmt;
 use std::time::Duration;
 
 pub use error_kind::ErrorKind;
+pub use input_fault::InputFault;
+pub use input_place::InputPlace;
 pub use run_state::RunState;
 
 /// A result whose error is [`Error`].
--- /dev/null
+++ b/src/settings/admin_settings.rs
@@ -0,0 +1,28 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+
+use super::SecretText;
+
+/// Section `[admin]`: the port for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdminSettings {
+    /// The address to listen on; required.
+    pub address: SocketAddr,
+    /// The bearer token that requests must carry; no check if neither this nor the file is set.
+    pub token: Option<SecretText>,
+    /// A file with the bearer token; loading the settings puts its content into `token`.
+    pub token_file: Option<PathBuf>,
+}
+
+impl Default for AdminSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            token: None,
+            token_file: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/limit_settings.rs
@@ -0,0 +1,34 @@
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_with::serde_as;
+
+use crate::unit::{DurationText, SizeText};
+
+/// Section `[limits]`: bounds on memory and on waiting.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// The largest body accepted from a caller, in bytes; a route may set a lower limit.
+    #[serde_as(as = "SizeText")]
+    pub max_body: u64,
+    /// Requests that wait in the queue of one upstream.
+    pub max_queued_requests: u32,
+    /// Calls of callers that one instance has open.
+    pub max_open_calls: u32,
+    /// Time that a shutdown waits for requests in progress.
+    #[serde_as(as = "DurationText")]
+    pub shutdown: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_body: 1 << 20,
+            max_queued_requests: 4_096,
+            max_open_calls: 16_384,
+            shutdown: Duration::from_mins(5),
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/log_level.rs
@@ -0,0 +1,32 @@
+use log::LevelFilter;
+use serde::Deserialize;
+
+/// The least severe level that is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Faults that need an operator.
+    Error,
+    /// Faults that the node works around.
+    Warn,
+    /// Changes of state, such as ownership and configuration.
+    Info,
+    /// One line per request.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl LogLevel {
+    /// Returns the filter of the `log` crate.
+    #[must_use]
+    pub const fn to_filter(self) -> LevelFilter {
+        match self {
+            Self::Error => LevelFilter::Error,
+            Self::Warn => LevelFilter::Warn,
+            Self::Info => LevelFilter::Info,
+            Self::Debug => LevelFilter::Debug,
+            Self::Trace => LevelFilter::Trace,
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/node_settings.rs
@@ -0,0 +1,63 @@
+use serde::Deserialize;
+
+use super::raw_settings::RawSettings;
+use super::settings_check::SettingsCheck;
+use super::{
+    AdminSettings, CallerSettings, InstanceSettings, LimitSettings, PeerSettings, PlatformSettings,
+    SettingSources, TelemetrySettings,
+};
+use crate::error::{InputFault, InputPlace};
+
+/// The settings of a node process.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+pub struct NodeSettings {
+    /// Who the process is and where it stands.
+    pub instance: InstanceSettings,
+    /// The port for callers.
+    pub caller: CallerSettings,
+    /// The links to other instances.
+    pub peer: PeerSettings,
+    /// The port for operators.
+    pub admin: AdminSettings,
+    /// The object store and the instance list.
+    pub platform: PlatformSettings,
+    /// Bounds on memory and on waiting.
+    pub limits: LimitSettings,
+    /// Logs and metrics.
+    pub telemetry: TelemetrySettings,
+}
+
+impl NodeSettings {
+    /// Types and checks the settings, and reads the files that hold secrets.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults at once.
+    pub fn from_sources(sources: &SettingSources) -> Result<Self, Vec<InputFault>> {
+        let raw = RawSettings::from_sources(sources);
+        let (mut settings, mut faults) = raw.to_settings();
+        let whole = sources.file.as_ref().map_or_else(
+            || InputPlace::File("settings".to_owned()),
+            |(path, _)| InputPlace::File(path.clone()),
+        );
+        let mut check = SettingsCheck::new(&raw, whole);
+        let (peer, admin) = (&mut settings.peer, &mut settings.admin);
+        peer.secret = check.secret(
+            ("peer", "secret"),
+            peer.secret.as_ref(),
+            peer.secret_file.as_deref(),
+        );
+        admin.token = check.secret(
+            ("admin", "token"),
+            admin.token.as_ref(),
+            admin.token_file.as_deref(),
+        );
+        faults.extend(check.run(&settings));
+        if faults.is_empty() {
+            return Ok(settings);
+        }
+        faults.sort();
+        Err(faults)
+    }
+}
--- /dev/null
+++ b/src/settings/setting_sources.rs
@@ -0,0 +1,37 @@
+use crate::error::{InputFault, InputPlace};
+
+/// The texts that settings are read from.
+#[derive(Debug, Clone, Default)]
+pub struct SettingSources {
+    /// The path and the content of the settings file.
+    pub file: Option<(String, String)>,
+    /// Environment variables; those without the prefix `COMFREYCHUTE_` are ignored.
+    pub variables: Vec<(String, String)>,
+    /// Overrides of the form `section.key=value`.
+    pub flags: Vec<String>,
+}
+
+impl SettingSources {
+    /// Reads a settings file and takes the environment of the process.
+    ///
+    /// # Errors
+    ///
+    /// Names the file if it cannot be read.
+    pub fn from_path(path: &str, flags: &[String]) -> Result<Self, InputFault> {
+        let text = std::fs::read_to_string(path).map_err(|error| InputFault {
+            place: InputPlace::File(path.to_owned()),
+            subject: "settings".to_owned(),
+            problem: format!("the file cannot be read: {error}"),
+            remedy: "check the path and the permissions".to_owned(),
+        })?;
+        Ok(Self {
+            file: Some((path.to_owned(), text)),
+            variables: std::env::vars_os()
+                .filter_map(|(name, value)| {
+                    Some((name.into_string().ok()?, value.into_string().ok()?))
+                })
+                .collect(),
+            flags: flags.to_vec(),
+        })
+    }
+}
--- /dev/null
+++ b/src/telemetry/json_logger.rs
@@ -0,0 +1,111 @@
+use std::fmt;
+use std::io::{LineWriter, Write};
+
+use log::{LevelFilter, Log, Metadata, Record};
+use serde_json::{Map, Value};
+use simplelog::{Config, ConfigBuilder, WriteLogger};
+
+use super::log_event::{EVENT_TARGET, render};
+use super::{LogEvent, LogName};
+use crate::error::{Error, ErrorKind};
+
+/// Writes log records as JSON lines.
+///
+/// Events of this crate are already JSON and pass unchanged; records of libraries are wrapped, so
+/// that a line break or a quote in them cannot break a line.
+pub struct JsonLogger<W: Write + Send + 'static> {
+    writer: Box<WriteLogger<LineWriter<W>>>,
+}
+
+impl<W: Write + Send + 'static> JsonLogger<W> {
+    /// Creates a logger that writes to `output`.
+    #[must_use]
+    pub fn new(level: LevelFilter, output: W) -> Self {
+        Self {
+            writer: WriteLogger::new(level, plain_config(), LineWriter::new(output)),
+        }
+    }
+
+    /// Makes the logger that of the process and reports panics through it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has a logger already.
+    pub fn install(self, level: LevelFilter) -> Result<(), Error> {
+        log::set_boxed_logger(Box::new(self)).map_err(|error| {
+            Error::new(
+                ErrorKind::Internal,
+                format!("the logger cannot be installed: {error}"),
+            )
+        })?;
+        log::set_max_level(level);
+        log_panics();
+        Ok(())
+    }
+}
+
+impl<W: Write + Send + 'static> fmt::Debug for JsonLogger<W> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("JsonLogger").finish_non_exhaustive()
+    }
+}
+
+impl<W: Write + Send + 'static> Log for JsonLogger<W> {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.writer.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        if record.target() == EVENT_TARGET {
+            self.writer.log(record);
+            return;
+        }
+        // dropshot logs each request and each connection at the info level; a node that works well
+        // logs nothing per request, so library records need one level more.
+        if record.level() == log::Level::Info && !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let fields = Map::from_iter([(
+            "target".to_owned(),
+            Value::String(record.target().to_owned()),
+        )]);
+        let text = record.args().to_string();
+        let line = render(record.level().as_str(), LogName::Library, &text, &fields);
+        self.writer.log(
+            &Record::builder()
+                .level(record.level())
+                .target(EVENT_TARGET)
+                .args(format_args!("{line}"))
+                .build(),
+        );
+    }
+
+    fn flush(&self) {
+        self.writer.flush();
+    }
+}
+
+/// Logs a panic of any thread as an event, besides the text that Rust prints.
+fn log_panics() {
+    let previous = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        LogEvent::new(LogName::InternalFault)
+            .with("reason", panic)
+            .send();
+        previous(panic);
+    }));
+}
+
+/// Switches off every column of `simplelog`, so that only the text remains.
+fn plain_config() -> Config {
+    ConfigBuilder::new()
+        .set_max_level(LevelFilter::Off)
+        .set_time_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .build()
+}
--- /dev/null
+++ b/src/telemetry/log_name.rs
@@ -0,0 +1,220 @@
+use displaydoc::Display;
+use log::Level;
+
+/// The name of a log event; each has one meaning, one message and one level.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[non_exhaustive]
+pub enum LogName {
+    /// the node has started
+    NodeStarted,
+    /// the node is ready for requests
+    NodeReady,
+    /// the node has begun a graceful shutdown
+    ShutdownStarted,
+    /// the node has finished its requests and ends
+    ShutdownFinished,
+    /// the shutdown limit passed; the named requests were interrupted
+    ShutdownInterrupted,
+    /// the node cannot start; correct the named fault
+    StartFailed,
+    /// new tables are in force
+    ConfigAdopted,
+    /// tables with an older revision were refused
+    ConfigStale,
+    /// tables with faults were refused; correct them with `comfreychute apply`
+    ConfigRefused,
+    /// the watch on the tables failed and is retried
+    ConfigWatchFailed,
+    /// the platform does not answer; edits and non-repeatable calls wait for it
+    PlatformUnreachable,
+    /// the platform answers again
+    PlatformRecovered,
+    /// a link to a peer is open
+    PeerConnected,
+    /// a link to a peer was closed and is dialled again
+    PeerDisconnected,
+    /// a peer counts as dead
+    PeerDead,
+    /// a peer was refused in the handshake; check the shared secret and the versions
+    PeerRefused,
+    /// ownership of an upstream was taken
+    OwnershipTaken,
+    /// ownership of an upstream was given up
+    OwnershipReleased,
+    /// the engine rejected an order because a newer owner exists
+    OwnershipFenced,
+    /// this process was paused beyond its lease and checks its ownership
+    LeaseLapsed,
+    /// an upstream does not answer; check the process and the network
+    UpstreamUnreachable,
+    /// an upstream answers again
+    UpstreamRecovered,
+    /// an engine restarted without its adapters
+    UpstreamRestarted,
+    /// an upstream is draining
+    UpstreamDraining,
+    /// an adapter load was ordered
+    LoadOrdered,
+    /// an adapter load failed; check the weight store
+    LoadFailed,
+    /// an adapter eviction was ordered
+    EvictOrdered,
+    /// an adapter eviction failed
+    EvictFailed,
+    /// load permits are held by this instance
+    PermitHolderTaken,
+    /// a request was refused before it ran
+    RequestRefused,
+    /// a request failed
+    RequestFailed,
+    /// a request finished
+    RequestFinished,
+    /// a request is retried on another upstream
+    RequestRetried,
+    /// an answer was cut off before its end
+    AnswerTruncated,
+    /// an answer of another attempt or adapter was dropped
+    AnswerMismatch,
+    /// a request crashed upstreams repeatedly and is refused
+    RequestQuarantined,
+    /// a claim could not be written; the request was refused as not run
+    ClaimFailed,
+    /// audit records were lost; the count tells how many
+    AuditLost,
+    /// the audit trail could not be written and is retried
+    AuditWriteFailed,
+    /// a task ended unexpectedly; report it with the lines around it
+    InternalFault,
+    /// a message of a library
+    Library,
+}
+
+impl LogName {
+    /// All names, for documentation and tests.
+    pub const ALL: [Self; 41] = [
+        Self::NodeStarted,
+        Self::NodeReady,
+        Self::ShutdownStarted,
+        Self::ShutdownFinished,
+        Self::ShutdownInterrupted,
+        Self::StartFailed,
+        Self::ConfigAdopted,
+        Self::ConfigStale,
+        Self::ConfigRefused,
+        Self::ConfigWatchFailed,
+        Self::PlatformUnreachable,
+        Self::PlatformRecovered,
+        Self::PeerConnected,
+        Self::PeerDisconnected,
+        Self::PeerDead,
+        Self::PeerRefused,
+        Self::OwnershipTaken,
+        Self::OwnershipReleased,
+        Self::OwnershipFenced,
+        Self::LeaseLapsed,
+        Self::UpstreamUnreachable,
+        Self::UpstreamRecovered,
+        Self::UpstreamRestarted,
+        Self::UpstreamDraining,
+        Self::LoadOrdered,
+        Self::LoadFailed,
+        Self::EvictOrdered,
+        Self::EvictFailed,
+        Self::PermitHolderTaken,
+        Self::RequestRefused,
+        Self::RequestFailed,
+        Self::RequestFinished,
+        Self::RequestRetried,
+        Self::AnswerTruncated,
+        Self::AnswerMismatch,
+        Self::RequestQuarantined,
+        Self::ClaimFailed,
+        Self::AuditLost,
+        Self::AuditWriteFailed,
+        Self::InternalFault,
+        Self::Library,
+    ];
+
+    /// Returns the value of the field `event`.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NodeStarted => "node_started",
+            Self::NodeReady => "node_ready",
+            Self::ShutdownStarted => "shutdown_started",
+            Self::ShutdownFinished => "shutdown_finished",
+            Self::ShutdownInterrupted => "shutdown_interrupted",
+            Self::StartFailed => "start_failed",
+            Self::ConfigAdopted => "config_adopted",
+            Self::ConfigStale => "config_stale",
+            Self::ConfigRefused => "config_refused",
+            Self::ConfigWatchFailed => "config_watch_failed",
+            Self::PlatformUnreachable => "platform_unreachable",
+            Self::PlatformRecovered => "platform_recovered",
+            Self::PeerConnected => "peer_connected",
+            Self::PeerDisconnected => "peer_disconnected",
+            Self::PeerDead => "peer_dead",
+            Self::PeerRefused => "peer_refused",
+            Self::OwnershipTaken => "ownership_taken",
+            Self::OwnershipReleased => "ownership_released",
+            Self::OwnershipFenced => "ownership_fenced",
+            Self::LeaseLapsed => "lease_lapsed",
+            Self::UpstreamUnreachable => "upstream_unreachable",
+            Self::UpstreamRecovered => "upstream_recovered",
+            Self::UpstreamRestarted => "upstream_restarted",
+            Self::UpstreamDraining => "upstream_draining",
+            Self::LoadOrdered => "load_ordered",
+            Self::LoadFailed => "load_failed",
+            Self::EvictOrdered => "evict_ordered",
+            Self::EvictFailed => "evict_failed",
+            Self::PermitHolderTaken => "permit_holder_taken",
+            Self::RequestRefused => "request_refused",
+            Self::RequestFailed => "request_failed",
+            Self::RequestFinished => "request_finished",
+            Self::RequestRetried => "request_retried",
+            Self::AnswerTruncated => "answer_truncated",
+            Self::AnswerMismatch => "answer_mismatch",
+            Self::RequestQuarantined => "request_quarantined",
+            Self::ClaimFailed => "claim_failed",
+            Self::AuditLost => "audit_lost",
+            Self::AuditWriteFailed => "audit_write_failed",
+            Self::InternalFault => "internal_fault",
+            Self::Library => "library",
+        }
+    }
+
+    /// Returns the level at which the event is logged.
+    #[must_use]
+    pub const fn level(self) -> Level {
+        match self {
+            Self::StartFailed
+            | Self::ShutdownInterrupted
+            | Self::ConfigRefused
+            | Self::InternalFault => Level::Error,
+            Self::ConfigWatchFailed
+            | Self::PlatformUnreachable
+            | Self::PeerDead
+            | Self::PeerRefused
+            | Self::OwnershipFenced
+            | Self::LeaseLapsed
+            | Self::UpstreamUnreachable
+            | Self::UpstreamRestarted
+            | Self::LoadFailed
+            | Self::EvictFailed
+            | Self::AnswerTruncated
+            | Self::AnswerMismatch
+            | Self::RequestFailed
+            | Self::RequestQuarantined
+            | Self::ClaimFailed
+            | Self::AuditLost
+            | Self::AuditWriteFailed => Level::Warn,
+            Self::RequestFinished
+            | Self::RequestRefused
+            | Self::RequestRetried
+            | Self::LoadOrdered
+            | Self::EvictOrdered
+            | Self::ConfigStale => Level::Debug,
+            _ => Level::Info,
+        }
+    }
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,1 +1,30 @@
 //! Logs and metrics.
+//!
+//! A log line is one JSON object with the fields `time`, `level`, `event` and `message`, followed by
+//! the fields of the event such as `request`, `attempt`, `caller`, `adapter`, `upstream` or `reason`.
+
+mod json_logger;
+mod log_event;
+mod log_name;
+mod metric_name;
+mod metric_row;
+mod metric_sink;
+mod metric_table;
+mod timer_value;
+
+pub use json_logger::JsonLogger;
+pub use log_event::LogEvent;
+pub use log_name::LogName;
+pub use metric_name::MetricName;
+pub use metric_row::MetricRow;
+pub use metric_sink::MetricSink;
+pub use metric_table::MetricTable;
+pub use timer_value::TimerValue;
+
+use slog::{Logger, o};
+
+/// Returns a `slog` logger that passes records on to the `log` crate; dropshot logs through it.
+pub fn to_slog() -> Logger {
+    use slog::Drain;
+    Logger::root(slog_stdlog::StdLog.fuse(), o!())
+}
