Check, parse and diff the tables

Rows are read one by one from TOML, so a fault in one row does not hide the next. A change between two revisions is a set of keyed JSON rows; each row names its predecessor instead of a position, so that an insertion in the middle changes two rows. Not tested yet.

--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -1,13 +1,20 @@
 //! The two tables that operators edit: routes and pools.
 
 mod adapter_rule;
+mod chained_row;
 mod fencing_mode;
 mod pool_kind;
 mod pool_row;
 mod pool_table;
 mod route_row;
 mod route_table;
+mod row_reader;
 mod store_row;
+mod table_check;
+mod table_delta;
+mod table_files;
+mod table_lines;
+mod table_rows;
 mod table_set;
 mod upstream_row;
 mod upstream_state;
@@ -20,6 +27,10 @@
 pub use route_row::RouteRow;
 pub use route_table::RouteTable;
 pub use store_row::StoreRow;
+pub use table_delta::TableDelta;
+pub use table_files::TableFiles;
+pub use table_lines::TableLines;
+pub use table_rows::TableRows;
 pub use table_set::TableSet;
 pub use upstream_row::UpstreamRow;
 pub use upstream_state::UpstreamState;
--- /dev/null
+++ b/src/table/table_files.rs
@@ -0,0 +1,124 @@
+use std::str::FromStr;
+
+use super::row_reader::RowReader;
+use super::{
+    AdapterRule, PoolRow, PoolTable, RouteRow, RouteTable, StoreRow, TableLines, TableSet,
+    UpstreamRow,
+};
+use crate::error::{InputFault, InputPlace};
+
+/// The texts of both table files with their paths.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableFiles {
+    /// The path of the file with the routes.
+    pub routes_path: String,
+    /// Its content.
+    pub routes_text: String,
+    /// The path of the file with the pools and stores.
+    pub pools_path: String,
+    /// Its content.
+    pub pools_text: String,
+}
+
+impl TableFiles {
+    /// Reads both files.
+    ///
+    /// # Errors
+    ///
+    /// Names each file that cannot be read.
+    pub fn from_paths(routes: &str, pools: &str) -> Result<Self, Vec<InputFault>> {
+        let read = |path: &str| {
+            std::fs::read_to_string(path).map_err(|error| InputFault {
+                place: InputPlace::File(path.to_owned()),
+                subject: "tables".to_owned(),
+                problem: format!("the file cannot be read: {error}"),
+                remedy: "check the path and the permissions".to_owned(),
+            })
+        };
+        match (read(routes), read(pools)) {
+            (Ok(routes_text), Ok(pools_text)) => Ok(Self {
+                routes_path: routes.to_owned(),
+                routes_text,
+                pools_path: pools.to_owned(),
+                pools_text,
+            }),
+            (routes, pools) => Err(routes.err().into_iter().chain(pools.err()).collect()),
+        }
+    }
+
+    /// Parses both files and checks them together; the revision of the result is zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults of both files at once, ordered by file and line.
+    pub fn parse(&self) -> Result<(TableSet, TableLines), Vec<InputFault>> {
+        let (routes, mut lines, mut faults) = parse_routes(&self.routes_path, &self.routes_text);
+        let (pools, pool_lines, pool_faults) = parse_pools(&self.pools_path, &self.pools_text);
+        lines.extend(pool_lines);
+        faults.extend(pool_faults);
+        let tables = TableSet {
+            routes,
+            pools,
+            ..TableSet::default()
+        };
+        // A row that could not be read is missing, so faults of joins would mislead.
+        if faults.is_empty() {
+            faults = tables.check(&lines);
+        }
+        if faults.is_empty() {
+            return Ok((tables, lines));
+        }
+        faults.sort();
+        Err(faults)
+    }
+}
+
+fn parse_routes(path: &str, text: &str) -> (RouteTable, TableLines, Vec<InputFault>) {
+    let mut reader = RowReader::new(path, text);
+    let mut file = reader.parse();
+    let mut table = RouteTable::default();
+    for (offset, mut row) in reader.take_rows(&mut file, "route") {
+        let mut rules = Vec::new();
+        for (offset, rule) in reader.take_list(&mut row, "adapters") {
+            match AdapterRule::from_str(&rule) {
+                Ok(rule) => rules.push(rule),
+                Err(error) => reader.fault(
+                    offset,
+                    "adapters",
+                    error.detail(),
+                    "correct or remove the adapter",
+                ),
+            }
+        }
+        if let Some(row) = reader.read::<RouteRow>(offset, "route", row) {
+            table.routes.push(RouteRow {
+                adapters: rules,
+                ..row
+            });
+        }
+    }
+    reader.refuse_rest(&file, "[[route]]");
+    (table, reader.lines, reader.faults)
+}
+
+fn parse_pools(path: &str, text: &str) -> (PoolTable, TableLines, Vec<InputFault>) {
+    let mut reader = RowReader::new(path, text);
+    let mut file = reader.parse();
+    let mut table = PoolTable::default();
+    for (offset, row) in reader.take_rows(&mut file, "store") {
+        table
+            .stores
+            .extend(reader.read::<StoreRow>(offset, "store", row));
+    }
+    for (offset, mut row) in reader.take_rows(&mut file, "pool") {
+        let mut upstreams = Vec::new();
+        for (offset, row) in reader.take_rows(&mut row, "upstream") {
+            upstreams.extend(reader.read::<UpstreamRow>(offset, "upstream", row));
+        }
+        if let Some(row) = reader.read::<PoolRow>(offset, "pool", row) {
+            table.pools.push(PoolRow { upstreams, ..row });
+        }
+    }
+    reader.refuse_rest(&file, "[[store]], [[pool]] or [[pool.upstream]]");
+    (table, reader.lines, reader.faults)
+}
--- a/src/table/table_set.rs
+++ b/src/table/table_set.rs
@@ -1,6 +1,8 @@
 use serde::{Deserialize, Serialize};
 
-use super::{PoolTable, RouteTable};
+use super::table_check::TableCheck;
+use super::{PoolTable, RouteTable, TableLines};
+use crate::error::InputFault;
 
 /// Both tables in one accepted version; the value of the object `config/tables`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
@@ -14,8 +16,20 @@
     pub author: String,
     /// When the edit was made, in milliseconds since the Unix epoch.
     pub edited_at_ms: u64,
+    /// The ids of the edits before, the latest first; an editor whose reply was lost finds its edit
+    /// here if another one was accepted in the meantime.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub recent_operations: Vec<String>,
     /// The routes.
     pub routes: RouteTable,
     /// The pools.
     pub pools: PoolTable,
 }
+
+impl TableSet {
+    /// Checks each row and the joins between the tables, and returns all faults.
+    #[must_use]
+    pub fn check(&self, lines: &TableLines) -> Vec<InputFault> {
+        TableCheck::new(self, lines).run()
+    }
+}
