Store, watch and edit the tables

TableEditor settles a lost reply by reading back; the ids of the last 64 edits stay in config/tables, because an edit whose reply was lost may already be covered by another one when it is read back. Ruled out: an audit object per edit, which needs a second write.

--- /dev/null
+++ b/src/config/config_store.rs
@@ -0,0 +1,173 @@
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::sync::watch;
+
+use super::AdoptOutcome;
+use super::delta_history::DeltaHistory;
+use crate::error::{Error, ErrorKind, Result};
+use crate::peer::{ConfigDelta, ConfigPull};
+use crate::table::{TableDelta, TableLines, TableRows, TableSet};
+use crate::telemetry::{LogEvent, LogName};
+
+/// The tables in force at this node.
+///
+/// It adopts only a strictly newer revision, whatever the platform or a peer offers, and keeps the
+/// last changes so that it can bring peers up to date.
+#[derive(Debug, Clone)]
+pub struct ConfigStore {
+    current: watch::Sender<Arc<TableSet>>,
+    state: Arc<Mutex<AdoptState>>,
+}
+
+#[derive(Debug, Default)]
+struct AdoptState {
+    revision: u64,
+    rows: TableRows,
+    history: DeltaHistory,
+}
+
+impl ConfigStore {
+    /// Creates a store without tables; its revision is zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            current: watch::Sender::new(Arc::default()),
+            state: Arc::default(),
+        }
+    }
+
+    /// Returns the tables in force.
+    #[must_use]
+    pub fn current(&self) -> Arc<TableSet> {
+        Arc::clone(&self.current.borrow())
+    }
+
+    /// Returns the revision in force; zero if no tables have been adopted yet.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.current.borrow().revision
+    }
+
+    /// Returns whether tables are in force.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.revision() > 0
+    }
+
+    /// Subscribes to changes; the receiver starts with the tables in force.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<TableSet>> {
+        self.current.subscribe()
+    }
+
+    /// Offers complete tables.
+    ///
+    /// # Errors
+    ///
+    /// Refuses tables with faults.
+    pub fn offer(&self, tables: TableSet) -> Result<AdoptOutcome> {
+        if tables.revision <= self.revision() {
+            return Ok(AdoptOutcome::Stale);
+        }
+        let rows = checked_rows(&tables)?;
+        let mut state = self.state();
+        if tables.revision <= state.revision {
+            return Ok(AdoptOutcome::Stale);
+        }
+        let delta = state.rows.diff(state.revision, &rows, tables.revision);
+        self.adopt(&mut state, tables, rows, delta);
+        Ok(AdoptOutcome::Adopted)
+    }
+
+    /// Offers the reply of a peer to [`ConfigStore::to_pull`].
+    ///
+    /// # Errors
+    ///
+    /// Refuses malformed rows and tables with faults.
+    pub fn offer_delta(&self, message: ConfigDelta) -> Result<AdoptOutcome> {
+        let delta = TableDelta::from_message(message);
+        let mut state = self.state();
+        if delta.revision <= state.revision {
+            return Ok(AdoptOutcome::Stale);
+        }
+        if !delta.is_complete() && delta.base != state.revision {
+            return Ok(AdoptOutcome::PullAgain(state.revision));
+        }
+        let rows = match state.rows.apply(&delta) {
+            Ok(rows) => rows,
+            // Only the complete set helps if the rows held here differ from those of the peer.
+            Err(_) if !delta.is_complete() => return Ok(AdoptOutcome::PullAgain(0)),
+            Err(error) => return Err(error),
+        };
+        let tables = rows.to_set(delta.revision)?;
+        checked_rows(&tables)?;
+        let delta = state.rows.diff(state.revision, &rows, delta.revision);
+        self.adopt(&mut state, tables, rows, delta);
+        Ok(AdoptOutcome::Adopted)
+    }
+
+    /// Returns the question that asks a peer for newer tables.
+    #[must_use]
+    pub fn to_pull(&self) -> ConfigPull {
+        ConfigPull {
+            base: self.revision(),
+        }
+    }
+
+    /// Answers the question of a peer: with the changed rows if the last changes reach back to its
+    /// revision, otherwise with all rows.
+    #[must_use]
+    pub fn answer(&self, pull: &ConfigPull) -> ConfigDelta {
+        let state = self.state();
+        let delta = if pull.base >= state.revision {
+            state.rows.diff(pull.base, &state.rows, state.revision)
+        } else {
+            state
+                .history
+                .since(pull.base)
+                .unwrap_or_else(|| TableDelta::complete(&state.rows, state.revision))
+        };
+        delta.to_message()
+    }
+
+    fn adopt(&self, state: &mut AdoptState, tables: TableSet, rows: TableRows, delta: TableDelta) {
+        LogEvent::new(LogName::ConfigAdopted)
+            .with_count("revision", tables.revision)
+            .with_count("previous", state.revision)
+            .with_count("changed", (delta.rows.len() + delta.removed.len()) as u64)
+            .with("operation", &tables.operation)
+            .with("author", &tables.author)
+            .send();
+        state.revision = tables.revision;
+        state.rows = rows;
+        state.history.push(delta);
+        // Sent under the lock, so that subscribers see revisions in ascending order only.
+        self.current.send_replace(Arc::new(tables));
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, AdoptState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for ConfigStore {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn checked_rows(tables: &TableSet) -> Result<TableRows> {
+    let faults = tables.check(&TableLines::default());
+    if let Some(fault) = faults.first() {
+        LogEvent::new(LogName::ConfigRefused)
+            .with_count("revision", tables.revision)
+            .with_count("faults", faults.len() as u64)
+            .with("reason", fault)
+            .send();
+        return Err(Error::new(
+            ErrorKind::Table,
+            format!("revision {}: {fault}", tables.revision),
+        ));
+    }
+    TableRows::from_set(tables)
+}
--- /dev/null
+++ b/src/config/config_watcher.rs
@@ -0,0 +1,114 @@
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use super::{AdoptOutcome, ConfigStore, RetryDelay, StoredTables, TABLES_KEY};
+use crate::error::Result;
+use crate::platform::{ObjectStore, StoredObject};
+use crate::telemetry::{LogEvent, LogName};
+
+/// Feeds the accepted tables of the platform to a [`ConfigStore`].
+///
+/// Only the watch relays of a failure domain run it actively; the other nodes learn from them.
+#[derive(Debug)]
+pub struct ConfigWatcher {
+    store: ObjectStore,
+    config: ConfigStore,
+    delay: RetryDelay,
+    version: Option<u64>,
+    is_failing: bool,
+}
+
+impl ConfigWatcher {
+    /// Creates a watcher.
+    #[must_use]
+    pub const fn new(store: ObjectStore, config: ConfigStore) -> Self {
+        Self {
+            store,
+            config,
+            delay: RetryDelay::new(Duration::from_millis(200), Duration::from_secs(3)),
+            version: None,
+            is_failing: false,
+        }
+    }
+
+    /// Watches while `relay` is true; returns when its sender is dropped.
+    pub async fn run(mut self, mut relay: watch::Receiver<bool>) {
+        loop {
+            if !*relay.borrow_and_update() {
+                // Reading anew after a break also covers a platform whose versions started over.
+                self.version = None;
+                if relay.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            tokio::select! {
+                changed = relay.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                () = self.step() => {}
+            }
+        }
+    }
+
+    /// Makes one call to the platform, and waits after a failure.
+    pub async fn step(&mut self) {
+        match self.fetch().await {
+            Ok(object) => {
+                if self.is_failing {
+                    self.is_failing = false;
+                    LogEvent::new(LogName::PlatformRecovered)
+                        .with("key", TABLES_KEY)
+                        .send();
+                }
+                self.delay.reset();
+                if let Some(object) = object {
+                    self.version = Some(object.version);
+                    self.offer(&object);
+                }
+            }
+            Err(error) => {
+                if !self.is_failing {
+                    self.is_failing = true;
+                    LogEvent::new(LogName::ConfigWatchFailed)
+                        .with("reason", error.detail())
+                        .send();
+                }
+                self.version = None;
+                tokio::time::sleep(self.delay.next(rand::random())).await;
+            }
+        }
+    }
+
+    async fn fetch(&mut self) -> Result<Option<StoredObject>> {
+        if let Some(version) = self.version {
+            return self.store.watch(TABLES_KEY, version).await;
+        }
+        let object = self.store.read(TABLES_KEY).await?;
+        self.version = Some(object.as_ref().map_or(0, |object| object.version));
+        Ok(object)
+    }
+
+    fn offer(&self, object: &StoredObject) {
+        let offered = StoredTables::from_object(object).and_then(|stored| {
+            let revision = stored.tables.revision;
+            Ok((revision, self.config.offer(stored.tables)?))
+        });
+        match offered {
+            Ok((revision, AdoptOutcome::Stale)) if revision < self.config.revision() => {
+                LogEvent::new(LogName::ConfigReverted)
+                    .with_count("revision", revision)
+                    .with_count("in_force", self.config.revision())
+                    .send();
+            }
+            Ok(_) => {}
+            Err(error) => LogEvent::new(LogName::ConfigRefused)
+                .with_count("version", object.version)
+                .with("reason", error.detail())
+                .send(),
+        }
+    }
+}
--- /dev/null
+++ b/src/config/table_editor.rs
@@ -0,0 +1,167 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use super::{EditOutcome, RetryDelay, StoredTables, TABLES_KEY, TableDifference, TableEdit};
+use crate::error::{Error, ErrorKind, Result, RunState};
+use crate::platform::{ObjectStore, VALUE_LIMIT, WriteOutcome};
+use crate::table::{TableLines, TableSet};
+
+/// Replaces the accepted tables, one conditional update per edit.
+#[derive(Debug, Clone)]
+pub struct TableEditor {
+    store: ObjectStore,
+    attempts: u32,
+}
+
+impl TableEditor {
+    /// Ids of former edits that stay in the object. At one edit per 4 s they cover 4 minutes, which
+    /// is longer than an editor tries to settle an unknown outcome.
+    const RECENT_OPERATIONS: usize = 64;
+
+    /// Creates an editor that calls the platform up to `attempts` times to settle a lost reply.
+    #[must_use]
+    pub const fn new(store: ObjectStore, attempts: u32) -> Self {
+        Self { store, attempts }
+    }
+
+    /// Applies an edit.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Table`] if the tables have faults or exceed the size of an object;
+    /// [`ErrorKind::Platform`] if the platform does not answer. The run state tells whether the edit
+    /// certainly changed nothing (`NotRun`) or may have been accepted (`Unknown`).
+    pub async fn apply(&self, edit: &TableEdit) -> Result<EditOutcome> {
+        let tables = TableSet {
+            routes: edit.routes.clone(),
+            pools: edit.pools.clone(),
+            ..TableSet::default()
+        };
+        if let Some(fault) = tables.check(&TableLines::default()).first() {
+            return Err(Error::new(ErrorKind::Table, fault.to_string()));
+        }
+        let stored = StoredTables::read(&self.store).await.map_err(|error| {
+            Error::new(
+                error.kind(),
+                format!(
+                    "the accepted tables cannot be read, nothing was changed: {}",
+                    error.detail()
+                ),
+            )
+        })?;
+        if stored.has_operation(&edit.operation) {
+            return Ok(applied_before(&stored));
+        }
+        if edit.base.is_some_and(|base| base != stored.tables.revision) {
+            return conflict(stored, &tables);
+        }
+        let difference = TableDifference::between(&stored.tables, &tables)?;
+        if difference.is_empty() && stored.tables.revision > edit.above {
+            return Ok(EditOutcome::Unchanged {
+                revision: stored.tables.revision,
+            });
+        }
+        let next = next_set(edit, &stored, tables);
+        let value = serde_json::to_vec(&next)
+            .map_err(|error| Error::new(ErrorKind::Internal, format!("tables: {error}")))?;
+        if value.len() > VALUE_LIMIT {
+            return Err(Error::new(
+                ErrorKind::Table,
+                format!(
+                    "the tables take {} bytes and an object at most {VALUE_LIMIT}; \
+                     join adapters into families such as \"press-*@3\"",
+                    value.len()
+                ),
+            ));
+        }
+        self.settle(&next, &value, stored.version, difference).await
+    }
+
+    /// Writes until the outcome is known.
+    ///
+    /// A write that failed may still take effect later. Repeating it with the same condition is
+    /// safe: at most one of them is accepted, and a conflict shows whose edit that was.
+    async fn settle(
+        &self,
+        next: &TableSet,
+        value: &[u8],
+        expected: Option<u64>,
+        difference: TableDifference,
+    ) -> Result<EditOutcome> {
+        let mut delay = RetryDelay::new(Duration::from_millis(100), Duration::from_secs(2));
+        let mut last = String::new();
+        for _ in 0..self.attempts.max(1) {
+            let stored = match self.store.write(TABLES_KEY, value, expected).await {
+                Ok(WriteOutcome::Written(_)) => {
+                    return Ok(EditOutcome::Applied {
+                        revision: next.revision,
+                        difference,
+                    });
+                }
+                Ok(WriteOutcome::Conflict(None)) => Ok(StoredTables::empty()),
+                Ok(WriteOutcome::Conflict(Some(object))) => StoredTables::from_object(&object),
+                Err(error) => {
+                    error.detail().clone_into(&mut last);
+                    StoredTables::read(&self.store).await
+                }
+            };
+            match stored {
+                Ok(stored) if stored.has_operation(&next.operation) => {
+                    return Ok(EditOutcome::Applied {
+                        revision: next.revision,
+                        difference,
+                    });
+                }
+                Ok(stored) if stored.version != expected => return conflict(stored, next),
+                // The write has had no effect yet.
+                Ok(_) => {}
+                Err(error) => error.detail().clone_into(&mut last),
+            }
+            tokio::time::sleep(delay.next(rand::random())).await;
+        }
+        Err(Error::new(
+            ErrorKind::Platform,
+            format!(
+                "the outcome of edit {} is unknown: {last}; apply the same files again with \
+                 --operation {}",
+                next.operation, next.operation
+            ),
+        )
+        .with_run_state(RunState::Unknown))
+    }
+}
+
+fn next_set(edit: &TableEdit, stored: &StoredTables, tables: TableSet) -> TableSet {
+    let edited_at = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let before = &stored.tables;
+    let mut recent_operations: Vec<String> = std::iter::once(&before.operation)
+        .chain(&before.recent_operations)
+        .filter(|operation| !operation.is_empty())
+        .cloned()
+        .collect();
+    recent_operations.truncate(TableEditor::RECENT_OPERATIONS);
+    TableSet {
+        revision: before.revision.max(edit.above) + 1,
+        operation: edit.operation.clone(),
+        author: edit.author.clone(),
+        edited_at_ms: u64::try_from(edited_at.as_millis()).unwrap_or(u64::MAX),
+        recent_operations,
+        ..tables
+    }
+}
+
+fn applied_before(stored: &StoredTables) -> EditOutcome {
+    EditOutcome::Applied {
+        revision: stored.tables.revision,
+        difference: TableDifference::default(),
+    }
+}
+
+fn conflict(stored: StoredTables, wanted: &TableSet) -> Result<EditOutcome> {
+    let difference = TableDifference::between(&stored.tables, wanted)?;
+    Ok(EditOutcome::Conflict {
+        accepted: Box::new(stored.tables),
+        difference,
+    })
+}
--- a/src/table/table_rows.rs
+++ b/src/table/table_rows.rs
@@ -15,7 +15,8 @@
 ///
 /// The keys are `set`, `route.<name>`, `adapter.<route>.<rule>`, `store.<name>`, `pool.<name>` and
 /// `upstream.<name>`. Each row names the row before it, so the order of routes and adapters
-/// survives.
+/// survives. The ids of former edits are left out, because only editors need them and those read the
+/// object store.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct TableRows {
     rows: BTreeMap<String, String>,
@@ -31,8 +32,6 @@
     operation: String,
     author: String,
     edited_at_ms: u64,
-    #[serde(default)]
-    recent_operations: Vec<String>,
 }
 
 impl TableRows {
@@ -49,7 +48,6 @@
                 operation: set.operation.clone(),
                 author: set.author.clone(),
                 edited_at_ms: set.edited_at_ms,
-                recent_operations: set.recent_operations.clone(),
             },
         )?;
         rows.chain(
@@ -150,7 +148,7 @@
             operation: facts.operation,
             author: facts.author,
             edited_at_ms: facts.edited_at_ms,
-            recent_operations: facts.recent_operations,
+            recent_operations: Vec::new(),
             routes: RouteTable { routes },
             pools: PoolTable { stores, pools },
         })
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -21,6 +21,8 @@
     ConfigAdopted,
     /// tables with an older revision were refused
     ConfigStale,
+    /// the platform holds older tables than those in force; apply the tables again with `--above`
+    ConfigReverted,
     /// tables with faults were refused; correct them with `comfreychute apply`
     ConfigRefused,
     /// the watch on the tables failed and is retried
@@ -91,7 +93,7 @@
 
 impl LogName {
     /// All names, for documentation and tests.
-    pub const ALL: [Self; 41] = [
+    pub const ALL: [Self; 42] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -100,6 +102,7 @@
         Self::StartFailed,
         Self::ConfigAdopted,
         Self::ConfigStale,
+        Self::ConfigReverted,
         Self::ConfigRefused,
         Self::ConfigWatchFailed,
         Self::PlatformUnreachable,
@@ -147,6 +150,7 @@
             Self::StartFailed => "start_failed",
             Self::ConfigAdopted => "config_adopted",
             Self::ConfigStale => "config_stale",
+            Self::ConfigReverted => "config_reverted",
             Self::ConfigRefused => "config_refused",
             Self::ConfigWatchFailed => "config_watch_failed",
             Self::PlatformUnreachable => "platform_unreachable",
@@ -190,6 +194,7 @@
             Self::StartFailed
             | Self::ShutdownInterrupted
             | Self::ConfigRefused
+            | Self::ConfigReverted
             | Self::InternalFault => Level::Error,
             Self::ConfigWatchFailed
             | Self::PlatformUnreachable
