--- /dev/null
+++ b/crates/standins/src/engine/weight_store.rs
@@ -0,0 +1,92 @@
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::load_ticket::LoadTicket;
+
+/// The store that engines load weights from; it becomes slower beyond its limits.
+///
+/// Engines of one process can share a store, as the engines of a fleet do.
+#[derive(Debug, Clone)]
+pub struct WeightStore {
+    state: Arc<Mutex<StoreState>>,
+}
+
+#[derive(Debug)]
+struct StoreState {
+    rate: f64,
+    full_speed: u32,
+    in_flight: u32,
+    peak_in_flight: u32,
+    peak_rate: usize,
+    starts: VecDeque<Instant>,
+}
+
+impl WeightStore {
+    /// Creates a store that serves `rate` loads per second, of which `full_speed` at a time, at
+    /// full speed; beyond either limit a load takes proportionally longer. Zero: no limit.
+    #[must_use]
+    pub fn new(rate: f64, full_speed: u32) -> Self {
+        Self {
+            state: Arc::new(Mutex::new(StoreState {
+                rate,
+                full_speed,
+                in_flight: 0,
+                peak_in_flight: 0,
+                peak_rate: 0,
+                starts: VecDeque::new(),
+            })),
+        }
+    }
+
+    /// Returns the highest number of loads that were in flight at the same time.
+    #[must_use]
+    pub fn peak_in_flight(&self) -> u32 {
+        self.with(|state| state.peak_in_flight)
+    }
+
+    /// Returns the highest number of loads that started within one second.
+    #[must_use]
+    pub fn peak_rate(&self) -> usize {
+        self.with(|state| state.peak_rate)
+    }
+
+    /// Registers a load that starts now.
+    pub(super) fn begin(&self) -> LoadTicket {
+        let slowdown = self.with(|state| {
+            let now = Instant::now();
+            while state
+                .starts
+                .front()
+                .is_some_and(|start| now - *start >= Duration::from_secs(1))
+            {
+                state.starts.pop_front();
+            }
+            state.starts.push_back(now);
+            state.in_flight += 1;
+            state.peak_in_flight = state.peak_in_flight.max(state.in_flight);
+            state.peak_rate = state.peak_rate.max(state.starts.len());
+            let mut slowdown = 1.0_f64;
+            if state.full_speed > 0 {
+                slowdown = slowdown.max(f64::from(state.in_flight) / f64::from(state.full_speed));
+            }
+            if state.rate > 0.0 {
+                let starts = u32::try_from(state.starts.len()).unwrap_or(u32::MAX);
+                slowdown = slowdown.max(f64::from(starts) / state.rate.max(1.0));
+            }
+            slowdown
+        });
+        LoadTicket::new(self.clone(), slowdown)
+    }
+
+    /// Registers the end of a load.
+    pub(super) fn end(&self) {
+        self.with(|state| state.in_flight -= 1);
+    }
+
+    fn with<R>(&self, action: impl FnOnce(&mut StoreState) -> R) -> R {
+        action(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
