Add the audit trail

Records are joined and bounded in memory and appended with at most one conditional write per flush. A write whose outcome is unknown is settled by the number of the write that the object states, since a delayed write may take effect after a read that did not show it.

--- /dev/null
+++ b/src/audit/audit_buffer.rs
@@ -0,0 +1,50 @@
+use std::collections::BTreeMap;
+
+use super::{AuditKind, AuditRecord};
+
+/// Records that wait for the next flush, in bounded memory.
+#[derive(Debug, Default)]
+pub(super) struct AuditBuffer {
+    records: Vec<AuditRecord>,
+    joined: BTreeMap<(AuditKind, String, String), usize>,
+    lost: u64,
+}
+
+impl AuditBuffer {
+    /// With records of at most about 3 KB, the buffer takes at most 12 MB.
+    const MAX_RECORDS: usize = 4_096;
+
+    /// Adds a record, joins it with an earlier one, or counts it as lost if the buffer is full.
+    pub(super) fn push(&mut self, mut record: AuditRecord) {
+        record.shorten();
+        if record.kind.is_joined() {
+            let key = (record.kind, record.subject.clone(), record.reason.clone());
+            if let Some(position) = self.joined.get(&key) {
+                self.records[*position].join(&record);
+                return;
+            }
+            if self.records.len() < Self::MAX_RECORDS {
+                self.joined.insert(key, self.records.len());
+            }
+        }
+        if self.records.len() < Self::MAX_RECORDS {
+            self.records.push(record);
+        } else {
+            self.lost += record.count;
+        }
+    }
+
+    /// Takes the records if fewer than a full buffer of them wait elsewhere.
+    pub(super) fn take(&mut self, waiting: usize) -> Vec<AuditRecord> {
+        if waiting >= Self::MAX_RECORDS {
+            return Vec::new();
+        }
+        self.joined.clear();
+        std::mem::take(&mut self.records)
+    }
+
+    /// Takes the number of lost records.
+    pub(super) fn take_lost(&mut self) -> u64 {
+        std::mem::take(&mut self.lost)
+    }
+}
--- /dev/null
+++ b/src/audit/part_writer.rs
@@ -0,0 +1,160 @@
+use std::collections::BTreeMap;
+
+use super::{AuditObject, AuditRecord};
+use crate::error::{Error, ErrorKind, Result};
+use crate::platform::{ObjectStore, StoredObject, WriteOutcome};
+
+/// Appends records to the objects of one instance, with at most one write per flush.
+#[derive(Debug)]
+pub(super) struct PartWriter {
+    store: ObjectStore,
+    instance: String,
+    writer: u64,
+    sequence: u64,
+    lost: u64,
+    hour: u64,
+    part: u32,
+    version: Option<u64>,
+    stored: Vec<AuditRecord>,
+    waiting: Vec<AuditRecord>,
+    /// Writes that may still take effect: their numbers and how many waiting records they carry.
+    /// Each carries the first records that wait, so at most one of them can be accepted.
+    attempts: BTreeMap<u64, usize>,
+    /// Whether the outcome of the last write is unknown.
+    is_unknown: bool,
+}
+
+impl PartWriter {
+    pub(super) fn new(store: ObjectStore, instance: &str) -> Self {
+        Self {
+            store,
+            instance: instance.to_owned(),
+            writer: rand::random(),
+            sequence: 0,
+            lost: 0,
+            hour: 0,
+            part: 0,
+            version: None,
+            stored: Vec::new(),
+            waiting: Vec::new(),
+            attempts: BTreeMap::new(),
+            is_unknown: false,
+        }
+    }
+
+    /// Returns the number of records that wait to be written.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Adds records to those that wait.
+    pub(super) fn push(&mut self, records: Vec<AuditRecord>, lost: u64) {
+        self.waiting.extend(records);
+        self.lost += lost;
+    }
+
+    /// Writes as many waiting records as fit into one object, and returns the number of records
+    /// that were lost because the hour has no object left.
+    pub(super) async fn flush(&mut self, hour: u64) -> Result<u64> {
+        if self.is_unknown {
+            let object = self.store.read(&self.key()).await?;
+            self.settle(object.as_ref());
+        }
+        if self.waiting.is_empty() {
+            return Ok(0);
+        }
+        if self.hour != hour {
+            self.start_part(hour, 0);
+        }
+        let used: usize = self.stored.iter().map(length).sum();
+        let mut fitting = self.fitting(used);
+        if fitting == 0 {
+            self.start_part(hour, self.part + 1);
+            fitting = self.fitting(0);
+        }
+        if self.part >= AuditObject::MAX_PARTS {
+            let lost = self.waiting.drain(..).map(|record| record.count).sum();
+            self.lost += lost;
+            // Stay at the last part, so that the hour has no object beyond the limit.
+            self.part = AuditObject::MAX_PARTS;
+            return Ok(lost);
+        }
+        self.write(fitting).await?;
+        Ok(0)
+    }
+
+    async fn write(&mut self, count: usize) -> Result<()> {
+        self.sequence += 1;
+        let object = AuditObject {
+            hour: self.hour,
+            writer: self.writer,
+            sequence: self.sequence,
+            lost: self.lost,
+            records: [&self.stored, &self.waiting[..count]].concat(),
+        };
+        let value = serde_json::to_vec(&object)
+            .map_err(|error| Error::new(ErrorKind::Internal, format!("audit: {error}")))?;
+        self.attempts.insert(self.sequence, count);
+        self.is_unknown = true;
+        match self.store.write(&self.key(), &value, self.version).await? {
+            WriteOutcome::Written(version) => {
+                self.is_unknown = false;
+                self.attempts.clear();
+                self.version = Some(version);
+                self.stored = object.records;
+                self.waiting.drain(..count);
+            }
+            WriteOutcome::Conflict(found) => self.settle(found.as_ref()),
+        }
+        Ok(())
+    }
+
+    /// Learns from the object whether the last write was accepted, and continues from its content.
+    fn settle(&mut self, found: Option<&StoredObject>) {
+        self.is_unknown = false;
+        self.version = found.map(|object| object.version);
+        self.stored.clear();
+        let object = found.and_then(|object| serde_json::from_slice(&object.value).ok());
+        // A malformed object or one of an earlier round of the slots is replaced.
+        if let Some(object) = object.filter(|object: &AuditObject| object.hour == self.hour) {
+            if object.writer == self.writer
+                && let Some(count) = self.attempts.remove(&object.sequence)
+            {
+                self.attempts.clear();
+                self.waiting.drain(..count);
+            }
+            self.stored = object.records;
+        }
+    }
+
+    fn start_part(&mut self, hour: u64, part: u32) {
+        self.hour = hour;
+        self.part = part;
+        self.version = None;
+        self.stored.clear();
+        self.attempts.clear();
+    }
+
+    /// Counts the waiting records that fit besides `used` bytes.
+    fn fitting(&self, used: usize) -> usize {
+        // The fixed fields of the object take less than 1 KiB.
+        let mut left = (AuditObject::MAX_BYTES - 1_024).saturating_sub(used);
+        self.waiting
+            .iter()
+            .take_while(|record| {
+                let fits = length(record) <= left;
+                left = left.saturating_sub(length(record));
+                fits
+            })
+            .count()
+    }
+
+    fn key(&self) -> String {
+        AuditObject::key(self.hour, &self.instance, self.part)
+    }
+}
+
+/// Returns the length of a record in JSON with its separator.
+fn length(record: &AuditRecord) -> usize {
+    serde_json::to_vec(record).map_or(0, |json| json.len() + 1)
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -14,6 +14,7 @@
 
 pub use json_logger::JsonLogger;
 pub use log_event::LogEvent;
+pub(crate) use log_event::timestamp;
 pub use log_name::LogName;
 pub use metric_name::MetricName;
 pub use metric_row::MetricRow;
