--- a/src/audit/audit_trail.rs
+++ b/src/audit/audit_trail.rs
@@ -109,7 +109,8 @@
     }
 }
 
-fn now_ms() -> u64 {
+/// Returns the time in milliseconds since the Unix epoch.
+pub(crate) fn now_ms() -> u64 {
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
--- a/src/audit/mod.rs
+++ b/src/audit/mod.rs
@@ -18,3 +18,4 @@
 pub use audit_reader::AuditReader;
 pub use audit_record::AuditRecord;
 pub use audit_trail::AuditTrail;
+pub(crate) use audit_trail::now_ms;
