Store claims through the platform's object store client

The claim store had its own types for stored objects until the client was merged. It now uses the client's types; the two closures stay, because tests decide what becomes of each call.

--- a/src/claim/claim_batch.rs
+++ b/src/claim/claim_batch.rs
@@ -1,13 +1,14 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 
+use super::ClaimDocument;
 use super::claim_change::{ChangeKind, ChangeReply, ChangeTarget, ClaimChange};
 use super::claim_context::ClaimContext;
 use super::claim_counters::ClaimCounters;
 use super::waiting_change::WaitingChange;
-use super::{ClaimDocument, StorageWrite};
 use crate::error::{Error, ErrorKind, Result, RunState};
 use crate::id::AttemptId;
+use crate::platform::WriteOutcome;
 
 /// Changes that are written together, with the state of their write.
 #[derive(Debug)]
@@ -64,8 +65,8 @@
             .write(self.name, document.encode(), expected)
             .await;
         match outcome {
-            Ok(StorageWrite::Written(_)) => Ok(true),
-            Ok(StorageWrite::Conflict(_)) => self.conflicted(),
+            Ok(WriteOutcome::Written(_)) => Ok(true),
+            Ok(WriteOutcome::Conflict(_)) => self.conflicted(),
             Err(error) => {
                 // The write may have happened, and may still happen until the version moves on.
                 // The next try reads the object back and finds its own attempts, or writes again
--- a/src/claim/claim_storage.rs
+++ b/src/claim/claim_storage.rs
@@ -1,14 +1,15 @@
 use std::fmt;
 use std::sync::Arc;
 
+use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 
-use super::{StorageWrite, StoredClaims};
 use crate::error::Result;
+use crate::platform::{ObjectStore, StoredObject, WriteOutcome};
 
-type ReadCall = dyn Fn(String) -> BoxFuture<'static, Result<Option<StoredClaims>>> + Send + Sync;
+type ReadCall = dyn Fn(String) -> BoxFuture<'static, Result<Option<StoredObject>>> + Send + Sync;
 type WriteCall =
-    dyn Fn(String, Vec<u8>, Option<u64>) -> BoxFuture<'static, Result<StorageWrite>> + Send + Sync;
+    dyn Fn(String, Vec<u8>, Option<u64>) -> BoxFuture<'static, Result<WriteOutcome>> + Send + Sync;
 
 /// The two calls of the object store that claims need.
 #[derive(Clone)]
@@ -23,11 +24,11 @@
     /// An error of `write` means that its effect is unknown: it may have happened, and it may
     /// still happen for as long as the object has the expected version.
     pub fn new(
-        read: impl Fn(String) -> BoxFuture<'static, Result<Option<StoredClaims>>>
+        read: impl Fn(String) -> BoxFuture<'static, Result<Option<StoredObject>>>
         + Send
         + Sync
         + 'static,
-        write: impl Fn(String, Vec<u8>, Option<u64>) -> BoxFuture<'static, Result<StorageWrite>>
+        write: impl Fn(String, Vec<u8>, Option<u64>) -> BoxFuture<'static, Result<WriteOutcome>>
         + Send
         + Sync
         + 'static,
@@ -38,7 +39,23 @@
         }
     }
 
-    pub(super) async fn read(&self, key: &str) -> Result<Option<StoredClaims>> {
+    /// Uses the platform's object store.
+    #[must_use]
+    pub fn from_store(store: &ObjectStore) -> Self {
+        let (reader, writer) = (store.clone(), store.clone());
+        Self::new(
+            move |key| {
+                let store = reader.clone();
+                async move { store.read(&key).await }.boxed()
+            },
+            move |key, value, expected| {
+                let store = writer.clone();
+                async move { store.write(&key, &value, expected).await }.boxed()
+            },
+        )
+    }
+
+    pub(super) async fn read(&self, key: &str) -> Result<Option<StoredObject>> {
         (self.read)(key.to_owned()).await
     }
 
@@ -47,7 +64,7 @@
         key: &str,
         value: Vec<u8>,
         expected: Option<u64>,
-    ) -> Result<StorageWrite> {
+    ) -> Result<WriteOutcome> {
         (self.write)(key.to_owned(), value, expected).await
     }
 }
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -22,9 +22,7 @@
 mod claim_state;
 mod claim_storage;
 mod claim_store;
-mod storage_write;
 mod stored_answer;
-mod stored_claims;
 mod waiting_change;
 
 pub use claim_config::ClaimConfig;
@@ -37,6 +35,4 @@
 pub use claim_state::ClaimState;
 pub use claim_storage::ClaimStorage;
 pub use claim_store::ClaimStore;
-pub use storage_write::StorageWrite;
 pub use stored_answer::StoredAnswer;
-pub use stored_claims::StoredClaims;
--- a/tests/claim/fake_store.rs
+++ b/tests/claim/fake_store.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use comfreychute::claim::{ClaimDocument, ClaimState, ClaimStorage, StorageWrite, StoredClaims};
+use comfreychute::claim::{ClaimDocument, ClaimState, ClaimStorage};
 use comfreychute::id::InstanceId;
+use comfreychute::platform::{StoredObject, WriteOutcome};
 use comfreychute::{Error, ErrorKind, Result};
 use futures_util::FutureExt;
 use tokio::sync::oneshot;
@@ -30,7 +31,7 @@
 
 #[derive(Debug, Default)]
 struct FakeState {
-    objects: BTreeMap<String, StoredClaims>,
+    objects: BTreeMap<String, StoredObject>,
     calls: Vec<PendingCall>,
     delayed: Vec<WriteOrder>,
     is_immediate: bool,
@@ -45,8 +46,8 @@
 
 #[derive(Debug)]
 enum CallKind {
-    Read(String, oneshot::Sender<Result<Option<StoredClaims>>>),
-    Write(WriteOrder, oneshot::Sender<Result<StorageWrite>>),
+    Read(String, oneshot::Sender<Result<Option<StoredObject>>>),
+    Write(WriteOrder, oneshot::Sender<Result<WriteOutcome>>),
 }
 
 #[derive(Debug)]
@@ -136,7 +137,8 @@
     pub fn replace(&self, key: &str, value: Vec<u8>) {
         self.with(|state| {
             let version = state.objects.get(key).map_or(0, |stored| stored.version) + 1;
-            let stored = StoredClaims {
+            let stored = StoredObject {
+                key: key.to_owned(),
                 value: value.into(),
                 version,
             };
@@ -198,10 +200,10 @@
         }
     }
 
-    fn write(&mut self, order: &WriteOrder) -> StorageWrite {
+    fn write(&mut self, order: &WriteOrder) -> WriteOutcome {
         let present = self.objects.get(&order.key);
         if present.map(|stored| stored.version) != order.expected {
-            return StorageWrite::Conflict(present.cloned());
+            return WriteOutcome::Conflict(present.cloned());
         }
         if let Some(stored) = present {
             let writer = instance_of(order.entry);
@@ -209,12 +211,13 @@
             self.faults.extend(fault);
         }
         let version = order.expected.unwrap_or(0) + 1;
-        let stored = StoredClaims {
+        let stored = StoredObject {
+            key: order.key.clone(),
             value: order.value.clone().into(),
             version,
         };
         self.objects.insert(order.key.clone(), stored);
-        StorageWrite::Written(version)
+        WriteOutcome::Written(version)
     }
 }
 
