--- a/src/platform/listed_instance.rs
+++ b/src/platform/listed_instance.rs
@@ -1,9 +1,11 @@
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{DomainId, InstanceId};
 
-/// One row of the platform's instance list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// An instance as the platform lists it; the list lags.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ListedInstance {
     /// The instance.
     pub id: InstanceId,
@@ -11,6 +13,7 @@
     pub domain: DomainId,
     /// The address of its peer port.
     pub peer_address: SocketAddr,
-    /// Whether the platform is about to stop it.
+    /// Whether the platform is taking it out of service.
+    #[serde(default)]
     pub is_leaving: bool,
 }
