Bound peers and idle buffers; refuse processes that were replaced

A process that was paused and replaced could take its name back on resuming; its connection is now refused while another process answers at the peer's address. Without a secret, strangers could add names without bound; max_peers limits them. Buffers that grew to megabytes for a large frame stayed at that size on idle links and are freed now. beat_now() sends changes such as a shutdown at once.

--- a/src/peer/frame_codec.rs
+++ b/src/peer/frame_codec.rs
@@ -104,6 +104,13 @@
     }
 }
 
+/// Frees the memory of an empty buffer that grew for a large frame; a link is mostly idle.
+pub(super) fn shrink(buffer: &mut BytesMut) {
+    if buffer.is_empty() && buffer.capacity() > GROWTH {
+        *buffer = BytesMut::new();
+    }
+}
+
 impl From<std::io::Error> for Error {
     fn from(error: std::io::Error) -> Self {
         Self::new(ErrorKind::Peer, format!("connection failed: {error}"))
--- a/src/peer/link_reader.rs
+++ b/src/peer/link_reader.rs
@@ -10,6 +10,7 @@
 
 use super::call_events::is_last;
 use super::call_window::{CALL_WINDOW, cost};
+use super::frame_codec::shrink;
 use super::link_core::LinkCore;
 use super::link_streams::{CallEvent, ServedSlot};
 use super::mesh_core::MeshCore;
@@ -54,6 +55,7 @@
                 .transpose()?
                 .ok_or_else(|| Error::new(ErrorKind::Peer, "the peer closed the connection"))?;
             self.core.hear();
+            shrink(self.frames.read_buffer_mut());
             self.take(frame)?;
         }
     }
--- a/src/peer/link_writer.rs
+++ b/src/peer/link_writer.rs
@@ -8,6 +8,7 @@
 use tokio_util::codec::FramedWrite;
 
 use super::FrameCodec;
+use super::frame_codec::shrink;
 use super::link_beats::{LinkBeats, NodeBeat};
 use super::link_core::{LinkCore, LinkQueues};
 use super::outgoing::Outgoing;
@@ -59,6 +60,7 @@
                 self.feed(outgoing).await?;
             }
             in_time(self.write_timeout, self.frames.flush()).await?;
+            shrink(self.frames.write_buffer_mut());
         }
     }
 
--- a/src/peer/mesh_config.rs
+++ b/src/peer/mesh_config.rs
@@ -28,6 +28,8 @@
     pub ask_timeout: Duration,
     /// The secret that every peer must know; none turns the check off.
     pub secret: Option<SharedSecret>,
+    /// The most peers that are known at a time, which bounds the memory that strangers can take.
+    pub max_peers: usize,
     /// Limits of each link.
     pub limits: LinkLimits,
     /// Links up to which each heartbeat tells the load of the owned upstreams; with `n` times as many
@@ -58,6 +60,7 @@
             peer_timeout: Duration::from_secs(3),
             ask_timeout: Duration::from_secs(2),
             secret: None,
+            max_peers: 8192,
             limits: LinkLimits::default(),
             load_links: 16,
             max_links: None,
--- a/src/peer/mesh_core.rs
+++ b/src/peer/mesh_core.rs
@@ -90,7 +90,13 @@
         *reader.read_buffer_mut() = parts.read_buf;
         let (core, queues) = LinkCore::new(identity, is_dialled, self.config.limits);
         core.hear();
-        self.add_link(&core);
+        if let Err(error) = self.add_link(&core) {
+            log::warn!(
+                "link of peer {} was closed: {error}",
+                core.identity.instance
+            );
+            return;
+        }
         let writer = LinkWriter {
             core: Arc::clone(&core),
             queues,
@@ -141,11 +147,23 @@
         (self.hooks.on_heartbeat)(id, body);
     }
 
-    fn add_link(&self, core: &Arc<LinkCore>) {
+    fn add_link(&self, core: &Arc<LinkCore>) -> Result<()> {
         let identity = core.identity.clone();
         let (change, replaced) = {
             let mut peers = self.peers();
+            if peers.len() >= self.config.max_peers && !peers.contains_key(&identity.instance) {
+                return Err(Error::new(
+                    ErrorKind::Overloaded,
+                    format!("{} peers are known already", self.config.max_peers),
+                ));
+            }
             let entry = peers.entry(identity.instance.clone()).or_default();
+            if entry.is_stray(core) {
+                return Err(Error::new(
+                    ErrorKind::Protocol,
+                    "another process answers at the address of the peer",
+                ));
+            }
             let replaced = entry.add_link(core);
             let previous = entry.identity.replace(identity.clone());
             let change = match previous {
@@ -171,6 +189,7 @@
         if let Some(change) = change {
             (self.hooks.on_peer_change)(change);
         }
+        Ok(())
     }
 
     fn remove_link(&self, core: &Arc<LinkCore>) {
--- a/src/peer/peer_entry.rs
+++ b/src/peer/peer_entry.rs
@@ -55,6 +55,15 @@
             .is_some_and(|main| Arc::ptr_eq(&main.core, core))
     }
 
+    /// Returns whether the link comes from another process than the one that answers at the peer's
+    /// address, such as a process that was paused and replaced.
+    pub(super) fn is_stray(&self, core: &LinkCore) -> bool {
+        !core.is_dialled
+            && self.outgoing.as_ref().is_some_and(|link| {
+                !link.is_closed() && link.identity().incarnation != core.identity.incarnation
+            })
+    }
+
     /// Adds a link; returns those whose place it takes or that lead to a former process.
     pub(super) fn add_link(&mut self, core: &Arc<LinkCore>) -> Vec<PeerLink> {
         let slot = if core.is_dialled {
--- a/src/peer/peer_mesh.rs
+++ b/src/peer/peer_mesh.rs
@@ -200,6 +200,13 @@
             .and_then(|entry| entry.fault.clone())
     }
 
+    /// Sends a heartbeat on all links now, besides those at the fixed interval.
+    ///
+    /// Use it for changes that peers should learn of at once, such as the start of a shutdown.
+    pub fn beat_now(&self) {
+        self.core.beat();
+    }
+
     /// Returns the bytes of all heartbeat frames sent so far.
     #[must_use]
     pub fn heartbeat_bytes(&self) -> u64 {
--- a/tests/peer/handshake.rs
+++ b/tests/peer/handshake.rs
@@ -1,8 +1,6 @@
 //! The first frames of a link: versions, the shared secret and hostile bytes.
 
-use comfreychute::peer::{
-    CallOpen, FrameCodec, MeshConfig, PROTOCOL_VERSION, PeerFrame, PeerHello, SharedSecret, frame,
-};
+use comfreychute::peer::{FrameCodec, MeshConfig, PROTOCOL_VERSION, SharedSecret};
 use futures_util::{SinkExt, StreamExt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -10,6 +8,7 @@
 use tokio_util::codec::Framed;
 
 use crate::fixture::{LIMIT, TestNode, answer_three, config, id, listed, until};
+use crate::raw_peer::{closed, hello, next_hello, open, raw_link};
 
 fn with_secret(name: &str, secret: Option<&str>) -> MeshConfig {
     let mut config = config(name, 1);
@@ -61,52 +60,6 @@
     );
 }
 
-type RawLink = Framed<TcpStream, FrameCodec>;
-
-async fn raw_link(node: &TestNode) -> RawLink {
-    let stream = TcpStream::connect(node.mesh.address())
-        .await
-        .expect("the node listens");
-    Framed::new(stream, FrameCodec::new(FrameCodec::MAX_LEN))
-}
-
-fn hello(protocol: u32, proof: Vec<u8>) -> PeerFrame {
-    PeerFrame {
-        stream: 0,
-        body: Some(frame::Body::Hello(PeerHello {
-            protocol,
-            instance: "raw".to_owned(),
-            incarnation: 1,
-            domain: "zone-1".to_owned(),
-            nonce: vec![7; 16],
-            proof,
-        })),
-    }
-}
-
-fn open(stream: u64) -> PeerFrame {
-    PeerFrame {
-        stream,
-        body: Some(frame::Body::Open(CallOpen::default())),
-    }
-}
-
-async fn next_hello(link: &mut RawLink) -> PeerHello {
-    let frame = timeout(LIMIT, link.next()).await.expect("in time");
-    match frame.expect("a frame").expect("readable").body {
-        Some(frame::Body::Hello(hello)) => hello,
-        other => panic!("expected a hello, got {other:?}"),
-    }
-}
-
-/// Waits until the node has closed the connection.
-async fn closed(link: &mut RawLink) {
-    let end = async { while let Some(Ok(_)) = link.next().await {} };
-    timeout(LIMIT, end)
-        .await
-        .expect("the node closes the connection");
-}
-
 /// Guards against work that a stranger gets done before it has proved the secret.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn nothing_is_run_before_the_proof() {
@@ -212,46 +165,3 @@
     let fault = until("a fault", || node.mesh.fault(&id("raw"))).await;
     assert!(fault.contains("exceeds the limit"), "{fault}");
 }
-
-/// Guards against a peer that breaks the rules of streams and stays connected.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn broken_rules_close_the_link() {
-    let credit = PeerFrame {
-        stream: 1,
-        body: Some(frame::Body::Credit(u32::MAX)),
-    };
-    let cases = [
-        vec![open(2)],
-        vec![open(0)],
-        vec![open(1), open(1)],
-        vec![open(1), credit],
-        vec![hello(PROTOCOL_VERSION, Vec::new())],
-    ];
-    for frames in cases {
-        let node = TestNode::start_with(
-            config("b", 1),
-            |_, sink: comfreychute::peer::CallSink| async move {
-                sink.closed().await;
-            },
-        );
-        let mut link = raw_link(&node).await;
-        link.send(hello(PROTOCOL_VERSION, Vec::new()))
-            .await
-            .expect("sent");
-        next_hello(&mut link).await;
-        link.send(hello(PROTOCOL_VERSION, Vec::new()))
-            .await
-            .expect("sent");
-
-        for frame in frames.clone() {
-            link.send(frame).await.expect("sent");
-        }
-
-        closed(&mut link).await;
-        let fault = until("a fault", || node.mesh.fault(&id("raw"))).await;
-        assert!(
-            !fault.contains("nothing was received"),
-            "{frames:?}: {fault}"
-        );
-    }
-}
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -5,5 +5,7 @@
 mod failures;
 mod fixture;
 mod handshake;
+mod link_rules;
+mod raw_peer;
 mod test_proxy;
 mod traffic;
