Confirm dialled links, and report refused addresses of peers that were never reached

A link counted as working for its dialler as soon as it had sent its proof. A connection that went silent at that moment left the peer without any frame for twice the link timeout, which is longer than the peer timeout, and the peer declared the dialler dead. This explains a failure of the test of silent connections seen once on a busy machine (load 14 to 18). The dialler now waits for the first frame of the accepting side, within the time of an attempt. It also sees a refusal after the handshake as a failed attempt.

A refused address is now reported for silent and never reached peers too, since it makes certain that the process has ended.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -2,14 +2,12 @@
 //! about their upstreams.
 
 mod member_state;
-mod member_tracker;
 mod member_view;
 mod rendezvous;
 mod residency_sender;
 mod residency_view;
 mod upstream_residency;
 
-pub use member_tracker::MemberTracker;
 pub use member_view::MemberView;
 pub use rendezvous::{rendezvous_pick, rendezvous_score};
 pub use residency_sender::ResidencySender;
--- a/src/peer/accept_task.rs
+++ b/src/peer/accept_task.rs
@@ -33,7 +33,7 @@
                 let greeted = greet(&core, stream).await;
                 drop(permit);
                 match greeted {
-                    Ok((frames, identity)) => core.run_link(frames, identity, false).await,
+                    Ok((frames, identity)) => core.run_link(frames, identity, None).await,
                     Err(error) => log::warn!("connection from {address} was closed: {error}"),
                 }
             });
--- a/src/peer/dial_task.rs
+++ b/src/peer/dial_task.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
 use super::mesh_core::MeshCore;
 use super::peer_entry::PeerDialler;
-use super::{FrameCodec, PeerIdentity, handshake};
-use crate::error::{Error, ErrorKind};
+use super::{FrameCodec, PeerFrame, PeerIdentity, handshake};
+use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
 
 /// The longest pause between two attempts, in milliseconds.
@@ -36,9 +37,9 @@
         let mut failures: u32 = 0;
         loop {
             match connect(&core, &id, address).await {
-                Ok((frames, identity)) => {
+                Ok((frames, identity, first)) => {
                     let start = Instant::now();
-                    core.run_link(frames, identity, true).await;
+                    core.run_link(frames, identity, Some(first)).await;
                     // A link that is lost right after the handshake counts as a failed attempt, so
                     // that two peers that disagree do not reconnect in a tight loop.
                     let is_brief = start.elapsed() < core.config.link_timeout;
@@ -77,7 +78,7 @@
     core: &MeshCore,
     id: &InstanceId,
     address: SocketAddr,
-) -> Result<(Framed<TcpStream, FrameCodec>, PeerIdentity), DialFailure> {
+) -> Result<(Framed<TcpStream, FrameCodec>, PeerIdentity, PeerFrame), DialFailure> {
     let limit = core.config.dial_timeout();
     let attempt = async {
         let stream = TcpStream::connect(address)
@@ -109,7 +110,8 @@
                 is_refused: true,
             });
         }
-        Ok((frames, identity))
+        let first = confirm(&mut frames).await.map_err(other)?;
+        Ok((frames, identity, first))
     };
     timeout(limit, attempt).await.unwrap_or_else(|_| {
         Err(DialFailure {
@@ -124,3 +126,17 @@
         })
     })
 }
+
+/// Waits for the first frame after the handshake, by which the accepting side confirms the link.
+///
+/// Without it, a connection that goes silent during the handshake would count as a working link
+/// until the link timeout, while the peer hears nothing for twice that time.
+async fn confirm(frames: &mut Framed<TcpStream, FrameCodec>) -> Result<PeerFrame> {
+    frames.codec_mut().limit_to(FrameCodec::MAX_LEN);
+    frames.next().await.transpose()?.ok_or_else(|| {
+        Error::new(
+            ErrorKind::Peer,
+            "the peer closed the connection after the handshake; its log gives the reason",
+        )
+    })
+}
--- a/src/peer/link_reader.rs
+++ b/src/peer/link_reader.rs
@@ -26,6 +26,8 @@
     pub(super) core: Arc<LinkCore>,
     pub(super) mesh: Arc<MeshCore>,
     pub(super) frames: FramedRead<R, FrameCodec>,
+    /// A frame that was received before the link was added.
+    pub(super) first: Option<PeerFrame>,
     pub(super) link_timeout: Duration,
 }
 
@@ -40,6 +42,9 @@
     }
 
     async fn read_all(&mut self) -> Result<()> {
+        if let Some(first) = self.first.take() {
+            self.take(first)?;
+        }
         loop {
             let next = timeout(self.link_timeout, self.frames.next()).await;
             let frame = next.ok().ok_or_else(|| {
--- a/src/peer/mesh_core.rs
+++ b/src/peer/mesh_core.rs
@@ -13,8 +13,10 @@
 use super::link_core::LinkCore;
 use super::link_reader::LinkReader;
 use super::link_writer::LinkWriter;
-use super::peer_entry::{PeerDialler, PeerEntry};
-use super::{FrameCodec, HeartbeatBody, MeshConfig, MeshHooks, PeerChange, PeerIdentity, PeerLink};
+use super::peer_entry::{PeerDialler, PeerEntry, PeerStanding};
+use super::{
+    FrameCodec, HeartbeatBody, MeshConfig, MeshHooks, PeerChange, PeerFrame, PeerIdentity, PeerLink,
+};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
 
@@ -76,13 +78,15 @@
     }
 
     /// Runs a link after its handshake until it is lost.
+    ///
+    /// `first` is the frame by which the accepting side confirmed a link that this instance opened.
     pub(super) async fn run_link(
         self: &Arc<Self>,
-        mut connection: Framed<TcpStream, FrameCodec>,
+        connection: Framed<TcpStream, FrameCodec>,
         identity: PeerIdentity,
-        is_dialled: bool,
+        first: Option<PeerFrame>,
     ) {
-        connection.codec_mut().limit_to(FrameCodec::MAX_LEN);
+        let is_dialled = first.is_some();
         let parts = connection.into_parts();
         let (read_half, write_half) = parts.io.into_split();
         let mut reader = FramedRead::new(read_half, FrameCodec::new(FrameCodec::MAX_LEN));
@@ -109,6 +113,7 @@
             core: Arc::clone(&core),
             mesh: Arc::clone(self),
             frames: reader,
+            first,
             link_timeout: self.config.link_timeout,
         };
         // Also closes the link if this future is dropped, as by a dialler that is stopped.
@@ -175,10 +180,10 @@
                         previous: previous.incarnation,
                     })
                 }
-                _ if !entry.is_live => Some(PeerChange::Joined(identity)),
+                _ if !entry.is_live() => Some(PeerChange::Joined(identity)),
                 _ => None,
             };
-            entry.is_live = true;
+            entry.standing = PeerStanding::Live;
             entry.fault = None;
             (change, replaced)
         };
@@ -207,11 +212,15 @@
                 return;
             };
             entry.fault = Some(error.detail().to_owned());
-            let is_dead = is_refused && entry.is_live && entry.working_link().is_none();
-            if is_dead {
-                entry.is_live = false;
+            // Also told of a peer that was silent or never reached, since it makes certain that its
+            // process has ended.
+            let is_ended = is_refused
+                && entry.standing != PeerStanding::Refused
+                && entry.working_link().is_none();
+            if is_ended {
+                entry.standing = PeerStanding::Refused;
             }
-            is_dead.then(|| PeerChange::Refused(id.clone()))
+            is_ended.then(|| PeerChange::Refused(id.clone()))
         };
         if let Some(change) = change {
             (self.hooks.on_peer_change)(change);
@@ -227,8 +236,8 @@
         let mut unused = Vec::new();
         self.peers().retain(|id, entry| {
             let is_silent = entry.is_silent(now, self.config.peer_timeout);
-            if entry.is_live && is_silent && now - resumed_at > self.config.peer_timeout {
-                entry.is_live = false;
+            if entry.is_live() && is_silent && now - resumed_at > self.config.peer_timeout {
+                entry.standing = PeerStanding::Silent;
                 silent.push(PeerChange::Silent(id.clone()));
             }
             let is_unused = |dialler: &mut PeerDialler| {
@@ -237,7 +246,7 @@
                     .is_some_and(|used| now - used > UNUSED_LIMIT)
             };
             unused.extend(entry.dialler.take_if(is_unused));
-            entry.is_live || entry.address.is_some() || entry.working_link().is_some()
+            entry.is_live() || entry.address.is_some() || entry.working_link().is_some()
         });
         drop(unused);
         for change in silent {
--- a/src/peer/peer_entry.rs
+++ b/src/peer/peer_entry.rs
@@ -17,8 +17,7 @@
     pub(super) incoming: Option<PeerLink>,
     /// When a link that is gone by now was last heard.
     pub(super) heard_at: Option<Instant>,
-    /// Whether the peer has joined and was not declared dead since.
-    pub(super) is_live: bool,
+    pub(super) standing: PeerStanding,
     pub(super) is_draining: bool,
     /// The sequence number of the last heartbeat with content that was sent.
     pub(super) sent_sequence: u64,
@@ -31,6 +30,20 @@
     pub(super) dialler: Option<PeerDialler>,
 }
 
+/// Whether a peer counts as live.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) enum PeerStanding {
+    /// Never reached so far.
+    #[default]
+    New,
+    /// Has joined and was not declared dead since.
+    Live,
+    /// Was silent for the peer timeout.
+    Silent,
+    /// Its process is known to have ended.
+    Refused,
+}
+
 /// The task that keeps the outgoing link; dropping it stops the task.
 #[derive(Debug)]
 pub(super) struct PeerDialler {
@@ -41,6 +54,10 @@
 }
 
 impl PeerEntry {
+    pub(super) fn is_live(&self) -> bool {
+        self.standing == PeerStanding::Live
+    }
+
     /// Borrows the link to use: the outgoing one where it works.
     pub(super) fn working_link(&self) -> Option<&PeerLink> {
         [&self.outgoing, &self.incoming]
@@ -120,7 +137,7 @@
     }
 
     pub(super) fn live_peer(&self, id: &InstanceId, now: Instant) -> Option<LivePeer> {
-        let identity = self.identity.as_ref().filter(|_| self.is_live)?;
+        let identity = self.identity.as_ref().filter(|_| self.is_live())?;
         Some(LivePeer {
             id: id.clone(),
             domain: identity.domain.clone(),
--- a/tests/peer/failures.rs
+++ b/tests/peer/failures.rs
@@ -179,6 +179,21 @@
     assert_eq!(a.mesh.live_peers()[0].incarnation, 2);
 }
 
+/// Guards against an instance that counts as live although it has ended before this one started.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn listed_instance_that_was_never_reached_is_refused() {
+    let a = TestNode::start("a");
+    let b = TestNode::start("b");
+    let address = b.mesh.address();
+    b.mesh.stop();
+    drop(b);
+
+    a.mesh.dial(&[listed("b", address)]);
+
+    a.changed(|change| *change == PeerChange::Refused(id("b")))
+        .await;
+}
+
 /// Guards against a paused process that counts as live for ever: its kernel still accepts
 /// connections, but nobody answers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/peer/link_rules.rs
+++ b/tests/peer/link_rules.rs
@@ -149,7 +149,7 @@
         other
             .mesh
             .fault(&id("a"))
-            .filter(|fault| fault.contains("closed"))
+            .filter(|fault| fault.contains("closed the connection after the handshake"))
     })
     .await;
     let names: Vec<_> = node
