Bound every wait for a part of an answer in the tests of peers

Two deliberate faults, missing credits and a missing limit of calls, made tests hang instead of failing.

--- a/tests/peer/calls.rs
+++ b/tests/peer/calls.rs
@@ -9,7 +9,7 @@
 use comfreychute::{ErrorKind, RunState};
 use tokio::time::timeout;
 
-use crate::fixture::{LIMIT, TestNode, answer_three, config, end, id, token, until};
+use crate::fixture::{LIMIT, TestNode, answer_three, config, end, id, next, token, until};
 
 /// Guards against a mesh that does not connect, forward calls or reply to questions at all.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -25,7 +25,7 @@
         .expect("the link works");
     let mut tokens = 0;
     let mut is_ended = false;
-    while let Some(chunk) = events.next().await.expect("the answer is complete") {
+    while let Some(chunk) = next(&mut events).await.expect("the answer is complete") {
         match chunk.body {
             Some(chunk::Body::Token(_)) => tokens += 1,
             Some(chunk::Body::End(end)) => is_ended = end.tokens == 3,
@@ -82,7 +82,7 @@
             .await
             .expect("a link");
         let mut parts = 0;
-        while events.next().await.expect("an answer").is_some() {
+        while next(&mut events).await.expect("an answer").is_some() {
             parts += 1;
         }
         assert_eq!(parts, 4);
@@ -95,7 +95,10 @@
     );
     // The call goes on once its consumer does.
     for _ in 0..2000 {
-        slow.next().await.expect("an answer").expect("not ended");
+        next(&mut slow)
+            .await
+            .expect("an answer")
+            .expect("not ended");
     }
 }
 
@@ -121,7 +124,7 @@
         .await
         .expect("a link");
     let mut parts = 0;
-    while events.next().await.expect("an answer").is_some() {
+    while next(&mut events).await.expect("an answer").is_some() {
         parts += 1;
     }
 
@@ -152,7 +155,7 @@
 
     assert_eq!(error.kind(), ErrorKind::BodyTooLarge);
     assert_eq!(error.run_state(), RunState::NotRun);
-    assert!(events.next().await.expect("an answer").is_some());
+    assert!(next(&mut events).await.expect("an answer").is_some());
 }
 
 /// Guards against memory that grows with the calls of a peer: beyond the limit they are refused as
@@ -174,7 +177,10 @@
         calls.push(call.expect("a link"));
     }
 
-    let refusal = calls[4].next().await.expect("an answer").expect("a part");
+    let refusal = next(&mut calls[4])
+        .await
+        .expect("an answer")
+        .expect("a part");
     drop(calls);
 
     let Some(chunk::Body::Refused(refusal)) = refusal.body else {
@@ -223,7 +229,7 @@
     let call = async {
         loop {
             if let Ok(mut events) = node.mesh.open_call(&id(peer), CallOpen::default()).await {
-                return events.next().await.expect("an answer");
+                return next(&mut events).await.expect("an answer");
             }
             tokio::task::yield_now().await;
         }
--- a/tests/peer/failures.rs
+++ b/tests/peer/failures.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::fixture::{LIMIT, TestNode, answer_three, config, id, listed, token, until};
+use crate::fixture::{LIMIT, TestNode, answer_three, config, id, listed, next, token, until};
 use crate::test_proxy::TestProxy;
 
 /// Guards against peers that are declared dead, or stay unreachable, because an open connection
@@ -24,7 +24,7 @@
         .open_call(&id("b"), CallOpen::default())
         .await
         .expect("the link works");
-    assert!(events.next().await.expect("an answer").is_some());
+    assert!(next(&mut events).await.expect("an answer").is_some());
 
     for round in 1..=2 {
         proxy.silence();
@@ -40,7 +40,7 @@
         .open_call(&id("b"), CallOpen::default())
         .await
         .expect("the new link works");
-    assert!(again.next().await.expect("an answer").is_some());
+    assert!(next(&mut again).await.expect("an answer").is_some());
     for node in [&a, &b] {
         let changes = node.changes();
         assert!(
@@ -76,7 +76,7 @@
         .open_call(&id("b"), CallOpen::default())
         .await
         .expect("the link works");
-    events.next().await.expect("an answer");
+    next(&mut events).await.expect("an answer");
 
     drop(events);
 
@@ -107,11 +107,11 @@
 
     proxy.cut();
 
-    let lost = timeout(LIMIT, events.next()).await.expect("an end");
+    let lost = next(&mut events).await;
     let error = lost.expect_err("the link was lost");
     assert_eq!(error.kind(), ErrorKind::Peer);
     assert_eq!(error.run_state(), RunState::Unknown);
-    assert!(events.next().await.expect("ended").is_none());
+    assert!(next(&mut events).await.expect("ended").is_none());
 }
 
 /// Guards against a request reported as possibly run although no byte of it was written.
@@ -144,8 +144,8 @@
         .await
         .expect("the link works");
 
-    let first = events.next().await.expect("a part");
-    let error = events.next().await.expect_err("no end marker");
+    let first = next(&mut events).await.expect("a part");
+    let error = next(&mut events).await.expect_err("no end marker");
 
     assert!(first.is_some());
     assert_eq!(error.kind(), ErrorKind::Peer);
--- a/tests/peer/fixture.rs
+++ b/tests/peer/fixture.rs
@@ -5,10 +5,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use comfreychute::Result;
 use comfreychute::id::{DomainId, InstanceId};
 use comfreychute::peer::{
-    CallChunk, CallOpen, CallSink, HeartbeatBody, MeshConfig, MeshHooks, PeerChange, PeerMesh,
-    PeerReply, chunk, reply,
+    CallChunk, CallEvents, CallOpen, CallSink, HeartbeatBody, MeshConfig, MeshHooks, PeerChange,
+    PeerMesh, PeerReply, chunk, reply,
 };
 use comfreychute::platform::ListedInstance;
 use tokio::time::{sleep, timeout};
@@ -44,6 +45,11 @@
         .unwrap_or_else(|_| panic!("not within {LIMIT:?}: {what}"))
 }
 
+/// Waits for the next part of an answer.
+pub async fn next(events: &mut CallEvents) -> Result<Option<CallChunk>> {
+    timeout(LIMIT, events.next()).await.expect("in time")
+}
+
 /// What the hooks of a node saw.
 #[derive(Debug, Default)]
 pub struct Seen {
--- a/tests/peer/link_rules.rs
+++ b/tests/peer/link_rules.rs
@@ -7,7 +7,7 @@
 use futures_util::SinkExt;
 use tokio::time::timeout;
 
-use crate::fixture::{LIMIT, TestNode, answer_three, config, id, token, until};
+use crate::fixture::{LIMIT, TestNode, answer_three, config, id, next, token, until};
 use crate::raw_peer::{closed, greeted, hello, next_hello, open, raw_link};
 
 /// Guards against a peer that breaks the rules of streams and stays connected.
@@ -76,7 +76,7 @@
     closed(&mut link).await;
     let mut parts = 0;
     let error = loop {
-        match events.next().await {
+        match next(&mut events).await {
             Ok(part) => parts += usize::from(part.is_some()),
             Err(error) => break error,
         }
@@ -175,7 +175,7 @@
         let (mesh, open) = (node.mesh.clone(), open.clone());
         tokio::spawn(async move {
             match mesh.open_call(&id("raw"), open).await {
-                Ok(mut events) => events.next().await.expect_err("the link is lost"),
+                Ok(mut events) => next(&mut events).await.expect_err("the link is lost"),
                 Err(error) => error,
             }
         })
