Test the clients against every fault of the stand-ins

Cause: the failure handling of the other modules rests on what these clients report. Found: a path without a leading slash could continue the address and send a call to another host (test a_path_that_is_no_path_is_refused failed with a refused connection to that host); the transport now refuses such paths. Ruled out: retries by the pool that would run a call twice (a_failed_call_is_not_sent_again).

--- a/crates/standins/src/bin/comfreychute-engine.rs
+++ b/crates/standins/src/bin/comfreychute-engine.rs
@@ -18,12 +18,6 @@
     /// Number of engines; a fixed port is counted up.
     #[arg(long, default_value_t = 1)]
     count: u16,
-    /// Loads per second that the weight store serves at full speed; 0: no limit.
-    #[arg(long, default_value_t = 0.0)]
-    store_rate: f64,
-    /// Loads in flight that the weight store serves at full speed; 0: no limit.
-    #[arg(long, default_value_t = 0)]
-    store_in_flight: u32,
     /// Time after which the process ends by itself.
     #[arg(long, default_value = "10m", value_parser = DurationText::parse)]
     run_for: Duration,
@@ -32,7 +26,7 @@
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let command = EngineCommand::parse();
-    let store = WeightStore::new(command.store_rate, command.store_in_flight);
+    let store = WeightStore::default();
     let first = command.settings.address;
     let mut standins = Vec::new();
     for number in 0..command.count {
--- a/crates/standins/src/engine/engine_core.rs
+++ b/crates/standins/src/engine/engine_core.rs
@@ -76,6 +76,10 @@
         }
     }
 
+    pub(super) fn kept_answers(&self) -> usize {
+        self.state().runs.len()
+    }
+
     pub(super) fn counters(&self) -> EngineCounters {
         self.state().counters
     }
@@ -129,7 +133,9 @@
         state.counters.loads += 1;
         let (core, name) = (Arc::clone(self), order.name.clone());
         let incarnation = state.incarnation;
-        let ticket = self.store.begin();
+        let ticket = self
+            .store
+            .begin(settings.store_rate, settings.store_in_flight);
         tokio::spawn(async move {
             sleep(settings.load_time.mul_f64(ticket.slowdown())).await;
             drop(ticket);
@@ -198,11 +204,13 @@
             .as_ref()
             .err()
             .map_or("accepted", |error| error.code());
+        let attempt = accepted.as_ref().ok().copied().or(headers.attempt);
+        let run = attempt.and_then(|attempt| state.runs.get(&attempt));
         self.journal.append(JournalEntry {
             kind: "complete".to_owned(),
             outcome: code.to_owned(),
-            attempt: accepted.as_ref().ok().copied().or(headers.attempt),
-            name: headers.name.clone(),
+            attempt,
+            name: headers.name.clone().or(run.map(|run| run.name.clone())),
             epoch: headers.epoch,
             body_digest: xxh3_64(body),
             ..JournalEntry::default()
@@ -215,12 +223,14 @@
             }
         };
         state.counters.completions += 1;
+        self.admit(&mut state);
         let fault = self.take_fault(&mut state, attempt);
         self.attach(&mut state, connection, attempt, 0, fault)
     }
 
+    /// Checks a completion and puts it into the queue.
     fn accept(
-        self: &Arc<Self>,
+        &self,
         state: &mut EngineState,
         headers: &CallHeaders,
         body: &Bytes,
@@ -271,7 +281,6 @@
             },
         );
         state.enqueue(attempt, rank);
-        self.admit(state);
         Ok(attempt)
     }
 
@@ -429,6 +438,13 @@
             let Some(run) = state.runs.get_mut(&attempt) else {
                 continue;
             };
+            self.journal.append(JournalEntry {
+                kind: "start".to_owned(),
+                outcome: "accepted".to_owned(),
+                attempt: Some(attempt),
+                name: Some(run.name.clone()),
+                ..JournalEntry::default()
+            });
             state.running += 1;
             state.counters.peak_running = state.counters.peak_running.max(state.running);
             run.progress
--- a/crates/standins/src/engine/engine_settings.rs
+++ b/crates/standins/src/engine/engine_settings.rs
@@ -25,6 +25,12 @@
     #[arg(long, default_value = "250ms", value_parser = DurationText::parse)]
     #[serde_as(as = "DurationText")]
     pub load_time: Duration,
+    /// Loads per second that the weight store serves at full speed; 0: no limit.
+    #[arg(long, default_value_t = 0.0)]
+    pub store_rate: f64,
+    /// Loads in flight that the weight store serves at full speed; 0: no limit.
+    #[arg(long, default_value_t = 0)]
+    pub store_in_flight: u32,
     /// Time between two tokens of a stream; with 0ms all tokens are sent at once.
     #[arg(long, default_value = "5ms", value_parser = DurationText::parse)]
     #[serde_as(as = "DurationText")]
--- a/crates/standins/src/engine/engine_standin.rs
+++ b/crates/standins/src/engine/engine_standin.rs
@@ -18,14 +18,14 @@
 }
 
 impl EngineStandin {
-    /// Binds the address and serves until the stand-in is stopped or dropped; its weight store has
-    /// no limits.
+    /// Binds the address and serves until the stand-in is stopped or dropped; it has its
+    /// own weight store.
     ///
     /// # Errors
     ///
     /// Fails if the address can't be bound.
     pub async fn start(settings: EngineSettings) -> Result<Self> {
-        Self::start_with_store(settings, WeightStore::new(0.0, 0)).await
+        Self::start_with_store(settings, WeightStore::default()).await
     }
 
     /// Starts an engine that loads from a store that other engines may share.
@@ -77,6 +77,12 @@
         self.core.status()
     }
 
+    /// Returns the number of answers that run, wait or are kept for a resume.
+    #[must_use]
+    pub fn kept_answers(&self) -> usize {
+        self.core.kept_answers()
+    }
+
     /// Returns the counters.
     #[must_use]
     pub fn counters(&self) -> EngineCounters {
--- a/crates/standins/src/engine/weight_store.rs
+++ b/crates/standins/src/engine/weight_store.rs
@@ -8,16 +8,15 @@
 
 /// The store that engines load weights from; it becomes slower beyond its limits.
 ///
-/// Engines of one process can share a store, as the engines of a fleet do.
-#[derive(Debug, Clone)]
+/// Engines of one process can share a store, as the engines of a fleet do. The limits come from the
+/// settings of the engine that loads, so that they can be changed at run time.
+#[derive(Debug, Clone, Default)]
 pub struct WeightStore {
     state: Arc<Mutex<StoreState>>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct StoreState {
-    rate: f64,
-    full_speed: u32,
     in_flight: u32,
     peak_in_flight: u32,
     peak_rate: usize,
@@ -25,22 +24,6 @@
 }
 
 impl WeightStore {
-    /// Creates a store that serves `rate` loads per second, of which `full_speed` at a time, at
-    /// full speed; beyond either limit a load takes proportionally longer. Zero: no limit.
-    #[must_use]
-    pub fn new(rate: f64, full_speed: u32) -> Self {
-        Self {
-            state: Arc::new(Mutex::new(StoreState {
-                rate,
-                full_speed,
-                in_flight: 0,
-                peak_in_flight: 0,
-                peak_rate: 0,
-                starts: VecDeque::new(),
-            })),
-        }
-    }
-
     /// Returns the highest number of loads that were in flight at the same time.
     #[must_use]
     pub fn peak_in_flight(&self) -> u32 {
@@ -54,7 +37,10 @@
     }
 
     /// Registers a load that starts now.
-    pub(super) fn begin(&self) -> LoadTicket {
+    ///
+    /// The store serves `rate` loads per second, and `full_speed` at a time, at full speed; beyond
+    /// either limit a load takes proportionally longer. Zero: no limit.
+    pub(super) fn begin(&self, rate: f64, full_speed: u32) -> LoadTicket {
         let slowdown = self.with(|state| {
             let now = Instant::now();
             while state
@@ -69,12 +55,12 @@
             state.peak_in_flight = state.peak_in_flight.max(state.in_flight);
             state.peak_rate = state.peak_rate.max(state.starts.len());
             let mut slowdown = 1.0_f64;
-            if state.full_speed > 0 {
-                slowdown = slowdown.max(f64::from(state.in_flight) / f64::from(state.full_speed));
+            if full_speed > 0 {
+                slowdown = slowdown.max(f64::from(state.in_flight) / f64::from(full_speed));
             }
-            if state.rate > 0.0 {
+            if rate > 0.0 {
                 let starts = u32::try_from(state.starts.len()).unwrap_or(u32::MAX);
-                slowdown = slowdown.max(f64::from(starts) / state.rate.max(1.0));
+                slowdown = slowdown.max(f64::from(starts) / rate.max(1.0));
             }
             slowdown
         });
--- a/crates/standins/src/journal/journal_entry.rs
+++ b/crates/standins/src/journal/journal_entry.rs
@@ -10,7 +10,8 @@
     pub number: u64,
     /// The time of receipt, in microseconds since 1970.
     pub time_us: u64,
-    /// What was received: `load`, `evict`, `complete`, `resume`, `cancel` or `call`.
+    /// What was received: `load`, `evict`, `complete`, `resume`, `cancel` or `call`; `start` notes
+    /// that a completion left the queue and runs.
     pub kind: String,
     /// What followed: `accepted` or the code of the refusal.
     pub outcome: String,
--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -45,6 +45,13 @@
 
     /// Joins the address and a path with its query.
     pub(crate) fn uri(&self, path: &str) -> Result<Uri> {
+        // Anything else, such as "@host/", could continue the address and name another host.
+        if !path.starts_with('/') {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                format!("path {path:?} does not start with a slash"),
+            ));
+        }
         format!("http://{}{path}", self.address)
             .parse()
             .map_err(|error| Error::new(ErrorKind::BadRequest, format!("path {path:?}: {error}")))
