--- /dev/null
+++ b/src/peer/mesh_core.rs
@@ -0,0 +1,272 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_util::codec::{Framed, FramedRead, FramedWrite};
+use tokio_util::sync::CancellationToken;
+
+use super::link_core::LinkCore;
+use super::link_reader::LinkReader;
+use super::link_writer::LinkWriter;
+use super::peer_entry::{PeerDialler, PeerEntry};
+use super::{FrameCodec, HeartbeatBody, MeshConfig, MeshHooks, PeerChange, PeerIdentity, PeerLink};
+use crate::error::{Error, ErrorKind, Result};
+use crate::id::InstanceId;
+use crate::member::ResidencySender;
+
+/// The time after its last use for which a link stays that was opened for single calls.
+const UNUSED_LIMIT: Duration = Duration::from_secs(30);
+
+/// What the tasks of a mesh share.
+#[derive(Debug)]
+pub(super) struct MeshCore {
+    pub(super) config: MeshConfig,
+    pub(super) hooks: MeshHooks,
+    pub(super) address: SocketAddr,
+    pub(super) stop: CancellationToken,
+    pub(super) beats: watch::Sender<Arc<HeartbeatBody>>,
+    pub(super) beat_bytes: AtomicU64,
+    /// Changes whenever a link was added.
+    pub(super) link_count: watch::Sender<u64>,
+    peers: Mutex<BTreeMap<InstanceId, PeerEntry>>,
+}
+
+impl MeshCore {
+    pub(super) fn new(
+        config: MeshConfig,
+        hooks: MeshHooks,
+        address: SocketAddr,
+        stop: CancellationToken,
+    ) -> Self {
+        let first = Arc::new((hooks.heartbeat)());
+        Self {
+            config,
+            hooks,
+            address,
+            stop,
+            beats: watch::Sender::new(first),
+            beat_bytes: AtomicU64::new(0),
+            link_count: watch::Sender::new(0),
+            peers: Mutex::default(),
+        }
+    }
+
+    pub(super) fn peers(&self) -> MutexGuard<'_, BTreeMap<InstanceId, PeerEntry>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs a link after its handshake until it is lost.
+    pub(super) async fn run_link(
+        self: &Arc<Self>,
+        mut connection: Framed<TcpStream, FrameCodec>,
+        identity: PeerIdentity,
+        is_dialled: bool,
+    ) {
+        connection.codec_mut().limit_to(FrameCodec::MAX_LEN);
+        let parts = connection.into_parts();
+        let (read_half, write_half) = parts.io.into_split();
+        let mut reader = FramedRead::new(read_half, FrameCodec::new(FrameCodec::MAX_LEN));
+        // Frames that followed the handshake closely were already received.
+        *reader.read_buffer_mut() = parts.read_buf;
+        let (core, queues) = LinkCore::new(identity, is_dialled, self.config.limits);
+        core.hear();
+        self.add_link(&core);
+        let (mesh, link) = (Arc::clone(self), Arc::clone(&core));
+        let sent = Arc::clone(self);
+        let mut residency = ResidencySender::new();
+        let writer = LinkWriter {
+            core: Arc::clone(&core),
+            queues,
+            frames: FramedWrite::new(write_half, FrameCodec::new(FrameCodec::MAX_LEN)),
+            write_timeout: self.config.link_timeout,
+            beats: self.beats.subscribe(),
+            body: Box::new(move |full| mesh.link_beat(&link, &mut residency, full)),
+            on_sent: Box::new(move |bytes| {
+                sent.beat_bytes.fetch_add(bytes, Ordering::Relaxed);
+            }),
+        };
+        let reader = LinkReader {
+            core: Arc::clone(&core),
+            mesh: Arc::clone(self),
+            frames: reader,
+            link_timeout: self.config.link_timeout,
+        };
+        // Also closes the link if this future is dropped, as by a dialler that is stopped.
+        let _guard = LinkGuard {
+            mesh: self,
+            core: &core,
+        };
+        let run = async { tokio::join!(reader.run(), writer.run()) };
+        self.stop.run_until_cancelled(run).await;
+    }
+
+    /// Builds the heartbeat of one link: with content on the one in use, without on the other.
+    fn link_beat(
+        &self,
+        link: &Arc<LinkCore>,
+        sender: &mut ResidencySender,
+        full: &HeartbeatBody,
+    ) -> HeartbeatBody {
+        let mut peers = self.peers();
+        let main = peers
+            .get_mut(&link.identity.instance)
+            .filter(|entry| entry.is_main(link));
+        let Some(entry) = main else {
+            sender.reset();
+            return HeartbeatBody::default();
+        };
+        entry.sent_sequence += 1;
+        let sequence = entry.sent_sequence;
+        drop(peers);
+        HeartbeatBody {
+            sequence,
+            ..sender.reduce(full)
+        }
+    }
+
+    pub(super) fn take_heartbeat(&self, link: &Arc<LinkCore>, body: HeartbeatBody) {
+        let id = &link.identity.instance;
+        let change = {
+            let mut peers = self.peers();
+            let Some(entry) = peers.get_mut(id) else {
+                return;
+            };
+            // Heartbeats of two links may overtake each other; those of a process that was replaced
+            // count no more. Zero has no content.
+            let is_present = entry
+                .identity
+                .as_ref()
+                .is_some_and(|identity| identity.incarnation == link.identity.incarnation);
+            if !is_present || body.sequence <= entry.heard_sequence {
+                return;
+            }
+            entry.heard_sequence = body.sequence;
+            let is_new = body.is_draining && !entry.is_draining;
+            entry.is_draining |= body.is_draining;
+            is_new.then(|| PeerChange::Draining(id.clone()))
+        };
+        if let Some(change) = change {
+            (self.hooks.on_peer_change)(change);
+        }
+        (self.hooks.on_heartbeat)(id, body);
+    }
+
+    fn add_link(&self, core: &Arc<LinkCore>) {
+        let identity = core.identity.clone();
+        let (change, replaced) = {
+            let mut peers = self.peers();
+            let entry = peers.entry(identity.instance.clone()).or_default();
+            let replaced = entry.add_link(core);
+            let previous = entry.identity.replace(identity.clone());
+            let change = match previous {
+                Some(previous) if previous.incarnation != identity.incarnation => {
+                    entry.is_draining = false;
+                    entry.heard_sequence = 0;
+                    Some(PeerChange::Replaced {
+                        now: identity,
+                        previous: previous.incarnation,
+                    })
+                }
+                _ if !entry.is_live => Some(PeerChange::Joined(identity)),
+                _ => None,
+            };
+            entry.is_live = true;
+            entry.fault = None;
+            (change, replaced)
+        };
+        for link in replaced {
+            link.core.close("a newer connection took its place");
+        }
+        self.link_count.send_modify(|count| *count += 1);
+        if let Some(change) = change {
+            (self.hooks.on_peer_change)(change);
+        }
+    }
+
+    fn remove_link(&self, core: &Arc<LinkCore>) {
+        let mut peers = self.peers();
+        if let Some(entry) = peers.get_mut(&core.identity.instance) {
+            entry.remove_link(core);
+        }
+    }
+
+    /// Notes a failed attempt; a refusal without any working link means that the process has ended.
+    pub(super) fn note_failure(&self, id: &InstanceId, error: &Error, is_refused: bool) {
+        let change = {
+            let mut peers = self.peers();
+            let Some(entry) = peers.get_mut(id) else {
+                return;
+            };
+            entry.fault = Some(error.detail().to_owned());
+            let is_dead = is_refused && entry.is_live && entry.working_link().is_none();
+            if is_dead {
+                entry.is_live = false;
+            }
+            is_dead.then(|| PeerChange::Refused(id.clone()))
+        };
+        if let Some(change) = change {
+            (self.hooks.on_peer_change)(change);
+        }
+    }
+
+    /// Declares peers dead that have been silent for too long, ends links that were opened for
+    /// single calls and are not used any more, and forgets peers that are neither live nor listed.
+    ///
+    /// Silence before `resumed_at` counts for nothing, as this process was paused itself.
+    pub(super) fn sweep(&self, now: Instant, resumed_at: Instant) {
+        let mut silent = Vec::new();
+        let mut unused = Vec::new();
+        self.peers().retain(|id, entry| {
+            let is_silent = entry.is_silent(now, self.config.peer_timeout);
+            if entry.is_live && is_silent && now - resumed_at > self.config.peer_timeout {
+                entry.is_live = false;
+                silent.push(PeerChange::Silent(id.clone()));
+            }
+            let is_unused = |dialler: &mut PeerDialler| {
+                dialler
+                    .used_at
+                    .is_some_and(|used| now - used > UNUSED_LIMIT)
+            };
+            unused.extend(entry.dialler.take_if(is_unused));
+            entry.is_live || entry.address.is_some() || entry.working_link().is_some()
+        });
+        drop(unused);
+        for change in silent {
+            (self.hooks.on_peer_change)(change);
+        }
+    }
+
+    /// Returns the working link to a peer, and notes its use.
+    pub(super) fn link(&self, id: &InstanceId) -> Result<PeerLink> {
+        let mut peers = self.peers();
+        let mut fault = "it is not listed";
+        if let Some(entry) = peers.get_mut(id) {
+            entry.note_use();
+            if let Some(link) = entry.working_link() {
+                return Ok(link.clone());
+            }
+            fault = entry.fault.as_deref().unwrap_or("it was not reached yet");
+        }
+        Err(Error::new(
+            ErrorKind::Peer,
+            format!("no link to peer {id}: {fault}"),
+        ))
+    }
+}
+
+/// Closes a link and removes it from the mesh.
+struct LinkGuard<'a> {
+    mesh: &'a MeshCore,
+    core: &'a Arc<LinkCore>,
+}
+
+impl Drop for LinkGuard<'_> {
+    fn drop(&mut self) {
+        self.core.close("this instance dropped the link");
+        self.mesh.remove_link(self.core);
+    }
+}
