Add the load generator

Cause: latency, added latency and wrong answers have to be measured from outside the product. Ruled out: latencies from the planned send time. The timer has a resolution of 1 ms, which would hide differences below it; the lag behind the plan is reported separately instead.

--- a/crates/standins/src/engine/engine_core.rs
+++ b/crates/standins/src/engine/engine_core.rs
@@ -526,7 +526,7 @@
                     **other != attempt
                         && run.readers > 0
                         && !state.redirects.contains_key(other)
-                        && run.progress.borrow().phase != RunPhase::Finished
+                        && run.progress.borrow().produced < run.tokens
                 });
                 if let Some((&other, run)) = other {
                     settings.swap_answers -= 1;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod engine;
 pub mod journal;
+pub mod load;
 pub mod plain;
 pub mod platform;
 mod server;
--- a/src/upstream/event_parser.rs
+++ b/src/upstream/event_parser.rs
@@ -5,24 +5,25 @@
 
 /// Splits server-sent events into the payloads of their data lines.
 #[derive(Debug, Default)]
-pub(super) struct EventParser {
+pub struct EventParser {
     buffer: BytesMut,
     searched: usize,
 }
 
 impl EventParser {
     /// Adds bytes from the stream.
-    pub(super) fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Returns whether a line exceeds the limit.
-    pub(super) fn is_overlong(&self) -> bool {
+    #[must_use]
+    pub fn is_overlong(&self) -> bool {
         self.searched > LINE_LIMIT
     }
 
     /// Takes the payload of the next complete data line; comments and other fields are skipped.
-    pub(super) fn next_payload(&mut self) -> Option<Bytes> {
+    pub fn next_payload(&mut self) -> Option<Bytes> {
         loop {
             let rest = &self.buffer[self.searched..];
             let Some(offset) = rest.iter().position(|&byte| byte == b'\n') else {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -22,6 +22,7 @@
 pub use engine_client::{ADAPTER_HEADER, ATTEMPT_HEADER, EPOCH_HEADER, EngineClient, RANK_HEADER};
 pub use engine_order::EngineOrder;
 pub use engine_status::EngineStatus;
+pub use event_parser::EventParser;
 pub use event_wire::EventWire;
 pub use plain_answer::PlainAnswer;
 pub use plain_call::PlainCall;
--- a/tests/boundaries/main.rs
+++ b/tests/boundaries/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod control;
 mod fixture;
+mod load;
 mod objects;
 mod orders;
 mod plain;
