--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,11 +13,13 @@
 
 pub mod control;
 pub mod engine;
+pub mod fleet;
 pub mod journal;
 pub mod plain;
 pub mod platform;
 mod server;
 
 pub use engine::EngineStandin;
+pub use fleet::LocalFleet;
 pub use plain::PlainStandin;
 pub use platform::PlatformStandin;
--- /dev/null
+++ b/src/entry/answer_relay.rs
@@ -0,0 +1,285 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dropshot::Body;
+use http::{HeaderValue, Response};
+use tokio::sync::mpsc;
+
+use super::event_body::EventBody;
+use super::model_call::{OpenedCall, is_retryable, open, try_retry};
+use super::{CompletionFormat, EntryContext, EntryPass, RefusalAnswer, RoutedRequest};
+use crate::error::{Error, ErrorKind, Result, RunState};
+use crate::id::AttemptId;
+use crate::peer::{CallChunk, chunk};
+use crate::telemetry::{LogEvent, LogName};
+
+/// Resumptions of one answer over another link.
+const RESUME_LIMIT: u32 = 8;
+/// Events that wait for a slow caller before the relay stops reading.
+const EVENT_QUEUE: usize = 32;
+/// Pause before a resumption, so that news of a changed owner can arrive.
+const RESUME_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// One checked step of an answer.
+enum RelayStep {
+    Token(String),
+    End { finish: String, tokens: u64 },
+}
+
+/// Relays the answer of one request and compares it with what was asked for.
+pub(super) struct AnswerRelay {
+    context: Arc<EntryContext>,
+    /// Counts the request as in progress until the answer ends.
+    pass: EntryPass,
+    routed: RoutedRequest,
+    opened: OpenedCall,
+    format: CompletionFormat,
+    adapter: String,
+    next_token: u64,
+    resumes: u32,
+    is_ended: bool,
+}
+
+impl AnswerRelay {
+    pub fn new(
+        context: Arc<EntryContext>,
+        pass: EntryPass,
+        routed: RoutedRequest,
+        opened: OpenedCall,
+        format: CompletionFormat,
+    ) -> Self {
+        let adapter = routed
+            .adapter
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default();
+        Self {
+            context,
+            pass,
+            routed,
+            opened,
+            format,
+            adapter,
+            next_token: 0,
+            resumes: 0,
+            is_ended: false,
+        }
+    }
+
+    /// Answers with server-sent events; a failure becomes an `error` event without an end marker.
+    pub fn into_stream(mut self) -> Response<Body> {
+        let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
+        let mut response = Response::new(Body::wrap(EventBody::new(receiver)));
+        self.add_headers(&mut response, "text/event-stream");
+        tokio::spawn(async move {
+            while !self.is_ended {
+                // The caller hangs up by closing the channel; dropping the relay cancels the call.
+                let event = tokio::select! {
+                    event = self.next_event() => event,
+                    () = sender.closed() => return,
+                };
+                if sender.send(Bytes::from(event)).await.is_err() {
+                    return;
+                }
+            }
+        });
+        response
+    }
+
+    async fn next_event(&mut self) -> String {
+        match self.next().await {
+            Ok(RelayStep::Token(text)) => self.format.token_event(&self.adapter, &text),
+            Ok(RelayStep::End { finish, .. }) => {
+                self.is_ended = true;
+                self.format.end_events(&self.adapter, &finish)
+            }
+            Err(error) => {
+                self.is_ended = true;
+                self.log_failure(&error);
+                let refusal = RefusalAnswer::from_error(&error, self.routed.request);
+                format!("event: error\ndata: {}\n\n", refusal.to_json())
+            }
+        }
+    }
+
+    /// Collects the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the last attempt; partial answers are never delivered.
+    pub async fn into_whole(mut self) -> Result<Response<Body>> {
+        let mut text = String::new();
+        let (finish, tokens) = loop {
+            match self.next().await {
+                Ok(RelayStep::Token(token)) => text.push_str(&token),
+                Ok(RelayStep::End { finish, tokens }) => break (finish, tokens),
+                Err(error) if self.try_restart(&error).await => text.clear(),
+                Err(error) => {
+                    self.log_failure(&error);
+                    return Err(error);
+                }
+            }
+        };
+        let mut response = Response::new(Body::from(self.format.whole(
+            &self.adapter,
+            &text,
+            &finish,
+            tokens,
+        )));
+        self.add_headers(&mut response, "application/json");
+        drop(self.pass);
+        Ok(response)
+    }
+
+    /// Runs the request again from the start; possible while nothing was delivered.
+    async fn try_restart(&mut self, error: &Error) -> bool {
+        let is_allowed = error.run_state() == RunState::Unknown
+            && is_retryable(error.kind())
+            && self.context.clock.now() < self.routed.deadline
+            && try_retry(&self.context);
+        if !is_allowed {
+            return false;
+        }
+        let attempt = self.opened.attempt;
+        match open(&self.context, &self.routed, attempt + 1).await {
+            Ok(opened) => {
+                self.opened = opened;
+                self.next_token = 0;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    async fn next(&mut self) -> Result<RelayStep> {
+        loop {
+            let time_left = self
+                .routed
+                .deadline
+                .saturating_sub(self.context.clock.now());
+            let chunk = match tokio::time::timeout(time_left, self.opened.events.next()).await {
+                Ok(Ok(chunk)) => chunk,
+                Ok(Err(error)) if error.kind() == ErrorKind::Peer => {
+                    self.resume(error).await?;
+                    continue;
+                }
+                Ok(Err(error)) => return Err(error),
+                Err(_) => {
+                    return Err(Error::new(
+                        ErrorKind::DeadlineExceeded,
+                        "the answer was not complete at the deadline",
+                    )
+                    .with_run_state(RunState::Ran));
+                }
+            };
+            if let Some(step) = self.check(chunk)? {
+                return Ok(step);
+            }
+        }
+    }
+
+    /// Compares a part of the answer with the request; none if the part carries nothing new.
+    fn check(&mut self, chunk: CallChunk) -> Result<Option<RelayStep>> {
+        match chunk.body {
+            Some(chunk::Body::Token(token)) => {
+                let attempt = AttemptId::new(self.routed.request, self.opened.attempt);
+                if token.attempt != attempt.to_string() {
+                    LogEvent::new(LogName::AnswerMismatch)
+                        .with("request", self.routed.request)
+                        .with("attempt", &token.attempt)
+                        .with("upstream", &self.opened.upstream)
+                        .send();
+                    return Ok(None);
+                }
+                if token.adapter != self.adapter {
+                    let detail = format!(
+                        "upstream {} answered with adapter {}",
+                        self.opened.upstream, token.adapter
+                    );
+                    return Err(
+                        Error::new(ErrorKind::Upstream, detail).with_run_state(RunState::Ran)
+                    );
+                }
+                if token.token < self.next_token {
+                    return Ok(None);
+                }
+                if token.token > self.next_token {
+                    return Err(truncated("a part of the answer is missing"));
+                }
+                self.next_token += 1;
+                Ok(Some(RelayStep::Token(token.text)))
+            }
+            Some(chunk::Body::End(end)) if end.tokens == self.next_token => {
+                Ok(Some(RelayStep::End {
+                    finish: end.finish,
+                    tokens: end.tokens,
+                }))
+            }
+            Some(chunk::Body::End(_)) => Err(truncated("the end of the answer is missing")),
+            Some(chunk::Body::Refused(refusal)) => Err(refusal.to_error()),
+            Some(chunk::Body::Started(started)) => {
+                self.opened.engine_name = started.engine_name;
+                Ok(None)
+            }
+            Some(chunk::Body::Plain(_)) | None => Err(Error::new(
+                ErrorKind::Protocol,
+                "unexpected part of an answer",
+            )
+            .with_run_state(RunState::Ran)),
+        }
+    }
+
+    /// Opens the rest of the answer over another link to the present owner.
+    async fn resume(&mut self, error: Error) -> Result<()> {
+        loop {
+            self.resumes += 1;
+            if self.resumes > RESUME_LIMIT
+                || self.context.clock.now() + RESUME_PAUSE >= self.routed.deadline
+            {
+                return Err(truncated(error.detail()));
+            }
+            tokio::time::sleep(RESUME_PAUSE).await;
+            let opened = self
+                .context
+                .router
+                .open(
+                    &self.routed,
+                    &self.opened.upstream,
+                    self.opened.attempt,
+                    self.next_token,
+                )
+                .await;
+            if let Ok(events) = opened {
+                self.opened.events = events;
+                return Ok(());
+            }
+        }
+    }
+
+    fn log_failure(&self, error: &Error) {
+        LogEvent::new(LogName::RequestFailed)
+            .with("request", self.routed.request)
+            .with("caller", &self.routed.caller)
+            .with("upstream", &self.opened.upstream)
+            .with("reason", error)
+            .send();
+    }
+
+    fn add_headers(&self, response: &mut Response<Body>, content_type: &'static str) {
+        let headers = response.headers_mut();
+        headers.insert("content-type", HeaderValue::from_static(content_type));
+        let fields = [
+            ("x-adapter", self.adapter.clone()),
+            ("x-upstream", self.opened.upstream.to_string()),
+        ];
+        for (name, value) in fields {
+            if let Ok(value) = HeaderValue::from_str(&value) {
+                headers.insert(name, value);
+            }
+        }
+    }
+}
+
+fn truncated(detail: &str) -> Error {
+    Error::new(ErrorKind::Truncated, detail).with_run_state(RunState::Ran)
+}
--- /dev/null
+++ b/src/entry/completion_format.rs
@@ -0,0 +1,81 @@
+use serde_json::{Value, json};
+
+use crate::id::RequestId;
+
+/// Writes answers in the format of the completion protocol.
+#[derive(Debug, Clone)]
+pub struct CompletionFormat {
+    id: String,
+    base: String,
+    is_chat: bool,
+}
+
+impl CompletionFormat {
+    /// Creates the format of one answer.
+    #[must_use]
+    pub fn new(request: RequestId, base: &str, is_chat: bool) -> Self {
+        Self {
+            id: format!("cmpl-{request}"),
+            base: base.to_owned(),
+            is_chat,
+        }
+    }
+
+    /// Writes one token as a server-sent event.
+    #[must_use]
+    pub fn token_event(&self, adapter: &str, text: &str) -> String {
+        let choice = if self.is_chat {
+            json!({ "index": 0, "delta": { "content": text }, "finish_reason": null })
+        } else {
+            json!({ "index": 0, "text": text, "finish_reason": null })
+        };
+        self.event(adapter, &choice)
+    }
+
+    /// Writes the end marker as server-sent events.
+    #[must_use]
+    pub fn end_events(&self, adapter: &str, finish: &str) -> String {
+        let choice = if self.is_chat {
+            json!({ "index": 0, "delta": {}, "finish_reason": finish })
+        } else {
+            json!({ "index": 0, "text": "", "finish_reason": finish })
+        };
+        format!("{}data: [DONE]\n\n", self.event(adapter, &choice))
+    }
+
+    /// Writes a whole answer.
+    #[must_use]
+    pub fn whole(&self, adapter: &str, text: &str, finish: &str, tokens: u64) -> String {
+        let choice = if self.is_chat {
+            json!({ "index": 0, "message": { "role": "assistant", "content": text }, "finish_reason": finish })
+        } else {
+            json!({ "index": 0, "text": text, "finish_reason": finish })
+        };
+        let object = if self.is_chat {
+            "chat.completion"
+        } else {
+            "text_completion"
+        };
+        let mut answer = self.frame(object, adapter, &choice);
+        answer["usage"] = json!({ "completion_tokens": tokens });
+        answer.to_string()
+    }
+
+    fn event(&self, adapter: &str, choice: &Value) -> String {
+        let object = if self.is_chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        };
+        format!("data: {}\n\n", self.frame(object, adapter, choice))
+    }
+
+    fn frame(&self, object: &str, adapter: &str, choice: &Value) -> Value {
+        json!({
+            "id": self.id,
+            "object": object,
+            "model": format!("{}/{adapter}", self.base),
+            "choices": [choice],
+        })
+    }
+}
--- /dev/null
+++ b/src/entry/completion_request.rs
@@ -0,0 +1,63 @@
+use serde::Deserialize;
+
+use crate::error::{Error, ErrorKind};
+
+/// The fields of a completion request that decide on its way.
+///
+/// The body goes to the engine as the caller wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CompletionRequest {
+    /// The base model.
+    pub base: String,
+    /// The adapter as the caller named it, with or without a version.
+    pub adapter: String,
+    /// Whether the answer is wanted as server-sent events.
+    pub is_streamed: bool,
+    /// Whether the request has messages (chat) in place of a prompt.
+    pub is_chat: bool,
+}
+
+#[derive(Deserialize)]
+struct RequestBody {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    prompt: Option<serde_json::Value>,
+    #[serde(default)]
+    messages: Option<Vec<serde_json::Value>>,
+}
+
+impl CompletionRequest {
+    /// Parses the JSON body of a completion or chat completion.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::BadRequest`] if the body is not JSON, has neither `prompt` nor
+    /// `messages`, or if `model` is not of the form `base/adapter[@version]`.
+    pub fn from_body(body: &[u8]) -> Result<Self, Error> {
+        let body: RequestBody = serde_json::from_slice(body)
+            .map_err(|error| Error::new(ErrorKind::BadRequest, format!("body: {error}")))?;
+        if body.prompt.is_none() && body.messages.is_none() {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                "body: set \"prompt\" or \"messages\"",
+            ));
+        }
+        let Some((base, adapter)) = body.model.split_once('/') else {
+            return Err(Error::new(
+                ErrorKind::BadRequest,
+                format!(
+                    "model {:?}: write base/adapter or base/adapter@version",
+                    body.model
+                ),
+            ));
+        };
+        Ok(Self {
+            base: base.to_owned(),
+            adapter: adapter.to_owned(),
+            is_streamed: body.stream,
+            is_chat: body.messages.is_some(),
+        })
+    }
+}
--- /dev/null
+++ b/src/entry/entry_gate.rs
@@ -0,0 +1,65 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use tokio::sync::watch;
+
+/// Counts the requests in progress and says whether the instance is shutting down.
+#[derive(Debug, Clone)]
+pub struct EntryGate {
+    count: Arc<watch::Sender<usize>>,
+    is_draining: Arc<AtomicBool>,
+}
+
+impl Default for EntryGate {
+    fn default() -> Self {
+        Self {
+            count: Arc::new(watch::Sender::new(0)),
+            is_draining: Arc::default(),
+        }
+    }
+}
+
+impl EntryGate {
+    /// Counts a request until the pass is dropped.
+    #[must_use]
+    pub fn enter(&self) -> EntryPass {
+        self.count.send_modify(|count| *count += 1);
+        EntryPass { gate: self.clone() }
+    }
+
+    /// Returns the number of requests in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        *self.count.borrow()
+    }
+
+    /// Marks the instance as shutting down; requests that still arrive are served.
+    pub fn start_draining(&self) {
+        self.is_draining.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the instance is shutting down.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Acquire)
+    }
+
+    /// Waits until no request is in progress.
+    pub async fn idle(&self) {
+        let mut count = self.count.subscribe();
+        // The sender lives as long as this gate, so that the wait can't fail.
+        drop(count.wait_for(|count| *count == 0).await);
+    }
+}
+
+/// Stands for one request in progress.
+#[derive(Debug)]
+pub struct EntryPass {
+    gate: EntryGate,
+}
+
+impl Drop for EntryPass {
+    fn drop(&mut self) {
+        self.gate.count.send_modify(|count| *count -= 1);
+    }
+}
--- /dev/null
+++ b/src/entry/event_body.rs
@@ -0,0 +1,36 @@
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame};
+use tokio::sync::mpsc;
+
+/// The body of a streamed answer, fed through a channel.
+///
+/// The sender sees that the caller hung up when the channel closes.
+#[derive(Debug)]
+pub(super) struct EventBody {
+    receiver: mpsc::Receiver<Bytes>,
+}
+
+impl EventBody {
+    pub const fn new(receiver: mpsc::Receiver<Bytes>) -> Self {
+        Self { receiver }
+    }
+}
+
+impl Body for EventBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.get_mut()
+            .receiver
+            .poll_recv(cx)
+            .map(|data| data.map(|data| Ok(Frame::data(data))))
+    }
+}
--- /dev/null
+++ b/src/entry/model_call.rs
@@ -0,0 +1,232 @@
+//! Completions: checks, placement, retries and the relay of the answer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dropshot::Body;
+use http::Response;
+
+use super::answer_relay::AnswerRelay;
+use super::{
+    AnswerEvents, CompletionFormat, CompletionRequest, EntryContext, EntryPass, RequestHeaders,
+    RoutedRequest,
+};
+use crate::error::{Error, ErrorKind, Result, RunState};
+use crate::id::{RequestId, UpstreamId};
+use crate::peer::chunk;
+use crate::policy::RetryBudget;
+use crate::telemetry::{LogEvent, LogName, MetricName};
+
+/// Placements of one request that ended as not run, such as on an owner that has just changed.
+const MAX_PLACEMENTS: u32 = 20;
+/// Pause before another placement, so that news of a changed owner can arrive.
+const PLACEMENT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Failures of an upstream, within one request, from which on others are preferred.
+pub(super) const AVOIDED_AT: u32 = 2;
+
+/// An answer whose first part has come.
+pub(super) struct OpenedCall {
+    pub events: AnswerEvents,
+    pub upstream: UpstreamId,
+    pub engine_name: String,
+    pub attempt: u32,
+}
+
+/// Answers a completion request.
+pub(super) async fn answer(
+    context: &Arc<EntryContext>,
+    pass: EntryPass,
+    request: RequestId,
+    headers: &RequestHeaders,
+    body: Bytes,
+) -> Result<Response<Body>> {
+    let completion = CompletionRequest::from_body(&body)?;
+    let routed = route(context, request, headers, &completion, body)?;
+    let format = CompletionFormat::new(request, &completion.base, completion.is_chat);
+    context
+        .metrics
+        .add(MetricName::Requests, &routed.pool, routed.rank.as_str(), 1);
+    let opened = open(context, &routed, 1).await?;
+    let relay = AnswerRelay::new(Arc::clone(context), pass, routed, opened, format);
+    if completion.is_streamed {
+        Ok(relay.into_stream())
+    } else {
+        relay.into_whole().await
+    }
+}
+
+fn route(
+    context: &EntryContext,
+    request: RequestId,
+    headers: &RequestHeaders,
+    completion: &CompletionRequest,
+    body: Bytes,
+) -> Result<RoutedRequest> {
+    let tables = context.config.current();
+    let Some(route) = tables.routes.model_route(&completion.base) else {
+        return Err(Error::new(
+            ErrorKind::NotFound,
+            format!("no route for model {:?}", completion.base),
+        ));
+    };
+    let adapter = route.resolve(&completion.adapter)?;
+    check_body(&body, route.max_body)?;
+    Ok(RoutedRequest {
+        request,
+        route: route.name.clone(),
+        pool: route.pool.clone(),
+        adapter: Some(adapter),
+        caller: headers.caller.clone(),
+        rank: headers.rank.unwrap_or(route.rank),
+        deadline: context.clock.now() + headers.deadline.unwrap_or(route.timeout),
+        is_repeatable: true,
+        revision: tables.revision,
+        method: "POST".to_owned(),
+        path: String::new(),
+        content_type: headers.content_type.clone(),
+        body,
+    })
+}
+
+/// Refuses a body above the limit of its route.
+pub(super) fn check_body(body: &Bytes, limit: u64) -> Result<()> {
+    if body.len() as u64 > limit {
+        return Err(Error::new(
+            ErrorKind::BodyTooLarge,
+            format!("the body has {} of at most {limit} bytes", body.len()),
+        ));
+    }
+    Ok(())
+}
+
+/// Places a request and waits until its owner starts it; repeats placements that were not run.
+pub(super) async fn open(
+    context: &EntryContext,
+    routed: &RoutedRequest,
+    mut attempt: u32,
+) -> Result<OpenedCall> {
+    let mut failures = BTreeMap::new();
+    earn_retry(context);
+    for placement in 0..MAX_PLACEMENTS {
+        let error = match context.router.place(routed, &failures) {
+            Ok(upstream) => match start(context, routed, &upstream, attempt).await {
+                Ok(opened) => return Ok(opened),
+                Err(error) => {
+                    note_failure(&error, &upstream, &mut failures);
+                    error
+                }
+            },
+            Err(error) => error,
+        };
+        let is_last = placement + 1 == MAX_PLACEMENTS
+            || context.clock.now() + PLACEMENT_PAUSE >= routed.deadline;
+        match error.run_state() {
+            _ if is_last => return Err(error),
+            RunState::NotRun if is_placement_error(error.kind()) => {}
+            RunState::Unknown
+                if routed.is_repeatable && is_retryable(error.kind()) && try_retry(context) =>
+            {
+                context
+                    .metrics
+                    .add(MetricName::Retries, &routed.pool, error.kind().as_str(), 1);
+                attempt += 1;
+            }
+            RunState::NotRun | RunState::Ran | RunState::Unknown => return Err(error),
+        }
+        LogEvent::new(LogName::RequestRetried)
+            .with("request", routed.request)
+            .with("reason", &error)
+            .send();
+        tokio::time::sleep(PLACEMENT_PAUSE).await;
+    }
+    Err(Error::new(
+        ErrorKind::Unavailable,
+        format!("pool {}: no upstream took the request", routed.pool),
+    ))
+}
+
+async fn start(
+    context: &EntryContext,
+    routed: &RoutedRequest,
+    upstream: &UpstreamId,
+    attempt: u32,
+) -> Result<OpenedCall> {
+    let time_left = routed.deadline.saturating_sub(context.clock.now());
+    let mut events = context.router.open(routed, upstream, attempt, 0).await?;
+    let first = tokio::time::timeout(time_left, events.next())
+        .await
+        .map_err(|_elapsed| {
+            // The owner refuses what it cannot start in time, so its silence leaves the outcome open.
+            Error::new(ErrorKind::DeadlineExceeded, "no answer before the deadline")
+                .with_run_state(RunState::Unknown)
+        })??;
+    match first.body {
+        Some(chunk::Body::Started(started)) => Ok(OpenedCall {
+            events,
+            upstream: upstream.clone(),
+            engine_name: started.engine_name,
+            attempt,
+        }),
+        Some(chunk::Body::Refused(refusal)) => Err(refusal.to_error()),
+        _ => Err(Error::new(
+            ErrorKind::Protocol,
+            "the owner sent an answer before its start",
+        )
+        .with_run_state(RunState::Unknown)),
+    }
+}
+
+/// Avoids an upstream that failed, or that was not available twice.
+///
+/// One failure of the kind "unavailable" does not count, since it may be a change of owner.
+fn note_failure(error: &Error, upstream: &UpstreamId, failures: &mut BTreeMap<UpstreamId, u32>) {
+    let weight = if matches!(error.kind(), ErrorKind::Upstream | ErrorKind::Overloaded) {
+        AVOIDED_AT
+    } else {
+        1
+    };
+    *failures.entry(upstream.clone()).or_default() += weight;
+}
+
+/// Failures that another placement can mend without a second run.
+const fn is_placement_error(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Unavailable
+            | ErrorKind::Peer
+            | ErrorKind::Upstream
+            | ErrorKind::Fenced
+            | ErrorKind::ShuttingDown
+    )
+}
+
+/// Failures after which a repeatable request may run again.
+pub(super) const fn is_retryable(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Upstream | ErrorKind::Peer | ErrorKind::Truncated
+    )
+}
+
+fn earn_retry(context: &EntryContext) {
+    with_retries(context, RetryBudget::earn);
+}
+
+/// Spends one retry, if the budget has one.
+pub(super) fn try_retry(context: &EntryContext) -> bool {
+    with_retries(context, RetryBudget::try_spend)
+}
+
+fn with_retries<T>(
+    context: &EntryContext,
+    change: impl FnOnce(&mut RetryBudget, Duration) -> T,
+) -> T {
+    let mut budget = context
+        .retries
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    change(&mut budget, context.clock.now())
+}
--- /dev/null
+++ b/src/entry/refusal_answer.rs
@@ -0,0 +1,89 @@
+use dropshot::Body;
+use http::{HeaderValue, Response, StatusCode};
+use serde::Serialize;
+
+use crate::error::{Error, ErrorKind};
+use crate::id::RequestId;
+
+/// The JSON answer that tells a caller about a failure.
+#[derive(Debug, Serialize)]
+pub struct RefusalAnswer<'a> {
+    error: RefusalFields<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct RefusalFields<'a> {
+    code: &'static str,
+    message: String,
+    detail: &'a str,
+    /// `not_run`, `ran` or `unknown`.
+    run_state: &'static str,
+    request_id: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl<'a> RefusalAnswer<'a> {
+    /// Describes an error of a request.
+    #[must_use]
+    pub fn from_error(error: &'a Error, request: RequestId) -> Self {
+        let retry_after = error
+            .retry_after()
+            .map(|retry| u64::try_from(retry.as_millis()).unwrap_or(u64::MAX));
+        Self {
+            error: RefusalFields {
+                code: error.kind().as_str(),
+                message: error.kind().to_string(),
+                detail: error.detail(),
+                run_state: error.run_state().as_str(),
+                request_id: request.to_string(),
+                retry_after_ms: retry_after,
+            },
+        }
+    }
+
+    /// Writes the answer as one line of JSON.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Builds the whole HTTP answer.
+    #[must_use]
+    pub fn to_response(&self, kind: ErrorKind) -> Response<Body> {
+        let mut response = Response::new(Body::from(self.to_json()));
+        *response.status_mut() = status(kind);
+        let headers = response.headers_mut();
+        headers.insert("content-type", HeaderValue::from_static("application/json"));
+        if let Some(retry_after) = self.error.retry_after_ms {
+            // The header counts whole seconds; rounding down would invite an early retry.
+            headers.insert(
+                "retry-after",
+                HeaderValue::from(retry_after.div_ceil(1_000)),
+            );
+        }
+        response
+    }
+}
+
+const fn status(kind: ErrorKind) -> StatusCode {
+    match kind {
+        ErrorKind::BadRequest => StatusCode::BAD_REQUEST,
+        ErrorKind::NotFound => StatusCode::NOT_FOUND,
+        ErrorKind::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ErrorKind::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        ErrorKind::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        ErrorKind::Upstream | ErrorKind::Truncated => StatusCode::BAD_GATEWAY,
+        ErrorKind::Quarantined | ErrorKind::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        ErrorKind::InProgress | ErrorKind::Conflict => StatusCode::CONFLICT,
+        ErrorKind::Unavailable
+        | ErrorKind::Platform
+        | ErrorKind::Peer
+        | ErrorKind::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+        ErrorKind::Protocol
+        | ErrorKind::Table
+        | ErrorKind::Settings
+        | ErrorKind::Fenced
+        | ErrorKind::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+    }
+}
--- /dev/null
+++ b/src/entry/request_headers.rs
@@ -0,0 +1,82 @@
+use std::time::Duration;
+
+use http::HeaderMap;
+
+use crate::error::{Error, ErrorKind};
+use crate::id::{CallerId, RequestRank};
+
+/// Longest idempotency key and caller name, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_hours(24);
+
+/// The headers of a request that decide on its treatment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHeaders {
+    /// `x-rank`; none if absent.
+    pub rank: Option<RequestRank>,
+    /// `x-deadline-ms`; none if absent.
+    pub deadline: Option<Duration>,
+    /// `idempotency-key`; none if absent.
+    pub idempotency_key: Option<String>,
+    /// `x-caller`, or `anonymous`.
+    pub caller: CallerId,
+    /// `content-type`, or JSON.
+    pub content_type: String,
+}
+
+impl RequestHeaders {
+    /// Reads and checks the headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::BadRequest`] for a value that is not visible ASCII, too long, an
+    /// unknown rank, or a deadline that is zero, not a number or longer than 24 hours.
+    pub fn from_map(map: &HeaderMap) -> Result<Self, Error> {
+        let rank = text(map, "x-rank")?.map(str::parse).transpose()?;
+        let deadline = text(map, "x-deadline-ms")?
+            .map(parse_deadline)
+            .transpose()?;
+        let caller = text(map, "x-caller")?.unwrap_or("anonymous");
+        Ok(Self {
+            rank,
+            deadline,
+            idempotency_key: text(map, "idempotency-key")?.map(ToOwned::to_owned),
+            caller: CallerId::from_name(caller),
+            content_type: text(map, "content-type")?
+                .unwrap_or("application/json")
+                .to_owned(),
+        })
+    }
+}
+
+fn text<'map>(map: &'map HeaderMap, name: &str) -> Result<Option<&'map str>, Error> {
+    let Some(value) = map.get(name) else {
+        return Ok(None);
+    };
+    let value = value
+        .to_str()
+        .map_err(|error| Error::new(ErrorKind::BadRequest, format!("header {name}: {error}")))?
+        .trim();
+    if value.is_empty() || value.len() > MAX_NAME_BYTES {
+        return Err(Error::new(
+            ErrorKind::BadRequest,
+            format!("header {name}: use 1 to {MAX_NAME_BYTES} characters"),
+        ));
+    }
+    Ok(Some(value))
+}
+
+fn parse_deadline(value: &str) -> Result<Duration, Error> {
+    value
+        .parse()
+        .ok()
+        .map(Duration::from_millis)
+        .filter(|deadline| !deadline.is_zero() && *deadline <= MAX_DEADLINE)
+        .ok_or_else(|| {
+            let detail = format!(
+                "header x-deadline-ms {value:?}: use whole milliseconds, from 1 to 86400000"
+            );
+            Error::new(ErrorKind::BadRequest, detail)
+        })
+}
--- a/src/id/attempt_id.rs
+++ b/src/id/attempt_id.rs
@@ -50,7 +50,7 @@
                 format!("attempt id {text:?} is not <request>-<number>"),
             )
         };
-        let (request, number) = text.split_once('-').ok_or_else(bad)?;
+        let (request, number) = text.rsplit_once('-').ok_or_else(bad)?;
         let number = number.parse().ok().ok_or_else(bad)?;
         Ok(Self::new(request.parse()?, number))
     }
--- a/src/id/owner_epoch.rs
+++ b/src/id/owner_epoch.rs
@@ -4,21 +4,26 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::error::{Error, ErrorKind};
-use crate::id::InstanceId;
 
 /// The ownership generation of an upstream; engines that check it use it as the fencing token.
 ///
-/// The upper 32 bits count takeovers; the lower 32 bits hash the owner, so that two instances that
-/// take over with the same count never hold the same epoch.
+/// The upper 32 bits count takeovers. The lower 32 bits hash the name of the owning process, so that
+/// two processes that take over with the same count hold different epochs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct OwnerEpoch(u64);
 
 impl OwnerEpoch {
-    /// Returns an epoch for `instance` that is above every epoch of `seen`.
+    /// Returns an epoch for the process `process` that is above every epoch of `seen`.
     #[must_use]
-    pub fn after(seen: &[Self], instance: &InstanceId) -> Self {
+    pub fn after(seen: &[Self], process: &str) -> Self {
         let count = seen.iter().map(|epoch| epoch.0 >> 32).max().unwrap_or(0) + 1;
-        Self(count << 32 | (xxh3_64(instance.as_str().as_bytes()) & u64::from(u32::MAX)))
+        Self(count << 32 | hash(process))
+    }
+
+    /// Returns whether the process `process` took the epoch.
+    #[must_use]
+    pub fn is_of(self, process: &str) -> bool {
+        self.0 & u64::from(u32::MAX) == hash(process)
     }
 
     /// Wraps a number read from an engine or a stored record.
@@ -52,3 +57,7 @@
         })
     }
 }
+
+fn hash(process: &str) -> u64 {
+    xxh3_64(process.as_bytes()) & u64::from(u32::MAX)
+}
--- a/src/id/request_id.rs
+++ b/src/id/request_id.rs
@@ -4,6 +4,8 @@
 use crate::error::{Error, ErrorKind};
 
 /// Identifies one request of a caller across all instances that work on it.
+///
+/// The text form is that of a UUID, as in the `x-request-id` header of each answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(u128);
 
@@ -23,7 +25,15 @@
 
 impl fmt::Display for RequestId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
+        let digits = format!("{:032x}", self.0);
+        let parts = [
+            &digits[..8],
+            &digits[8..12],
+            &digits[12..16],
+            &digits[16..20],
+            &digits[20..],
+        ];
+        f.write_str(&parts.join("-"))
     }
 }
 
@@ -31,11 +41,13 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Error> {
-        u128::from_str_radix(text, 16).map(Self).map_err(|error| {
-            Error::new(
-                ErrorKind::BadRequest,
-                format!("request id {text:?}: {error}"),
-            )
-        })
+        u128::from_str_radix(&text.replace('-', ""), 16)
+            .map(Self)
+            .map_err(|error| {
+                Error::new(
+                    ErrorKind::BadRequest,
+                    format!("request id {text:?}: {error}"),
+                )
+            })
     }
 }
--- a/src/member/member_state.rs
+++ b/src/member/member_state.rs
@@ -60,6 +60,15 @@
         matches!(self.listing, ListState::Listed { .. })
     }
 
+    /// Returns whether the process that was last heard has certainly ended.
+    pub(super) const fn has_ended(&self) -> bool {
+        match self.link {
+            LinkState::Up => false,
+            LinkState::Refused => true,
+            LinkState::Down => matches!(self.listing, ListState::Removed),
+        }
+    }
+
     /// Returns whether the instance counts as live.
     pub(super) fn is_live(&self, now: Duration, timeout: Duration) -> bool {
         let is_recent = |since: Duration| now.saturating_sub(since) <= timeout;
--- a/src/member/member_view.rs
+++ b/src/member/member_view.rs
@@ -23,6 +23,7 @@
     is_draining: bool,
     timeout: Duration,
     members: BTreeMap<InstanceId, MemberState>,
+    has_list: bool,
 }
 
 impl MemberView {
@@ -35,11 +36,13 @@
             is_draining: false,
             timeout,
             members: BTreeMap::new(),
+            has_list: false,
         }
     }
 
     /// Takes the platform's list; while the platform is unavailable the last list stays in force.
     pub fn adopt_list(&mut self, list: &[ListedInstance], now: Duration) {
+        self.has_list = true;
         let listed: BTreeMap<&InstanceId, &ListedInstance> = list
             .iter()
             .map(|instance| (&instance.id, instance))
@@ -135,6 +138,26 @@
                 .is_some_and(|state| state.is_live(now, self.timeout))
     }
 
+    /// Returns whether the process that `is_match` recognises has certainly ended.
+    ///
+    /// A process is named by instance and incarnation, `instance#incarnation`. It has ended if its
+    /// address refuses connections, if the platform no longer lists it, or if none of the processes
+    /// that may still run matches. While an instance is listed whose process is not known, or
+    /// before the first list, no process is certain to have ended.
+    #[must_use]
+    pub fn has_ended(&self, is_match: impl Fn(&str) -> bool) -> bool {
+        let mut is_certain = self.has_list;
+        for (id, state) in &self.members {
+            let is_ended = state.has_ended();
+            match state.incarnation {
+                Some(incarnation) if is_match(&format!("{id}#{incarnation}")) => return is_ended,
+                Some(_) => {}
+                None => is_certain &= is_ended,
+            }
+        }
+        is_certain
+    }
+
     /// Returns the live instances of a failure domain, with those that are shutting down.
     #[must_use]
     pub fn live_instances(&self, domain: &DomainId, now: Duration) -> BTreeSet<InstanceId> {
--- /dev/null
+++ b/src/node/member_loop.rs
@@ -0,0 +1,143 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::node_parts::NodeParts;
+use crate::owner::OwnerMap;
+use crate::platform::ListedInstance;
+use crate::telemetry::{LogEvent, LogName};
+
+/// Interval of decisions on membership and ownership.
+const MEMBER_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval of writes of the ownership record.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows the platform's instance list and keeps links to all instances.
+pub(super) async fn follow_list(parts: Arc<NodeParts>) {
+    let mut ticks = parts.timer.subscribe(parts.settings.platform.list_interval);
+    loop {
+        let now = parts.timer.clock().now();
+        match parts.list.read().await {
+            Ok(list) => parts.view.members().adopt_list(&list, now),
+            Err(error) => {
+                LogEvent::new(LogName::PlatformUnreachable)
+                    .with("key", "instances")
+                    .with("reason", &error)
+                    .send();
+            }
+        }
+        dial_all(&parts);
+        ticks.next().await;
+    }
+}
+
+/// Dials the listed instances and the seeds that the list does not name.
+fn dial_all(parts: &NodeParts) {
+    let mut peers = parts.view.members().listed();
+    for seed in &parts.settings.peer.seeds {
+        if peers.iter().all(|peer| peer.id != seed.name) {
+            peers.push(ListedInstance {
+                id: seed.name.clone(),
+                domain: seed.domain.clone(),
+                peer_address: seed.address,
+                is_leaving: false,
+            });
+        }
+    }
+    if let Some(mesh) = parts.mesh() {
+        mesh.dial(&peers);
+    }
+}
+
+/// Follows the membership: renews the lease, assigns upstreams and chooses the watch relays.
+pub(super) async fn follow_members(parts: Arc<NodeParts>) {
+    let mut ticks = parts.timer.subscribe(MEMBER_INTERVAL);
+    let clock = parts.timer.clock().clone();
+    let mut last_tick = clock.now();
+    // Neither a fresh process nor one that was paused knows its peers before a round of heartbeats.
+    let mut settled_at = last_tick + parts.settings.peer.peer_timeout;
+    let mut is_fresh = true;
+    loop {
+        ticks.next().await;
+        let now = clock.now();
+        if now.saturating_sub(last_tick) >= parts.settings.peer.lease {
+            LogEvent::new(LogName::LeaseLapsed)
+                .with_count(
+                    "paused_ms",
+                    u64::try_from(now.saturating_sub(last_tick).as_millis()).unwrap_or(u64::MAX),
+                )
+                .send();
+            if let Some(registry) = parts.registry() {
+                registry.release_all();
+            }
+            settled_at = now + parts.settings.peer.peer_timeout;
+            is_fresh = false;
+        }
+        last_tick = now;
+        adopt_peers(&parts, now);
+        if now < settled_at && !(is_fresh && is_complete(&parts)) {
+            continue;
+        }
+        parts.lease.renew();
+        assign(&parts, now);
+    }
+}
+
+fn adopt_peers(parts: &NodeParts, now: Duration) {
+    let Some(mesh) = parts.mesh() else { return };
+    let peers = mesh.live_peers();
+    {
+        let mut members = parts.view.members();
+        members.set_draining(parts.gate.is_draining());
+        members.adopt_peers(&peers, now);
+    };
+    let live: BTreeSet<_> = peers.into_iter().map(|peer| peer.id).collect();
+    parts.view.retain(|peer| live.contains(peer));
+}
+
+/// Returns whether links to all listed instances work, so that there is nothing to wait for.
+fn is_complete(parts: &NodeParts) -> bool {
+    let Some(mesh) = parts.mesh() else {
+        return false;
+    };
+    let linked: BTreeSet<_> = mesh
+        .live_peers()
+        .into_iter()
+        .filter(|peer| peer.is_linked)
+        .map(|peer| peer.id)
+        .collect();
+    let listed = parts.view.members().listed();
+    !listed.is_empty() && listed.iter().all(|peer| linked.contains(&peer.id))
+}
+
+fn assign(parts: &NodeParts, now: Duration) {
+    let tables = parts.config.current();
+    let (candidates, watchers) = {
+        let members = parts.view.members();
+        (
+            members.candidates(now),
+            members.watchers(&parts.domain, now),
+        )
+    };
+    parts.relay.send_if_modified(|is_relay| {
+        let is_chosen = watchers.contains(&parts.instance);
+        std::mem::replace(is_relay, is_chosen) != is_chosen
+    });
+    let owners = OwnerMap::assign(&tables.pools, &candidates);
+    let owned: BTreeSet<_> = owners.owned_by(&parts.instance).cloned().collect();
+    parts.view.set_owners(owners);
+    if let Some(registry) = parts.registry() {
+        registry.reconcile(&tables, &owned);
+        parts.view.adopt_own(registry.residency());
+    }
+}
+
+/// Writes the ownership record when it has changed.
+pub(super) async fn write_records(parts: Arc<NodeParts>) {
+    let mut ticks = parts.timer.subscribe(RECORD_INTERVAL);
+    loop {
+        ticks.next().await;
+        parts.recorder.flush().await;
+        parts.metrics.flush();
+    }
+}
--- /dev/null
+++ b/src/node/mesh_wiring.rs
@@ -0,0 +1,125 @@
+//! The hooks that connect the mesh with the other parts.
+
+use std::sync::{Arc, PoisonError};
+
+use super::call_forwarder::forward_call;
+use super::node_parts::NodeParts;
+use crate::error::{Error, ErrorKind};
+use crate::id::{InstanceId, OwnerEpoch, UpstreamId};
+use crate::peer::{
+    HeartbeatBody, MeshHooks, OwnerHandover, PeerAsk, PeerChange, PeerReply, RefusalBody, ask,
+    reply,
+};
+use crate::telemetry::{LogEvent, LogName};
+
+/// Builds the hooks.
+pub(super) fn mesh_hooks(parts: &Arc<NodeParts>) -> MeshHooks {
+    let (beat, heard, called, asked, changed) = (
+        Arc::clone(parts),
+        Arc::clone(parts),
+        Arc::clone(parts),
+        Arc::clone(parts),
+        Arc::clone(parts),
+    );
+    MeshHooks {
+        heartbeat: Box::new(move || heartbeat(&beat)),
+        on_heartbeat: Box::new(move |peer, body| on_heartbeat(&heard, peer, &body)),
+        on_call: Box::new(move |_, open, sink| {
+            let Some(registry) = called.registry().map(Arc::clone) else {
+                return;
+            };
+            let clock = called.timer.clock().clone();
+            tokio::spawn(async move { forward_call(&registry, &clock, open, sink).await });
+        }),
+        on_ask: Box::new(move |_, ask| {
+            let parts = Arc::clone(&asked);
+            Box::pin(async move { answer(&parts, ask) })
+        }),
+        on_peer_change: Box::new(move |change| {
+            log_change(&change);
+            changed
+                .view
+                .members()
+                .adopt_change(&change, changed.timer.clock().now());
+        }),
+    }
+}
+
+fn heartbeat(parts: &NodeParts) -> HeartbeatBody {
+    let now = parts.timer.clock().now();
+    let suspects = parts
+        .suspects
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .own_counts(now);
+    HeartbeatBody {
+        revision: parts.config.revision(),
+        is_draining: parts.gate.is_draining(),
+        residency: parts
+            .registry()
+            .map(|registry| registry.residency())
+            .unwrap_or_default(),
+        suspects,
+        ..HeartbeatBody::default()
+    }
+}
+
+fn on_heartbeat(parts: &NodeParts, peer: &InstanceId, body: &HeartbeatBody) {
+    parts.view.adopt_heartbeat(peer, body);
+    if !body.suspects.is_empty() {
+        let now = parts.timer.clock().now();
+        let mut suspects = parts
+            .suspects
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        suspects.merge(peer, &body.suspects, now);
+    }
+}
+
+fn answer(parts: &NodeParts, ask: PeerAsk) -> PeerReply {
+    let body = match ask.body {
+        Some(ask::Body::Pull(pull)) => reply::Body::Delta(parts.config.answer(&pull)),
+        Some(ask::Body::Bid(_)) => parts.permits.answer(),
+        Some(ask::Body::Done(done)) => {
+            parts.permits.take_back(&done);
+            reply::Body::Done(true)
+        }
+        Some(ask::Body::Handover(handover)) => {
+            record_handover(parts, &handover);
+            reply::Body::Done(true)
+        }
+        None => {
+            let error = Error::new(
+                ErrorKind::Protocol,
+                "the question has no content that this version knows",
+            );
+            reply::Body::Refused(RefusalBody::from_error(&error))
+        }
+    };
+    PeerReply { body: Some(body) }
+}
+
+fn record_handover(parts: &NodeParts, handover: &OwnerHandover) {
+    for item in &handover.items {
+        let upstream = UpstreamId::from_name(&item.upstream);
+        parts.ledger.record(
+            &upstream,
+            OwnerEpoch::from_u64(item.epoch),
+            item.is_released,
+        );
+    }
+}
+
+fn log_change(change: &PeerChange) {
+    let (name, peer, reason) = match change {
+        PeerChange::Joined(peer) => (LogName::PeerConnected, &peer.instance, "joined"),
+        PeerChange::Replaced { now, .. } => (LogName::PeerConnected, &now.instance, "replaced"),
+        PeerChange::Refused(peer) => (LogName::PeerDead, peer, "its address refuses connections"),
+        PeerChange::Silent(peer) => (LogName::PeerDead, peer, "silent"),
+        PeerChange::Draining(_) => return,
+    };
+    LogEvent::new(name)
+        .with("peer", peer)
+        .with("reason", reason)
+        .send();
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,17 +1,20 @@
 //! Wires the parts of a node together, from startup to graceful shutdown.
+//!
+//! [`Node::start`] builds the parts and connects them with closures: the hooks of the mesh, the
+//! lookups of the router, and the loops that follow membership, tables and the instance list.
 
-use crate::error::{Error, ErrorKind, Result};
-use crate::settings::NodeSettings;
+mod call_forwarder;
+mod config_loop;
+mod epoch_lookup;
+mod fleet_view;
+mod member_loop;
+mod mesh_wiring;
+mod node_parts;
+mod node_runner;
+mod node_status;
+mod permit_desk;
+mod running_node;
 
-/// Runs a node until it is told to stop.
-///
-/// # Errors
-///
-/// Fails if a part cannot be started.
-#[expect(clippy::unused_async, reason = "the wiring of the parts awaits them")]
-pub async fn run(settings: NodeSettings) -> Result<()> {
-    Err(Error::new(
-        ErrorKind::Internal,
-        format!("node {} has no parts to run yet", settings.instance.name),
-    ))
-}
+pub use fleet_view::FleetView;
+pub use node_runner::run;
+pub use running_node::Node;
--- /dev/null
+++ b/src/node/node_parts.rs
@@ -0,0 +1,54 @@
+use std::sync::{Arc, Mutex, OnceLock};
+
+use tokio::sync::watch;
+
+use super::FleetView;
+use super::permit_desk::PermitDesk;
+use crate::config::ConfigStore;
+use crate::entry::EntryGate;
+use crate::id::{DomainId, InstanceId};
+use crate::owner::{LeaseGuard, OwnerRecorder, OwnerRegistry, ReleaseLedger};
+use crate::peer::PeerMesh;
+use crate::platform::{InstanceList, ObjectStore};
+use crate::policy::SuspectList;
+use crate::settings::NodeSettings;
+use crate::telemetry::MetricSink;
+use crate::time::TimerService;
+
+/// The parts of a node that its loops and hooks share.
+#[derive(Debug)]
+pub(super) struct NodeParts {
+    pub settings: NodeSettings,
+    pub instance: InstanceId,
+    pub domain: DomainId,
+    pub incarnation: u64,
+    pub timer: TimerService,
+    pub store: ObjectStore,
+    pub list: InstanceList,
+    pub config: ConfigStore,
+    pub view: Arc<FleetView>,
+    pub lease: LeaseGuard,
+    pub ledger: Arc<ReleaseLedger>,
+    pub recorder: OwnerRecorder,
+    pub suspects: Arc<Mutex<SuspectList>>,
+    pub metrics: MetricSink,
+    pub gate: EntryGate,
+    pub permits: Arc<PermitDesk>,
+    /// Whether this instance watches the tables at the platform.
+    pub relay: watch::Sender<bool>,
+    /// Set once all parts that the hooks of the mesh call exist.
+    pub mesh: OnceLock<PeerMesh>,
+    pub registry: OnceLock<Arc<OwnerRegistry>>,
+}
+
+impl NodeParts {
+    /// Returns the registry; none during startup.
+    pub fn registry(&self) -> Option<&Arc<OwnerRegistry>> {
+        self.registry.get()
+    }
+
+    /// Returns the mesh; none during startup.
+    pub fn mesh(&self) -> Option<&PeerMesh> {
+        self.mesh.get()
+    }
+}
--- /dev/null
+++ b/src/owner/call_runner.rs
@@ -0,0 +1,355 @@
+//! Runs one dispatched call at the upstream and relays the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::call_outcome::CallOutcome;
+use super::upstream_client::UpstreamClient;
+use super::{OwnerCall, UpstreamOwner};
+use crate::error::{Error, ErrorKind, RunState};
+use crate::id::EngineName;
+use crate::peer::{CallChunk, chunk};
+use crate::telemetry::{LogName, MetricName};
+use crate::upstream::{
+    ATTEMPT_HEADER, AnswerEvent, AnswerStream, EngineCall, EngineClient, PlainCall, PlainClient,
+};
+
+/// Time without a token after which a stream counts as silent and is resumed over a new connection.
+const PROGRESS_LIMIT: Duration = Duration::from_secs(2);
+/// Time for an entry whose link broke to come back before its stream is cancelled.
+const REATTACH_LIMIT: Duration = Duration::from_secs(1);
+/// Resumptions of one answer; each failure of the upstream needs at most a few.
+const RESUME_LIMIT: u32 = 5;
+
+/// What the relay does after one step.
+enum RelayStep {
+    Continue,
+    Resume,
+    End(CallOutcome),
+}
+
+/// Dispatches a call and relays its answer until it ends.
+pub(super) async fn run_call(
+    owner: &UpstreamOwner,
+    call: &Arc<OwnerCall>,
+    preempted: &Notify,
+) -> CallOutcome {
+    let name = owner.engine_name(call);
+    if let Err(error) = check_dispatch(owner, call, name.as_ref()) {
+        return CallOutcome::Failed(error);
+    }
+    let started = chunk::StartedBody {
+        upstream: owner.upstream().as_str().to_owned(),
+        engine_name: name.as_ref().map(ToString::to_string).unwrap_or_default(),
+        is_stalled: false,
+        queued_ms: 0,
+    };
+    // The entry learns of the dispatch before the first byte goes to the upstream; if it has gone
+    // by then, nothing is sent and the request was not run.
+    if call
+        .sink
+        .send(CallChunk::from_body(chunk::Body::Started(started)))
+        .await
+        .is_err()
+    {
+        return CallOutcome::Abandoned;
+    }
+    match (&owner.inner().client, name) {
+        (UpstreamClient::Engine { orders, .. }, Some(name)) => {
+            run_model(owner, orders, call, name, preempted).await
+        }
+        (UpstreamClient::Plain(plain), _) => run_plain(owner, plain, call).await,
+        (UpstreamClient::Engine { .. }, None) => CallOutcome::Failed(Error::new(
+            ErrorKind::Unavailable,
+            format!(
+                "upstream {}: the adapter is no longer resident",
+                owner.upstream()
+            ),
+        )),
+    }
+}
+
+/// Refuses a dispatch that must not happen any more.
+fn check_dispatch(
+    owner: &UpstreamOwner,
+    call: &OwnerCall,
+    name: Option<&EngineName>,
+) -> Result<(), Error> {
+    if !owner.inner().context.lease.is_valid() {
+        return Err(Error::new(
+            ErrorKind::Unavailable,
+            "the owner was paused and checks its ownership",
+        ));
+    }
+    if owner.now() >= call.deadline {
+        return Err(Error::new(
+            ErrorKind::DeadlineExceeded,
+            "the deadline passed in the queue",
+        ));
+    }
+    if call.adapter.is_some() && name.is_none() {
+        return Err(Error::new(
+            ErrorKind::Unavailable,
+            "the adapter is no longer resident",
+        ));
+    }
+    Ok(())
+}
+
+async fn run_model(
+    owner: &UpstreamOwner,
+    engine: &EngineClient,
+    call: &Arc<OwnerCall>,
+    name: EngineName,
+    preempted: &Notify,
+) -> CallOutcome {
+    let mut next = call.open.from_token;
+    let mut opened = if next > 0 {
+        engine.resume(call.attempt, next).await
+    } else {
+        let body = Bytes::copy_from_slice(&call.open.body);
+        let epoch = owner.epoch();
+        engine
+            .complete(&EngineCall {
+                attempt: call.attempt,
+                name,
+                epoch,
+                rank: call.rank,
+                body,
+            })
+            .await
+    };
+    let mut resumes = 0;
+    loop {
+        let mut cut = match opened {
+            Ok(stream) => match relay(owner, engine, call, stream, &mut next, preempted).await {
+                RelayStep::End(outcome) => return outcome,
+                RelayStep::Resume | RelayStep::Continue => Error::new(
+                    ErrorKind::Truncated,
+                    format!("upstream {} cut the answer", owner.upstream()),
+                )
+                .with_run_state(RunState::Unknown),
+            },
+            Err(error) => error,
+        };
+        let is_refused = !matches!(cut.kind(), ErrorKind::Unavailable | ErrorKind::Truncated);
+        if next == 0 && resumes == 0 && (is_refused || cut.run_state() == RunState::NotRun) {
+            return CallOutcome::Failed(cut);
+        }
+        if owner.has_crashed(call).await {
+            cut = Error::new(
+                ErrorKind::Upstream,
+                format!("upstream {} restarted", owner.upstream()),
+            )
+            .with_run_state(RunState::Unknown);
+            return CallOutcome::Failed(cut);
+        }
+        resumes += 1;
+        if resumes > RESUME_LIMIT || owner.now() >= call.deadline {
+            return CallOutcome::Failed(cut.with_run_state(RunState::Unknown));
+        }
+        owner.inner().context.metrics.add(
+            MetricName::Retries,
+            &owner.inner().pool.name,
+            "resume",
+            1,
+        );
+        opened = engine.resume(call.attempt, next).await;
+    }
+}
+
+async fn relay(
+    owner: &UpstreamOwner,
+    engine: &EngineClient,
+    call: &Arc<OwnerCall>,
+    mut stream: AnswerStream,
+    next: &mut u64,
+    preempted: &Notify,
+) -> RelayStep {
+    loop {
+        let event = tokio::select! {
+            event = timeout(PROGRESS_LIMIT, stream.next()) => event,
+            () = preempted.notified() => {
+                cancel(owner, engine, call).await;
+                return RelayStep::End(CallOutcome::Preempted);
+            }
+            () = call.sink.closed() => return abandon(owner, engine, call, preempted).await,
+        };
+        let step = match event {
+            Ok(Ok(Some(event))) => relay_event(owner, call, event, next).await,
+            Ok(Ok(None) | Err(_)) | Err(_) => RelayStep::Resume,
+        };
+        match step {
+            RelayStep::Continue => {}
+            RelayStep::Resume => return RelayStep::Resume,
+            RelayStep::End(outcome) => {
+                if let CallOutcome::Failed(_) = outcome {
+                    cancel(owner, engine, call).await;
+                }
+                return RelayStep::End(outcome);
+            }
+        }
+    }
+}
+
+async fn relay_event(
+    owner: &UpstreamOwner,
+    call: &OwnerCall,
+    event: AnswerEvent,
+    next: &mut u64,
+) -> RelayStep {
+    if event.attempt != call.attempt {
+        note_mismatch(owner, call, &event.attempt.to_string());
+        return RelayStep::Continue;
+    }
+    if call.adapter.as_ref() != Some(&event.adapter) {
+        let detail = format!(
+            "upstream {} answered with adapter {}",
+            owner.upstream(),
+            event.adapter
+        );
+        let error = Error::new(ErrorKind::Upstream, detail).with_run_state(RunState::Ran);
+        return RelayStep::End(CallOutcome::Failed(error));
+    }
+    if event.token > *next {
+        return RelayStep::Resume;
+    }
+    if event.token == *next && !event.text.is_empty() {
+        *next += 1;
+        let token = chunk::TokenBody {
+            attempt: event.attempt.to_string(),
+            adapter: event.adapter.to_string(),
+            token: event.token,
+            text: event.text,
+        };
+        if call
+            .sink
+            .send(CallChunk::from_body(chunk::Body::Token(token)))
+            .await
+            .is_err()
+        {
+            // The select of the caller of this function sees that the queue is closed.
+            return RelayStep::Continue;
+        }
+    }
+    let Some(finish) = event.finish else {
+        return RelayStep::Continue;
+    };
+    let end = chunk::EndBody {
+        finish,
+        tokens: *next,
+    };
+    drop(
+        call.sink
+            .send(CallChunk::from_body(chunk::Body::End(end)))
+            .await,
+    );
+    RelayStep::End(CallOutcome::Finished)
+}
+
+/// Waits for the entry to come back over another link, then cancels the stream.
+async fn abandon(
+    owner: &UpstreamOwner,
+    engine: &EngineClient,
+    call: &OwnerCall,
+    preempted: &Notify,
+) -> RelayStep {
+    if timeout(REATTACH_LIMIT, preempted.notified()).await.is_err() {
+        cancel(owner, engine, call).await;
+    }
+    RelayStep::End(CallOutcome::Abandoned)
+}
+
+async fn cancel(owner: &UpstreamOwner, engine: &EngineClient, call: &OwnerCall) {
+    if let Err(error) = engine.cancel(call.attempt).await {
+        owner
+            .log(LogName::RequestFailed)
+            .with("attempt", call.attempt)
+            .with("reason", &error)
+            .send();
+    }
+}
+
+/// Runs a plain call to its end, whether or not the entry still waits: an order in progress is
+/// never left in doubt by a caller who hangs up.
+async fn run_plain(owner: &UpstreamOwner, plain: &PlainClient, call: &OwnerCall) -> CallOutcome {
+    let Ok(method) = call.open.method.parse() else {
+        let detail = format!("method {:?}", call.open.method);
+        return CallOutcome::Failed(Error::new(ErrorKind::BadRequest, detail));
+    };
+    let mut headers = HeaderMap::new();
+    if let Ok(content_type) = HeaderValue::from_str(&call.open.content_type) {
+        headers.insert(CONTENT_TYPE, content_type);
+    }
+    let body = Bytes::copy_from_slice(&call.open.body);
+    let request = PlainCall {
+        method,
+        path: call.open.path.clone(),
+        headers,
+        body,
+        attempt: call.attempt,
+    };
+    let time_left = call.deadline.saturating_sub(owner.now());
+    let answer = match timeout(time_left, plain.call(&request)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => return CallOutcome::Failed(error),
+        Err(_) => {
+            let error = Error::new(
+                ErrorKind::DeadlineExceeded,
+                format!("upstream {} did not answer", owner.upstream()),
+            );
+            return CallOutcome::Failed(error.with_run_state(RunState::Unknown));
+        }
+    };
+    let header = |name: &str| {
+        answer
+            .headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    };
+    let stated = header(ATTEMPT_HEADER);
+    if !stated.is_empty() && stated != call.attempt.to_string() {
+        note_mismatch(owner, call, stated);
+        let detail = format!("upstream {} answered another attempt", owner.upstream());
+        return CallOutcome::Failed(
+            Error::new(ErrorKind::Upstream, detail).with_run_state(RunState::Unknown),
+        );
+    }
+    let body = chunk::PlainBody {
+        status: u32::from(answer.status.as_u16()),
+        content_type: header(CONTENT_TYPE.as_str()).to_owned(),
+        body: answer.body.to_vec(),
+        attempt: call.attempt.to_string(),
+    };
+    drop(
+        call.sink
+            .send(CallChunk::from_body(chunk::Body::Plain(body)))
+            .await,
+    );
+    let end = chunk::EndBody {
+        finish: "stop".to_owned(),
+        tokens: 0,
+    };
+    drop(
+        call.sink
+            .send(CallChunk::from_body(chunk::Body::End(end)))
+            .await,
+    );
+    CallOutcome::Finished
+}
+
+/// Reports an answer that belongs to another attempt; it is never delivered.
+fn note_mismatch(owner: &UpstreamOwner, call: &OwnerCall, stated: &str) {
+    owner
+        .log(LogName::AnswerMismatch)
+        .with("attempt", call.attempt)
+        .with("stated", stated)
+        .send();
+}
--- /dev/null
+++ b/src/owner/owner_call.rs
@@ -0,0 +1,72 @@
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use crate::error::{Error, ErrorKind};
+use crate::id::{AdapterRef, AttemptId, CallerId, RequestId, RequestRank};
+use crate::peer::{CallChunk, CallOpen};
+
+/// A call that an entry has sent to the owner of an upstream.
+#[derive(Debug)]
+pub struct OwnerCall {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt that is sent to the upstream.
+    pub attempt: AttemptId,
+    /// The adapter; none for plain services.
+    pub adapter: Option<AdapterRef>,
+    /// The caller.
+    pub caller: CallerId,
+    /// The rank.
+    pub rank: RequestRank,
+    /// The deadline, on the clock of this process.
+    pub deadline: Duration,
+    /// The message as it came.
+    pub open: CallOpen,
+    /// Takes the parts of the answer; it closes when the entry gives up.
+    pub sink: mpsc::Sender<CallChunk>,
+}
+
+impl OwnerCall {
+    /// Checks a message and adds the deadline on this process's clock.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Protocol`] if an identifier or the rank is malformed.
+    pub fn from_open(
+        open: CallOpen,
+        sink: mpsc::Sender<CallChunk>,
+        now: Duration,
+    ) -> Result<Self, Error> {
+        let malformed = |field: &str| {
+            Error::new(
+                ErrorKind::Protocol,
+                format!("forwarded call: malformed {field}"),
+            )
+        };
+        let request: [u8; 16] = open
+            .request
+            .as_slice()
+            .try_into()
+            .ok()
+            .ok_or_else(|| malformed("request id"))?;
+        let request = RequestId::from_u128(u128::from_be_bytes(request));
+        let adapter = match open.adapter.as_str() {
+            "" => None,
+            adapter => Some(adapter.parse()?),
+        };
+        let rank = usize::try_from(open.rank)
+            .ok()
+            .and_then(|rank| RequestRank::ALL.get(rank));
+        Ok(Self {
+            request,
+            attempt: AttemptId::new(request, open.attempt),
+            adapter,
+            caller: CallerId::from_name(&open.caller),
+            rank: *rank.ok_or_else(|| malformed("rank"))?,
+            deadline: now + Duration::from_millis(open.time_left_ms),
+            open,
+            sink,
+        })
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod call_sink;
 mod call_state;
 mod call_window;
+mod chunk_error;
 mod dial_task;
 mod frame_codec;
 mod frame_limit;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,6 +28,7 @@
 mod scheduler_config;
 mod scheduler_dispatch;
 mod scheduler_loads;
+mod scheduler_takeover;
 mod slot_state;
 mod suspect_list;
 mod suspect_verdict;
--- a/src/policy/residency_policy.rs
+++ b/src/policy/residency_policy.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Sets the number of slots.
+    pub const fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
     /// Returns the state of an adapter's slot.
     #[must_use]
     pub fn state(&self, adapter: &AdapterRef) -> Option<SlotState> {
--- a/tests/boundaries/fixture.rs
+++ b/tests/boundaries/fixture.rs
@@ -1,9 +1,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreychute::id::{
-    AdapterRef, AttemptId, EngineName, InstanceId, OwnerEpoch, RequestId, RequestRank,
-};
+use comfreychute::id::{AdapterRef, AttemptId, EngineName, OwnerEpoch, RequestId, RequestRank};
 use comfreychute::upstream::{AnswerStream, EngineCall, EngineClient};
 use comfreychute_standins::EngineStandin;
 use comfreychute_standins::engine::{EngineSettings, TokenText};
@@ -13,7 +11,7 @@
 
 /// The epoch of the first owner.
 pub(crate) fn epoch() -> OwnerEpoch {
-    OwnerEpoch::after(&[], &InstanceId::from_name("first"))
+    OwnerEpoch::after(&[], "first")
 }
 
 /// The name of an adapter loaded by the first owner.
--- /dev/null
+++ b/tests/path/fixture.rs
@@ -0,0 +1,240 @@
+//! Starts processes and talks HTTP to them.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+
+/// Limit of every wait; far above what any step takes on a loaded machine.
+pub const LIMIT: Duration = Duration::from_mins(1);
+
+/// A process that is ended when the test ends.
+pub struct OwnedProcess {
+    child: Child,
+    pub addresses: Vec<SocketAddr>,
+}
+
+impl Drop for OwnedProcess {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+impl OwnedProcess {
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", signal, &pid]).status();
+        assert!(
+            status.expect("kill runs").success(),
+            "the process {pid} takes signal {signal}"
+        );
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self
+                .child
+                .try_wait()
+                .expect("the process can be waited for")
+            {
+                return status;
+            }
+            assert!(start.elapsed() < LIMIT, "the process ends");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+/// Finds a program of this workspace beside the one under test.
+fn program(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_comfreychute")).with_file_name(name)
+}
+
+/// Starts a stand-in and reads its addresses from the line that it prints when it is ready.
+pub fn standin(name: &str, args: &[&str]) -> OwnedProcess {
+    let mut child = Command::new(program(name))
+        .args(args)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap_or_else(|error| panic!("{name} starts: {error}"));
+    let mut line = String::new();
+    let output = child.stdout.take().expect("the output is piped");
+    BufReader::new(output)
+        .read_line(&mut line)
+        .expect("the stand-in prints a line");
+    let ready: serde_json::Value = serde_json::from_str(&line).expect("the line is JSON");
+    let addresses = ready["addresses"]
+        .as_array()
+        .expect("the line lists addresses");
+    let addresses = addresses
+        .iter()
+        .map(|address| {
+            address
+                .as_str()
+                .and_then(|address| address.parse().ok())
+                .expect("an address")
+        })
+        .collect();
+    OwnedProcess { child, addresses }
+}
+
+/// The ports of a node, chosen before it starts.
+#[derive(Debug, Clone, Copy)]
+pub struct NodePorts {
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+/// Reserves three free ports.
+pub fn free_ports() -> NodePorts {
+    let listeners: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    let address = |index: usize| listeners[index].local_addr().expect("a bound address");
+    NodePorts {
+        caller: address(0),
+        peer: address(1),
+        admin: address(2),
+    }
+}
+
+/// Starts a node process.
+pub fn node(
+    name: &str,
+    domain: &str,
+    ports: NodePorts,
+    platform: SocketAddr,
+    directory: &Path,
+) -> OwnedProcess {
+    let file = directory.join(format!("{name}.toml"));
+    let text = format!(
+        "[instance]\nname = \"{name}\"\ndomain = \"{domain}\"\n\
+         [caller]\naddress = \"{}\"\n[peer]\naddress = \"{}\"\n[admin]\naddress = \"{}\"\n\
+         [platform]\naddress = \"{platform}\"\nlist_interval = \"200ms\"\n",
+        ports.caller, ports.peer, ports.admin
+    );
+    std::fs::write(&file, text).expect("the settings are written");
+    let log = std::fs::File::create(directory.join(format!("{name}.log"))).expect("a log file");
+    let child = Command::new(env!("CARGO_BIN_EXE_comfreychute"))
+        .args(["node", "--settings"])
+        .arg(&file)
+        .stderr(log)
+        .spawn()
+        .expect("the node starts");
+    OwnedProcess {
+        child,
+        addresses: vec![ports.caller, ports.peer, ports.admin],
+    }
+}
+
+/// Runs a subcommand of the command line and returns its output.
+pub fn command(args: &[&str]) -> (bool, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_comfreychute"))
+        .args(args)
+        .output()
+        .expect("the command runs");
+    let text = format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    );
+    (output.status.success(), text)
+}
+
+/// Writes the example tables with the addresses of running upstreams.
+pub fn write_tables(
+    directory: &Path,
+    addresses: &BTreeMap<&str, SocketAddr>,
+    adapters: &str,
+) -> (String, String) {
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/demo");
+    let routes = std::fs::read_to_string(example.join("routes.toml")).expect("the example routes");
+    let mut pools = std::fs::read_to_string(example.join("pools.toml")).expect("the example pools");
+    for (from, name) in [
+        ("127.0.0.1:7201", "engine-1"),
+        ("127.0.0.1:7202", "engine-2"),
+        ("127.0.0.1:7301", "desk-1"),
+    ] {
+        pools = pools.replace(from, &addresses[name].to_string());
+    }
+    let routes = routes.replace("\"coop-*@1\", \"coop-*@2\"", adapters);
+    let write = |name: &str, text: String| {
+        let path = directory.join(name);
+        std::fs::write(&path, text).expect("a table is written");
+        path.to_str().expect("a path in UTF-8").to_owned()
+    };
+    (write("routes.toml", routes), write("pools.toml", pools))
+}
+
+/// Sends a request and returns the answer with its body still open.
+pub async fn send(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> http::Response<Incoming> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+        .expect("a request");
+    let answer = tokio::time::timeout(LIMIT, client.request(request))
+        .await
+        .expect("an answer in time");
+    answer.expect("an answer")
+}
+
+/// Sends a request and returns status and body.
+pub async fn fetch(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> (u16, String) {
+    let answer = send(method, address, path, headers, body).await;
+    let status = answer.status().as_u16();
+    let body = tokio::time::timeout(LIMIT, answer.into_body().collect())
+        .await
+        .expect("a body in time");
+    let body = body.expect("a whole body").to_bytes();
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Waits until `is_met` holds for the state that a node reports.
+pub async fn wait_for_state(
+    address: SocketAddr,
+    what: &str,
+    is_met: impl Fn(&serde_json::Value) -> bool,
+) {
+    let start = Instant::now();
+    while start.elapsed() < LIMIT {
+        if tokio::net::TcpStream::connect(address).await.is_ok() {
+            let (_, body) = fetch(Method::GET, address, "/state", &[], "").await;
+            let state = serde_json::from_str(&body).unwrap_or_default();
+            if is_met(&state) {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the node at {address} does not reach the state: {what}");
+}
--- /dev/null
+++ b/tests/path/main.rs
@@ -0,0 +1,4 @@
+//! The whole path across separate processes: platform, upstreams and nodes over TCP on loopback.
+
+mod fixture;
+mod processes;
