Treat reads that lag behind a write as unsettled

A read of the platform may return an older version than the one an edit started from. The editor took any other version for a foreign edit; it now takes only a newer one.

--- a/src/config/config_watcher.rs
+++ b/src/config/config_watcher.rs
@@ -16,6 +16,7 @@
     config: ConfigStore,
     delay: RetryDelay,
     version: Option<u64>,
+    newest: u64,
     is_failing: bool,
 }
 
@@ -28,6 +29,7 @@
             config,
             delay: RetryDelay::new(Duration::from_millis(200), Duration::from_secs(3)),
             version: None,
+            newest: 0,
             is_failing: false,
         }
     }
@@ -68,6 +70,7 @@
                 if let Some(object) = object {
                     self.version = Some(object.version);
                     self.offer(&object);
+                    self.newest = self.newest.max(object.version);
                 }
             }
             Err(error) => {
@@ -77,7 +80,9 @@
                         .with("reason", error.detail())
                         .send();
                 }
+                // Versions may start over after an outage.
                 self.version = None;
+                self.newest = 0;
                 tokio::time::sleep(self.delay.next(rand::random())).await;
             }
         }
@@ -98,7 +103,10 @@
             Ok((revision, self.config.offer(stored.tables)?))
         });
         match offered {
-            Ok((revision, AdoptOutcome::Stale)) if revision < self.config.revision() => {
+            // A read that lags behind returns an older version and tells nothing.
+            Ok((revision, AdoptOutcome::Stale))
+                if revision < self.config.revision() && object.version > self.newest =>
+            {
                 LogEvent::new(LogName::ConfigReverted)
                     .with_count("revision", revision)
                     .with_count("in_force", self.config.revision())
--- a/src/config/table_editor.rs
+++ b/src/config/table_editor.rs
@@ -111,8 +111,8 @@
                         difference,
                     });
                 }
-                Ok(stored) if stored.version != expected => return conflict(stored, next),
-                // The write has had no effect yet.
+                Ok(stored) if stored.version > expected => return conflict(stored, next),
+                // The write has had no effect yet, or the read lags behind it.
                 Ok(_) => {}
                 Err(error) => error.detail().clone_into(&mut last),
             }
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -194,9 +194,9 @@
             Self::StartFailed
             | Self::ShutdownInterrupted
             | Self::ConfigRefused
-            | Self::ConfigReverted
             | Self::InternalFault => Level::Error,
-            Self::ConfigWatchFailed
+            Self::ConfigReverted
+            | Self::ConfigWatchFailed
             | Self::PlatformUnreachable
             | Self::PeerDead
             | Self::PeerRefused
