--- a/src/settings/seed_peer.rs
+++ b/src/settings/seed_peer.rs
@@ -2,7 +2,6 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use crate::error::{Error, ErrorKind};
 use crate::id::{DomainId, InstanceId};
 
 /// An instance that a node dials when the platform's instance list is unavailable.
@@ -25,9 +24,9 @@
 }
 
 impl FromStr for SeedPeer {
-    type Err = Error;
+    type Err = String;
 
-    fn from_str(text: &str) -> Result<Self, Error> {
+    fn from_str(text: &str) -> Result<Self, String> {
         let parts: Vec<&str> = text.split('/').collect();
         if let [name, domain, address] = parts[..]
             && !name.is_empty()
@@ -40,11 +39,8 @@
                 address,
             });
         }
-        Err(Error::new(
-            ErrorKind::Settings,
-            format!(
-                "seed {text:?}: write name/domain/address, such as node-2/harbour/10.0.2.1:7100"
-            ),
+        Err(format!(
+            "seed {text:?}: write name/domain/address, such as node-2/harbour/10.0.2.1:7100"
         ))
     }
 }
--- a/src/table/adapter_rule.rs
+++ b/src/table/adapter_rule.rs
@@ -53,15 +53,20 @@
             .strip_suffix('*')
             .map_or((name, false), |prefix| (prefix, true));
         // A family may have an empty prefix; any other name goes through the checks of a reference.
-        let checked = AdapterRef::new(
-            if prefix.is_empty() && is_family {
-                "any"
-            } else {
-                prefix
-            },
-            version,
-        );
-        checked.map_err(|error| Error::new(ErrorKind::Table, error.detail()))?;
+        let name = if prefix.is_empty() && is_family {
+            "any"
+        } else {
+            prefix
+        };
+        if AdapterRef::new(name, version).is_err() {
+            return Err(Error::new(
+                ErrorKind::Table,
+                format!(
+                    "adapter {text:?}: use ASCII letters, digits, '-', '_' and '.' in the name and \
+                     the version"
+                ),
+            ));
+        }
         Ok(Self {
             prefix: prefix.to_owned(),
             is_family,
