--- a/src/audit/audit_buffer.rs
+++ b/src/audit/audit_buffer.rs
@@ -34,15 +34,20 @@
         }
     }
 
-    /// Takes the records if fewer than a full buffer of them wait elsewhere.
+    /// Takes the records if they and the records that wait elsewhere make at most one full buffer.
     pub(super) fn take(&mut self, waiting: usize) -> Vec<AuditRecord> {
-        if waiting >= Self::MAX_RECORDS {
+        if waiting + self.records.len() > Self::MAX_RECORDS {
             return Vec::new();
         }
         self.joined.clear();
         std::mem::take(&mut self.records)
     }
 
+    /// Returns the number of records.
+    pub(super) fn len(&self) -> usize {
+        self.records.len()
+    }
+
     /// Takes the number of lost records.
     pub(super) fn take_lost(&mut self) -> u64 {
         std::mem::take(&mut self.lost)
--- a/src/audit/audit_trail.rs
+++ b/src/audit/audit_trail.rs
@@ -89,14 +89,19 @@
                 .with_count("count", lost)
                 .send();
         }
-        writer.waiting()
+        writer.waiting() + self.buffer().len()
     }
 
     /// Flushes up to `rounds` times, until nothing waits; used at shutdown and by commands.
     pub async fn finish(&self, rounds: u32) -> usize {
+        self.finish_at(now_ms(), rounds).await
+    }
+
+    /// Flushes like [`AuditTrail::finish`] at a given time.
+    pub async fn finish_at(&self, now_ms: u64, rounds: u32) -> usize {
         let mut waiting = 0;
         for _ in 0..rounds {
-            waiting = self.flush(now_ms()).await;
+            waiting = self.flush(now_ms).await;
             if waiting == 0 {
                 break;
             }
--- a/tests/config_editor.rs
+++ b/tests/config_editor.rs
@@ -1,5 +1,6 @@
 //! Edits of the accepted tables against the stand-in of the platform.
 
+mod config_fixtures;
 mod table_fixtures;
 
 use std::time::Duration;
@@ -11,7 +12,8 @@
 use comfreychute::platform::ObjectStore;
 use comfreychute_standins::PlatformStandin;
 use comfreychute_standins::platform::{OutageMode, PlatformSettings};
-use table_fixtures::{numbered_set, table_set};
+use config_fixtures::numbered_set;
+use table_fixtures::table_set;
 use tokio::sync::watch;
 
 async fn platform() -> (PlatformStandin, ObjectStore) {
@@ -197,34 +199,31 @@
     );
 }
 
-/// Guards against a lost reply that is taken for a conflict because reads lag behind writes.
+/// Guards against a lost reply that is taken for a conflict because the read-back lags behind even
+/// the version that the edit started from.
 #[tokio::test]
-async fn a_lost_reply_is_settled_although_reads_lag() {
+async fn a_lost_reply_is_settled_although_the_read_back_lags() {
     let (standin, store) = platform().await;
     for number in 1..=4 {
         apply(&store, &edit(number, None)).await;
     }
-    standin.change(|settings| {
-        settings.lost_replies = 1;
-        settings.stale_versions = 1;
-    });
-    let editor = TableEditor::new(store.clone(), 4);
-
-    // The base is read with a lag as well, so the first outcome is a conflict with revision 4.
-    let outcome = editor
-        .apply(&edit(5, None))
+    standin.change(|settings| settings.lost_replies = 1);
+    let editor = TableEditor::new(store.clone(), 6);
+    let task = tokio::spawn(async move { editor.apply(&edit(5, Some(4))).await });
+    // The write has taken effect when the watch returns; its reply is still awaited then.
+    let written = store
+        .watch(TABLES_KEY, 4)
         .await
         .expect("the platform answers");
+    assert_eq!(written.map(|object| object.version), Some(5));
+    standin.change(|settings| settings.stale_versions = 2);
 
-    standin.change(|settings| settings.stale_versions = 0);
-    let stored = StoredTables::read(&store).await.expect("readable").tables;
-    match outcome {
-        EditOutcome::Applied { .. } => assert_eq!(stored.operation, "operation-5"),
-        EditOutcome::Conflict { accepted, .. } => {
-            assert_eq!((accepted.revision, stored.revision), (4, 4));
-        }
-        EditOutcome::Unchanged { .. } => panic!("the tables differ"),
-    }
+    let outcome = task
+        .await
+        .expect("the editor ends")
+        .expect("the outcome is known");
+
+    assert_eq!(revision_of(&outcome), Some(5), "{outcome:?}");
 }
 
 /// Guards against an edit that is applied twice when the operator repeats it after an unknown
@@ -331,11 +330,11 @@
 /// Guards against watches of nodes that are not relays: 990 of them would use half of the reads.
 #[tokio::test]
 async fn a_node_that_is_no_relay_makes_no_calls() {
-    let (_standin, store) = platform().await;
+    let (standin, store) = platform().await;
     let config = ConfigStore::new();
     let mut changes = config.subscribe();
     apply(&store, &edit(1, None)).await;
-    let watched = ObjectStore::new(_standin.address(), Duration::from_millis(500));
+    let watched = ObjectStore::new(standin.address(), Duration::from_millis(500));
     let (relay, is_relay) = watch::channel(false);
     let task = tokio::spawn(ConfigWatcher::new(watched.clone(), config.clone()).run(is_relay));
 
--- a/tests/config_store.rs
+++ b/tests/config_store.rs
@@ -1,13 +1,15 @@
 //! Adoption of tables and answers to peers.
 
+mod config_fixtures;
 mod table_fixtures;
 
 use comfreychute::config::{AdoptOutcome, ConfigStore};
 use comfreychute::error::ErrorKind;
 use comfreychute::peer::ConfigPull;
+use config_fixtures::numbered_set;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use table_fixtures::{numbered_set, table_set};
+use table_fixtures::table_set;
 
 fn store_at(revisions: &[u64]) -> ConfigStore {
     let store = ConfigStore::new();
--- a/tests/table_delta.rs
+++ b/tests/table_delta.rs
@@ -2,6 +2,7 @@
 
 mod table_fixtures;
 
+use comfreychute::error::ErrorKind;
 use comfreychute::id::{DomainId, UpstreamId};
 use comfreychute::peer::ConfigDelta;
 use comfreychute::table::{
@@ -120,7 +121,11 @@
             .apply(&delta)
             .and_then(|rows| rows.to_set(1));
 
-        assert!(set.is_err(), "without {key}");
+        assert_eq!(
+            set.map_err(|error| error.kind()),
+            Err(ErrorKind::Protocol),
+            "without {key}"
+        );
     }
 }
 
@@ -145,9 +150,9 @@
     let mut other = rows(&first).to_set(1).expect("the rows are whole");
     other.routes.routes.remove(1);
 
-    let applied = rows(&other).apply(&delta);
+    let error = rows(&other).apply(&delta).expect_err("the rows differ");
 
-    assert!(applied.is_err());
+    assert!(error.detail().contains("fetch all rows"), "{error}");
 }
 
 proptest! {
--- a/tests/table_fixtures/mod.rs
+++ b/tests/table_fixtures/mod.rs
@@ -1,10 +1,4 @@
 //! Tables for tests.
-#![expect(
-    clippy::allow_attributes,
-    reason = "each test file uses another part of the fixtures"
-)]
-#![allow(dead_code, reason = "each test file uses another part of the fixtures")]
-
 use comfreychute::table::{TableFiles, TableSet};
 
 /// Routes with one model route and one plain route.
@@ -81,10 +75,3 @@
         ..tables
     }
 }
-
-/// Returns tables that differ between revisions in one key.
-pub fn numbered_set(revision: u64) -> TableSet {
-    let mut tables = table_set(revision);
-    tables.routes.routes[0].max_body = 1_000 + revision;
-    tables
-}
--- /dev/null
+++ b/tests/telemetry.rs
@@ -0,0 +1,255 @@
+//! Log lines and metrics.
+
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::UdpSocket;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Duration;
+
+use comfreychute::telemetry::{
+    JsonLogger, LogEvent, LogName, MetricName, MetricSink, TimerValue, to_slog,
+};
+use log::LevelFilter;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::Value;
+
+/// Output of the logger that tests can read.
+#[derive(Debug, Clone, Default)]
+struct SharedOutput(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SharedOutput {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        let mut output = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        output.extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Returns the output of the logger of this process, which logs from the info level on.
+fn logged() -> &'static SharedOutput {
+    static OUTPUT: OnceLock<SharedOutput> = OnceLock::new();
+    OUTPUT.get_or_init(|| {
+        let output = SharedOutput::default();
+        JsonLogger::new(LevelFilter::Info, output.clone())
+            .install(LevelFilter::Info)
+            .expect("the process has no other logger");
+        output
+    })
+}
+
+/// Parses the logged lines that contain `mark`.
+fn lines_with(mark: &str) -> Vec<Value> {
+    let output = logged().0.lock().unwrap_or_else(PoisonError::into_inner);
+    String::from_utf8_lossy(&output)
+        .lines()
+        .filter(|line| line.contains(mark))
+        .map(|line| serde_json::from_str(line).expect("each line is JSON"))
+        .collect()
+}
+
+/// Guards against fields that later lines or tools cannot rely on.
+#[test]
+fn an_event_has_the_fixed_fields_first() {
+    logged();
+
+    LogEvent::new(LogName::LoadFailed)
+        .with("upstream", "engine-7")
+        .with_count("attempts", 3)
+        .with("mark", "fixed-fields")
+        .send();
+
+    let lines = lines_with("fixed-fields");
+    assert_eq!(lines.len(), 1);
+    assert_eq!(lines[0]["event"], "load_failed");
+    assert_eq!(lines[0]["level"], "warn");
+    assert_eq!(lines[0]["upstream"], "engine-7");
+    assert_eq!(lines[0]["attempts"], 3);
+    let time = lines[0]["time"].as_str().expect("the time is text");
+    assert!(time.len() == 24 && time.ends_with('Z'), "{time}");
+    let output = logged().0.lock().unwrap_or_else(PoisonError::into_inner);
+    assert!(output.starts_with(b"{\"time\":"));
+}
+
+/// Guards against callers that forge log lines or fields.
+#[test]
+fn hostile_values_stay_within_their_field() {
+    logged();
+    let hostile = "x\"}\n{\"event\":\"forged\",\"mark\":\"hostile-1\"}\r\u{2028}\u{0}";
+
+    LogEvent::new(LogName::LoadFailed)
+        .with("event", "forged")
+        .with("time", "forged")
+        .with(hostile, "key")
+        .with("mark", format!("hostile-1 {hostile}"))
+        .send();
+
+    let lines = lines_with("hostile-1");
+    assert_eq!(lines.len(), 1);
+    assert_eq!(lines[0]["event"], "load_failed");
+    assert_eq!(lines[0][hostile], "key");
+}
+
+/// Guards against library messages that break the JSON lines, and against one line per request.
+#[test]
+fn library_records_are_wrapped_and_chatter_is_left_out() {
+    logged();
+
+    log::warn!(target: "some_library", "first\nsecond \"library-1\"");
+    log::info!(target: "dropshot", "accepted connection library-1");
+    slog::warn!(to_slog(), "bridged library-1");
+
+    let lines = lines_with("library-1");
+    let messages: Vec<&str> = lines
+        .iter()
+        .filter_map(|line| line["message"].as_str())
+        .collect();
+    assert_eq!(messages.len(), 2, "{lines:?}");
+    assert_eq!(messages[0], "first\nsecond \"library-1\"");
+    assert!(messages[1].contains("bridged"));
+    assert!(lines.iter().all(|line| line["event"] == "library"));
+}
+
+/// Guards against a line per request while all goes well.
+#[test]
+fn events_below_the_level_cost_nothing() {
+    logged();
+
+    let event = LogEvent::new(LogName::RequestFinished).with("request", "1");
+
+    assert_eq!(event.to_line(), None);
+}
+
+/// Guards against two meanings under one name, and against names without a message.
+#[test]
+fn event_names_are_unique_and_explained() {
+    let names: BTreeSet<&str> = LogName::ALL.iter().map(|name| name.as_str()).collect();
+
+    assert_eq!(names.len(), LogName::ALL.len());
+    assert!(LogName::ALL.iter().all(|name| !name.to_string().is_empty()));
+}
+
+/// Guards against alarms that the operations page does not explain.
+#[test]
+fn each_warning_is_on_the_operations_page() {
+    let page = std::fs::read_to_string("docs/operations.md").expect("the page exists");
+
+    for name in LogName::ALL {
+        if name.level() <= log::Level::Warn {
+            let row = format!("| `{}` |", name.as_str());
+            assert!(page.contains(&row), "{row} is missing");
+        }
+    }
+}
+
+/// Guards against metrics that are lost between the node, the admin port and the collector.
+#[test]
+fn metrics_reach_the_table_and_the_collector() {
+    let collector = UdpSocket::bind("127.0.0.1:0").expect("a loopback port is free");
+    collector
+        .set_read_timeout(Some(Duration::from_millis(20)))
+        .expect("the timeout is valid");
+    let target = collector.local_addr().expect("the socket is bound");
+    let sink = MetricSink::new(Some(target), &[("instance", "node-1")]).expect("sockets open");
+
+    sink.add(MetricName::Requests, "engines", "urgent", 2);
+    sink.add(MetricName::Requests, "engines", "urgent", 1);
+    sink.set(MetricName::ConfigRevision, "", "", 7);
+    sink.record(
+        MetricName::QueueWait,
+        "engines",
+        "batch",
+        Duration::from_millis(3),
+    );
+
+    // The queue is drained by its own thread; flush until the last metric has arrived.
+    let mut received = String::new();
+    let mut buffer = [0; 4_096];
+    for _ in 0..1_000 {
+        sink.flush();
+        if let Ok(length) = collector.recv(&mut buffer) {
+            received.push_str(&String::from_utf8_lossy(&buffer[..length]));
+        }
+        if received.contains("queue_wait") {
+            break;
+        }
+    }
+    assert!(received.contains("comfreychute.requests:2|c"), "{received}");
+    assert!(received.contains("instance:node-1"), "{received}");
+    let rows = sink.table().snapshot();
+    let value = |name: &str| {
+        rows.iter()
+            .find(|row| row.name == name)
+            .map(|row| row.value)
+    };
+    assert_eq!(value("requests"), Some(3));
+    assert_eq!(value("config_revision"), Some(7));
+    assert_eq!(value("queue_wait"), Some(1));
+}
+
+/// Guards against a node that stops or slows down because its collector is away.
+#[test]
+fn an_absent_collector_does_not_matter() {
+    let closed = UdpSocket::bind("127.0.0.1:0")
+        .and_then(|socket| socket.local_addr())
+        .expect("a loopback port is free");
+    let sink = MetricSink::new(Some(closed), &[]).expect("sockets open");
+
+    for _ in 0..20_000 {
+        sink.add(MetricName::Requests, "engines", "urgent", 1);
+    }
+    sink.flush();
+
+    assert_eq!(sink.table().snapshot()[0].value, 20_000);
+}
+
+/// Guards against memory that grows with names that come from outside.
+#[test]
+fn the_number_of_pools_in_the_table_is_bounded() {
+    let sink = MetricSink::to_nowhere();
+
+    for number in 0..5_000 {
+        sink.add(
+            MetricName::Refusals,
+            &format!("pool-{number}"),
+            "overloaded",
+            1,
+        );
+    }
+
+    let rows = sink.table().snapshot();
+    assert!(rows.len() <= 1_025, "{}", rows.len());
+    assert_eq!(rows.iter().map(|row| row.value).sum::<u64>(), 5_000);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(1_604),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against percentiles that are below the true value or far above it.
+    #[test]
+    fn percentiles_are_upper_bounds_within_a_factor_of_two(
+        mut micros in proptest::collection::vec(0..10_000_000_u64, 1..50),
+        percent in 1..=100_u64,
+    ) {
+        let mut timer = TimerValue::default();
+        for value in &micros {
+            timer.record(Duration::from_micros(*value));
+        }
+        micros.sort_unstable();
+        let rank = (micros.len() as u64 * percent).div_ceil(100).max(1) - 1;
+        let exact = micros[usize::try_from(rank).expect("small")];
+
+        let bound = timer.percentile_us(percent);
+
+        prop_assert!(bound >= exact && bound <= exact * 2 + 1, "{bound} for {exact}");
+    }
+}
