Keep secrets out of the texts of settings faults

Type errors quote the value, and the place of a flag contained it. Tests of the admin client shared a token file and raced; each now has its own.

--- a/src/command/edit_report.rs
+++ b/src/command/edit_report.rs
@@ -46,7 +46,7 @@
             let text = format!(
                 "error: nothing was changed: revision {} by {} ({edited_at}) was accepted first\n\
                  this edit would change it as follows:\n{difference}\n\
-                 review the difference, then apply with --base {}",
+                 review the difference, then make the edit on top of revision {} (apply: --base)",
                 accepted.revision, accepted.author, accepted.revision
             );
             CommandReport::new(
--- a/src/settings/raw_settings.rs
+++ b/src/settings/raw_settings.rs
@@ -66,7 +66,11 @@
                 Err(problem) => faults.push(InputFault {
                     place: place.clone(),
                     subject: format!("{section}.{key}"),
-                    problem,
+                    problem: if is_secret(key) {
+                        "the value is not text".to_owned()
+                    } else {
+                        problem
+                    },
                     remedy: "correct the value or remove the key".to_owned(),
                 }),
             }
@@ -132,7 +136,9 @@
     }
 
     fn add_flag(&mut self, flag: &str) {
-        let place = InputPlace::Flag(format!("--set {flag}"));
+        // The value may be a secret, so the place names the key only.
+        let path = flag.split_once('=').map_or(flag, |(path, _)| path);
+        let place = InputPlace::Flag(format!("--set {path}"));
         let parts = flag
             .split_once('=')
             .and_then(|(path, value)| Some((path.split_once('.')?, value)));
@@ -190,6 +196,11 @@
     .ok_or(problem)
 }
 
+/// Texts of type errors quote the value, which must not happen to a secret.
+fn is_secret(key: &str) -> bool {
+    matches!(key, "secret" | "token")
+}
+
 fn accepts(section: &str, key: &str, value: &Value) -> Result<(), String> {
     let keys = toml::Table::from_iter([(key.to_owned(), value.clone())]);
     let table = toml::Table::from_iter([(section.to_owned(), Value::Table(keys))]);
--- a/src/settings/setting_sources.rs
+++ b/src/settings/setting_sources.rs
@@ -27,8 +27,10 @@
         Ok(Self {
             file: Some((path.to_owned(), text)),
             variables: std::env::vars_os()
-                .filter_map(|(name, value)| {
-                    Some((name.into_string().ok()?, value.into_string().ok()?))
+                .map(|(name, value)| {
+                    // A value that is not UTF-8 becomes a fault of its setting, not a missing one.
+                    let name = name.to_string_lossy().into_owned();
+                    (name, value.to_string_lossy().into_owned())
                 })
                 .collect(),
             flags: flags.to_vec(),
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -136,8 +136,9 @@
     head.lines().any(|line| line == wanted)
 }
 
-fn token_file(token: &str) -> String {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("token-{token}"));
+/// Writes a file of one test; tests run side by side, so they share no file.
+fn token_file(test: &str, token: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("token-{test}-{token}"));
     std::fs::write(&path, format!("{token}\n")).expect("the target directory is writable");
     path.display().to_string()
 }
@@ -485,7 +486,7 @@
         peer_address: SocketAddr::new(up.ip(), 1),
         is_leaving: false,
     }]);
-    let (token, port) = (token_file("tide"), up.port().to_string());
+    let (token, port) = (token_file("where", "tide"), up.port().to_string());
     let both = format!("{up},{closed}");
 
     let listed = run(&[
@@ -504,7 +505,7 @@
         "--admin",
         &up.to_string(),
         "--token-file",
-        &token_file("wrong"),
+        &token_file("where", "wrong"),
     ])
     .await;
 
@@ -522,7 +523,7 @@
     let other = admin_port(&node_state("node-1", 7, "node-2", 0), "tide").await;
     let owner = admin_port(&node_state("node-2", 7, "node-2", 5), "tide").await;
     let both = format!("{other},{owner}");
-    let token = token_file("tide");
+    let token = token_file("upstreams", "tide");
 
     let report = run(&["upstreams", "--admin", &both, "--token-file", &token]).await;
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -186,6 +186,35 @@
     );
 }
 
+/// Guards against secrets in the texts of faults, which quote other values.
+#[test]
+fn faults_do_not_quote_secrets() {
+    let mut given = sources(&MINIMAL.replace("[admin]", "secret = 77007700\n\n[admin]"));
+    given.variables = variables(&[("COMFREYCHUTE_ADMIN_SECRET", "hush-1")]);
+    given.flags = vec![
+        "peer.token=hush-2".to_owned(),
+        "admin.token.x=hush-3".to_owned(),
+    ];
+
+    let faults = NodeSettings::from_sources(&given).expect_err("the settings have faults");
+
+    let text = lines(&faults);
+    assert_eq!(faults.len(), 4, "{text}");
+    assert!(!text.contains("7700") && !text.contains("hush"), "{text}");
+}
+
+/// Guards against a stack overflow of the parser.
+#[test]
+fn deeply_nested_input_is_a_fault() {
+    for opening in ["[", "{a=", "[{a="] {
+        let text = format!("{MINIMAL}\n[limits]\nmax_body = {}", opening.repeat(50_000));
+
+        let faults = NodeSettings::from_sources(&sources(&text)).expect_err("the syntax is wrong");
+
+        assert!(!faults.is_empty());
+    }
+}
+
 /// Guards against a node that runs open because its secret file is empty or given twice.
 #[test]
 fn an_unusable_secret_is_a_fault() {
