Add the permit holder and its client

Loads from a weight store are limited for the whole fleet. The holder keeps a bucket per store, restarts empty after a pause longer than the lease, and numbers its permits so that the return of an earlier holder's permit frees nothing. The wait of a new holder is at least one lease, since a predecessor goes on granting until it learns of the change.

Ruled out: counting the reachable domains alone for the share. If A reaches B, B reaches C and A does not reach C, two holders would grant B's share; a domain counts only if it reaches the same domains as the holder. Not measured; tests follow.

--- /dev/null
+++ b/src/permit/client_hooks.rs
@@ -0,0 +1,62 @@
+use std::fmt;
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+
+use crate::error::Result;
+use crate::id::InstanceId;
+use crate::peer::{PermitBid, PermitDone, PermitGrant};
+
+type FindHolder = dyn Fn() -> Option<InstanceId> + Send + Sync;
+type SendBid =
+    dyn Fn(InstanceId, PermitBid) -> BoxFuture<'static, Result<PermitGrant>> + Send + Sync;
+type SendDone = dyn Fn(InstanceId, PermitDone) -> BoxFuture<'static, Result<()>> + Send + Sync;
+
+/// How a [`PermitClient`](super::PermitClient) finds and reaches the holder.
+#[derive(Clone)]
+pub struct ClientHooks {
+    find_holder: Arc<FindHolder>,
+    send_bid: Arc<SendBid>,
+    send_done: Arc<SendDone>,
+}
+
+impl ClientHooks {
+    /// Wraps the choice of the holder and the two messages to it.
+    ///
+    /// The holder may be this instance; the closures then call its endpoint directly.
+    pub fn new(
+        find_holder: impl Fn() -> Option<InstanceId> + Send + Sync + 'static,
+        send_bid: impl Fn(InstanceId, PermitBid) -> BoxFuture<'static, Result<PermitGrant>>
+        + Send
+        + Sync
+        + 'static,
+        send_done: impl Fn(InstanceId, PermitDone) -> BoxFuture<'static, Result<()>>
+        + Send
+        + Sync
+        + 'static,
+    ) -> Self {
+        Self {
+            find_holder: Arc::new(find_holder),
+            send_bid: Arc::new(send_bid),
+            send_done: Arc::new(send_done),
+        }
+    }
+
+    pub(super) fn find_holder(&self) -> Option<InstanceId> {
+        (self.find_holder)()
+    }
+
+    pub(super) async fn send_bid(&self, to: &InstanceId, bid: PermitBid) -> Result<PermitGrant> {
+        (self.send_bid)(to.clone(), bid).await
+    }
+
+    pub(super) async fn send_done(&self, to: &InstanceId, done: PermitDone) -> Result<()> {
+        (self.send_done)(to.clone(), done).await
+    }
+}
+
+impl fmt::Debug for ClientHooks {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ClientHooks").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/permit/load_permit.rs
@@ -0,0 +1,28 @@
+use std::time::Duration;
+
+use crate::id::InstanceId;
+
+/// Permission to start one load; give it back with
+/// [`PermitClient::finish`](super::PermitClient::finish).
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[must_use = "a permit that is not given back counts as in flight for the longest possible load"]
+pub struct LoadPermit {
+    pub(super) store: String,
+    pub(super) permit: u64,
+    pub(super) holder: InstanceId,
+    pub(super) valid_until: Duration,
+}
+
+impl LoadPermit {
+    /// Returns whether the load may still be started.
+    #[must_use]
+    pub fn is_valid(&self, now: Duration) -> bool {
+        now < self.valid_until
+    }
+
+    /// Returns the number of the permit.
+    #[must_use]
+    pub const fn number(&self) -> u64 {
+        self.permit
+    }
+}
