--- a/crates/standins/src/load/answer_check.rs
+++ b/crates/standins/src/load/answer_check.rs
@@ -18,6 +18,9 @@
 /// The fields of an event that state the text and its origin.
 #[derive(Debug, Deserialize)]
 struct EventFields {
+    /// `base/adapter@version`, as nodes state it.
+    #[serde(default)]
+    model: Option<String>,
     #[serde(default)]
     adapter: Option<String>,
     #[serde(default)]
@@ -67,7 +70,13 @@
         let is_other = |stated: &Option<String>, asked: &str| {
             stated.as_deref().is_some_and(|stated| stated != asked)
         };
-        self.is_misattributed |= is_other(&event.adapter, self.adapter.name())
+        let model = event
+            .model
+            .as_deref()
+            .and_then(|model| model.rsplit_once('/'));
+        self.is_misattributed |= model
+            .is_some_and(|(_, adapter)| adapter != self.adapter.to_string())
+            || is_other(&event.adapter, self.adapter.name())
             || is_other(&event.version, self.adapter.version());
         self.text.push_str(event.text());
         Ok(())
