Wire the load permits and the audit trail into the node

Cause: loads were granted without limits. One instance, chosen by rendezvous hash over the reachable ones, now grants the permits of all weight stores, and heartbeats tell which failure domains a node reaches, so that a holder counts only domains that agree on their reach. Loads, evictions and changes of owner are recorded in the audit trail.

Ruled out: one holder per weight store, because the endpoint of an instance has one role, and one holder carries today's and the planned rate (permits are a few per second). An order to load now ends at the time after which the holder counts the load as ended (20 load times), so that the number in flight stays true.

Before: unlimited.

--- a/crates/standins/src/fleet/local_fleet.rs
+++ b/crates/standins/src/fleet/local_fleet.rs
@@ -43,7 +43,7 @@
     /// Returns the first error of a part that does not start.
     pub async fn start(engine: &EngineSettings, nodes: &[(&str, &str)]) -> Result<Self> {
         let platform = PlatformStandin::start(PlatformSettings::default()).await?;
-        let store = WeightStore::new(0.0, 0);
+        let store = WeightStore::default();
         let mut engines = BTreeMap::new();
         for name in ["engine-1", "engine-2"] {
             let standin = EngineStandin::start_with_store(engine.clone(), store.clone()).await?;
--- a/src/member/member_view.rs
+++ b/src/member/member_view.rs
@@ -214,6 +214,15 @@
             .collect()
     }
 
+    /// Returns the failure domain of a known instance.
+    #[must_use]
+    pub fn domain(&self, id: &InstanceId) -> Option<&DomainId> {
+        if *id == self.own {
+            return Some(&self.own_domain);
+        }
+        self.members.get(id).map(|state| &state.domain)
+    }
+
     /// Returns the instance that grants load permits of a weight store; none if all reachable
     /// instances are shutting down.
     #[must_use]
--- a/src/node/fleet_view.rs
+++ b/src/node/fleet_view.rs
@@ -1,7 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use crate::id::{AdapterRef, InstanceId, UpstreamId};
+use crate::id::{AdapterRef, DomainId, InstanceId, UpstreamId};
 use crate::member::{MemberView, ResidencyView};
 use crate::owner::OwnerMap;
 use crate::peer::{HeartbeatBody, ResidencyItem};
@@ -15,7 +15,7 @@
     members: Mutex<MemberView>,
     residency: Mutex<ResidencyView>,
     owners: Mutex<Arc<OwnerMap>>,
-    revisions: Mutex<BTreeMap<InstanceId, u64>>,
+    news: Mutex<BTreeMap<InstanceId, PeerNews>>,
 }
 
 impl FleetView {
@@ -27,7 +27,7 @@
             members: Mutex::new(members),
             residency: Mutex::default(),
             owners: Mutex::default(),
-            revisions: Mutex::default(),
+            news: Mutex::default(),
         }
     }
 
@@ -71,7 +71,15 @@
     /// Takes the heartbeat of a peer.
     pub fn adopt_heartbeat(&self, peer: &InstanceId, body: &HeartbeatBody) {
         self.residency().adopt(peer, body);
-        self.revisions().insert(peer.clone(), body.revision);
+        let news = PeerNews {
+            revision: body.revision,
+            reachable: body
+                .reachable
+                .iter()
+                .map(|domain| DomainId::from_name(domain))
+                .collect(),
+        };
+        self.news().insert(peer.clone(), news);
     }
 
     /// Returns a live peer with tables newer than `revision`.
@@ -81,20 +89,31 @@
         revision: u64,
         is_live: impl Fn(&InstanceId) -> bool,
     ) -> Option<InstanceId> {
-        let revisions = self.revisions();
-        let newer = revisions
+        let news = self.news();
+        let newer = news
             .iter()
-            .filter(|(peer, known)| **known > revision && is_live(peer));
+            .filter(|(peer, news)| news.revision > revision && is_live(peer));
         newer
-            .max_by_key(|(_, known)| **known)
+            .max_by_key(|(_, news)| news.revision)
             .map(|(peer, _)| peer.clone())
     }
 
+    /// Returns for each peer its failure domain and the domains that it says it reaches.
+    #[must_use]
+    pub fn reach_reports(&self) -> Vec<(DomainId, BTreeSet<DomainId>)> {
+        let members = self.members();
+        let news = self.news();
+        let reports = news.iter().filter_map(|(peer, news)| {
+            Some((members.domain(peer)?.clone(), news.reachable.clone()))
+        });
+        reports.collect()
+    }
+
     /// Forgets what dead peers told.
     pub fn retain(&self, is_live: impl Fn(&InstanceId) -> bool) {
         self.residency()
             .retain_owners(|owner| *owner == self.own || is_live(owner));
-        self.revisions().retain(|peer, _| is_live(peer));
+        self.news().retain(|peer, _| is_live(peer));
     }
 
     /// Lists the upstreams of a pool for placement.
@@ -134,9 +153,14 @@
         self.owners().owner(upstream).cloned()
     }
 
-    fn revisions(&self) -> MutexGuard<'_, BTreeMap<InstanceId, u64>> {
-        self.revisions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn news(&self) -> MutexGuard<'_, BTreeMap<InstanceId, PeerNews>> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// What the last heartbeat of a peer said besides the state of upstreams.
+#[derive(Debug)]
+struct PeerNews {
+    revision: u64,
+    reachable: BTreeSet<DomainId>,
+}
--- a/src/node/member_loop.rs
+++ b/src/node/member_loop.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::node_parts::NodeParts;
+use super::permit_wiring::update_holder;
 use crate::owner::OwnerMap;
 use crate::platform::ListedInstance;
 use crate::telemetry::{LogEvent, LogName};
@@ -123,6 +124,7 @@
         let is_chosen = watchers.contains(&parts.instance);
         std::mem::replace(is_relay, is_chosen) != is_chosen
     });
+    update_holder(parts, &tables, now);
     let owners = OwnerMap::assign(&tables.pools, &candidates);
     let owned: BTreeSet<_> = owners.owned_by(&parts.instance).cloned().collect();
     parts.view.set_owners(owners);
--- a/src/node/mesh_wiring.rs
+++ b/src/node/mesh_wiring.rs
@@ -33,7 +33,7 @@
         }),
         on_ask: Box::new(move |_, ask| {
             let parts = Arc::clone(&asked);
-            Box::pin(async move { answer(&parts, ask) })
+            Box::pin(async move { answer(&parts, ask).await })
         }),
         on_peer_change: Box::new(move |change| {
             log_change(&change);
@@ -52,6 +52,7 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
         .own_counts(now);
+    let reachable = parts.view.members().reachable_domains(now);
     HeartbeatBody {
         revision: parts.config.revision(),
         is_draining: parts.gate.is_draining(),
@@ -60,6 +61,7 @@
             .map(|registry| registry.residency())
             .unwrap_or_default(),
         suspects,
+        reachable: reachable.iter().map(ToString::to_string).collect(),
         ..HeartbeatBody::default()
     }
 }
@@ -76,12 +78,15 @@
     }
 }
 
-fn answer(parts: &NodeParts, ask: PeerAsk) -> PeerReply {
+async fn answer(parts: &NodeParts, ask: PeerAsk) -> PeerReply {
     let body = match ask.body {
         Some(ask::Body::Pull(pull)) => reply::Body::Delta(parts.config.answer(&pull)),
-        Some(ask::Body::Bid(_)) => parts.permits.answer(),
+        Some(ask::Body::Bid(bid)) => match parts.permits.bid(&bid).await {
+            Ok(grant) => reply::Body::Grant(grant),
+            Err(error) => reply::Body::Refused(RefusalBody::from_error(&error)),
+        },
         Some(ask::Body::Done(done)) => {
-            parts.permits.take_back(&done);
+            parts.permits.done(&done);
             reply::Body::Done(true)
         }
         Some(ask::Body::Handover(handover)) => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,7 +12,7 @@
 mod node_parts;
 mod node_runner;
 mod node_status;
-mod permit_desk;
+mod permit_wiring;
 mod running_node;
 
 pub use fleet_view::FleetView;
--- a/src/node/node_parts.rs
+++ b/src/node/node_parts.rs
@@ -3,12 +3,13 @@
 use tokio::sync::watch;
 
 use super::FleetView;
-use super::permit_desk::PermitDesk;
+use crate::audit::AuditTrail;
 use crate::config::ConfigStore;
 use crate::entry::EntryGate;
 use crate::id::{DomainId, InstanceId};
 use crate::owner::{LeaseGuard, OwnerRecorder, OwnerRegistry, ReleaseLedger};
 use crate::peer::PeerMesh;
+use crate::permit::PermitEndpoint;
 use crate::platform::{InstanceList, ObjectStore};
 use crate::policy::SuspectList;
 use crate::settings::NodeSettings;
@@ -33,7 +34,8 @@
     pub suspects: Arc<Mutex<SuspectList>>,
     pub metrics: MetricSink,
     pub gate: EntryGate,
-    pub permits: Arc<PermitDesk>,
+    pub permits: PermitEndpoint,
+    pub audit: AuditTrail,
     /// Whether this instance watches the tables at the platform.
     pub relay: watch::Sender<bool>,
     /// Set once all parts that the hooks of the mesh call exist.
--- /dev/null
+++ b/src/node/permit_wiring.rs
@@ -0,0 +1,86 @@
+//! Connects the permit holder and its client with the mesh and the membership.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+
+use super::node_parts::NodeParts;
+use crate::error::{Error, ErrorKind, Result};
+use crate::id::{DomainId, InstanceId};
+use crate::peer::{PeerAsk, PeerReply, PermitBid, PermitDone, PermitGrant, ask, reply};
+use crate::permit::{ClientConfig, ClientHooks, PermitClient, counted_domains};
+use crate::table::TableSet;
+
+/// Key by which the holder of all load permits is chosen.
+const HOLDER_KEY: &str = "loads";
+
+/// Builds the client, which calls the own endpoint if this instance is the holder.
+pub(super) fn permit_client(parts: &Arc<NodeParts>) -> PermitClient {
+    let (finding, bidding, returning) = (Arc::clone(parts), Arc::clone(parts), Arc::clone(parts));
+    let hooks = ClientHooks::new(
+        move || holder(&finding),
+        move |holder, bid| {
+            let parts = Arc::clone(&bidding);
+            async move { send_bid(&parts, &holder, bid).await }.boxed()
+        },
+        move |holder, done| {
+            let parts = Arc::clone(&returning);
+            async move { send_done(&parts, &holder, done).await }.boxed()
+        },
+    );
+    PermitClient::new(ClientConfig::default(), hooks, parts.timer.clock().clone())
+}
+
+/// Tells the holder of this instance about stores, reach and whether it holds.
+pub(super) fn update_holder(parts: &NodeParts, tables: &TableSet, now: Duration) {
+    let total: BTreeSet<&DomainId> = tables
+        .pools
+        .upstreams()
+        .map(|(_, upstream)| &upstream.domain)
+        .collect();
+    let reachable = parts.view.members().reachable_domains(now);
+    let counted = counted_domains(&parts.domain, &reachable, &parts.view.reach_reports());
+    let total = u32::try_from(total.len()).unwrap_or(u32::MAX).max(1);
+    let is_holding = holder(parts).as_ref() == Some(&parts.instance);
+    parts.permits.update(|endpoint, now| {
+        endpoint.set_stores(&tables.pools.stores, now);
+        endpoint.set_reach(counted.min(total), total, now);
+        endpoint.set_holding(is_holding, now);
+    });
+}
+
+fn holder(parts: &NodeParts) -> Option<InstanceId> {
+    let now = parts.timer.clock().now();
+    parts.view.members().permit_holder(HOLDER_KEY, now)
+}
+
+async fn send_bid(parts: &NodeParts, holder: &InstanceId, bid: PermitBid) -> Result<PermitGrant> {
+    if *holder == parts.instance {
+        return parts.permits.bid(&bid).await;
+    }
+    match send(parts, holder, ask::Body::Bid(bid)).await?.body {
+        Some(reply::Body::Grant(grant)) => Ok(grant),
+        Some(reply::Body::Refused(refusal)) => Err(refusal.to_error()),
+        _ => Err(Error::new(
+            ErrorKind::Protocol,
+            "the reply to a bid has no grant",
+        )),
+    }
+}
+
+async fn send_done(parts: &NodeParts, holder: &InstanceId, done: PermitDone) -> Result<()> {
+    if *holder == parts.instance {
+        parts.permits.done(&done);
+        return Ok(());
+    }
+    send(parts, holder, ask::Body::Done(done)).await.map(drop)
+}
+
+async fn send(parts: &NodeParts, holder: &InstanceId, body: ask::Body) -> Result<PeerReply> {
+    let Some(mesh) = parts.mesh() else {
+        return Err(Error::new(ErrorKind::Peer, "the mesh has not started"));
+    };
+    mesh.ask(holder, PeerAsk { body: Some(body) }).await
+}
--- a/src/node/running_node.rs
+++ b/src/node/running_node.rs
@@ -2,14 +2,15 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-use futures_util::FutureExt;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use super::epoch_lookup::EpochLookup;
 use super::node_parts::NodeParts;
+use super::permit_wiring::permit_client;
 use super::{FleetView, config_loop, member_loop, mesh_wiring, node_status};
 use crate::admin::{AdminContext, AdminServer, NodeReport};
+use crate::audit::AuditTrail;
 use crate::claim::{ClaimConfig, ClaimHooks, ClaimStorage, ClaimStore};
 use crate::config::ConfigStore;
 use crate::entry::{EntryContext, EntryGate, EntryRouter, EntryServer};
@@ -17,12 +18,15 @@
 use crate::member::MemberView;
 use crate::owner::{HandoverAnnouncer, LeaseGuard, OwnerContext, OwnerRecorder, OwnerRegistry};
 use crate::peer::{HandoverItem, MeshConfig, OwnerHandover, PeerAsk, PeerMesh, SharedSecret, ask};
+use crate::permit::{HolderConfig, PermitEndpoint, PermitHolder};
 use crate::platform::{InstanceList, ObjectStore};
 use crate::policy::{PlacementPolicy, RetryBudget, SuspectList};
 use crate::settings::{NodeSettings, SecretText};
 use crate::telemetry::{LogEvent, LogName, MetricSink};
 use crate::time::{ClockSource, TimerService};
 
+/// Time that a bid waits at the permit holder; a grant is valid for twice as long.
+const PERMIT_WAIT: Duration = Duration::from_millis(500);
 /// Suspect fingerprints that are remembered; crashes are rare.
 const SUSPECT_LIMIT: usize = 4_096;
 /// Time after which a suspect is forgotten.
@@ -185,6 +189,11 @@
     let members = MemberView::new(instance.clone(), domain.clone(), settings.peer.peer_timeout);
     let tags = [("instance", instance.as_str()), ("domain", domain.as_str())];
     let metrics = MetricSink::new(settings.telemetry.metrics_address, &tags)?;
+    let holder_config = HolderConfig {
+        lease: settings.peer.lease,
+        ..HolderConfig::default()
+    };
+    let holder = PermitHolder::new(holder_config, rand::random(), clock.now());
     let lease = LeaseGuard::new(clock.clone(), settings.peer.lease);
     Ok(Arc::new(NodeParts {
         list: InstanceList::new(settings.platform.address, settings.platform.timeout),
@@ -194,7 +203,8 @@
         config: ConfigStore::new(),
         ledger: Arc::default(),
         gate: EntryGate::default(),
-        permits: Arc::default(),
+        permits: PermitEndpoint::new(holder, clock.clone(), PERMIT_WAIT),
+        audit: AuditTrail::new(store.clone(), instance.as_str()),
         relay: watch::Sender::new(false),
         mesh: OnceLock::new(),
         registry: OnceLock::new(),
@@ -217,7 +227,6 @@
         Arc::clone(&parts.ledger),
         parts.timer.clock().clone(),
     );
-    let (asking, returning) = (Arc::clone(parts), Arc::clone(parts));
     OwnerContext {
         instance: parts.instance.clone(),
         process,
@@ -225,14 +234,8 @@
         lease: parts.lease.clone(),
         ledger: Arc::clone(&parts.ledger),
         recorder: parts.recorder.clone(),
-        ask_permit: Box::new(move |_| {
-            let parts = Arc::clone(&asking);
-            async move { Some(parts.permits.ask()) }.boxed()
-        }),
-        return_permit: Box::new(move |done| {
-            let parts = Arc::clone(&returning);
-            async move { parts.permits.take_back(&done) }.boxed()
-        }),
+        permits: permit_client(parts),
+        audit: parts.audit.clone(),
         suspects: Arc::clone(&parts.suspects),
         metrics: parts.metrics.clone(),
         standing: Box::new(move |upstream, epoch| lookup.standing(upstream, epoch)),
@@ -358,6 +361,9 @@
     loops.spawn(member_loop::follow_list(Arc::clone(parts)));
     loops.spawn(member_loop::follow_members(Arc::clone(parts)));
     loops.spawn(member_loop::write_records(Arc::clone(parts)));
+    loops.spawn(parts.permits.clone().run());
+    let ticks = parts.timer.subscribe(AuditTrail::FLUSH_INTERVAL);
+    loops.spawn(parts.audit.clone().run(ticks));
     loops.spawn(config_loop::watch_tables(Arc::clone(parts)));
     loops.spawn(config_loop::pull_tables(Arc::clone(parts)));
     if let Some(registry) = parts.registry() {
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -23,7 +23,7 @@
 pub use epoch_standing::EpochStanding;
 pub use lease_guard::LeaseGuard;
 pub use owner_call::OwnerCall;
-pub use owner_context::{OwnerContext, PermitAsk, PermitReturn, StandingLookup};
+pub use owner_context::{OwnerContext, StandingLookup};
 pub use owner_map::OwnerMap;
 pub use owner_phase::OwnerPhase;
 pub use owner_recorder::OwnerRecorder;
--- a/src/owner/owner_context.rs
+++ b/src/owner/owner_context.rs
@@ -1,11 +1,10 @@
 use std::fmt;
 use std::sync::{Arc, Mutex};
 
-use futures_util::future::BoxFuture;
-
 use super::{EpochStanding, LeaseGuard, OwnerRecorder, ReleaseLedger};
+use crate::audit::AuditTrail;
 use crate::id::{InstanceId, OwnerEpoch, UpstreamId};
-use crate::peer::{PermitBid, PermitDone};
+use crate::permit::PermitClient;
 use crate::policy::SuspectList;
 use crate::telemetry::MetricSink;
 use crate::time::TimerService;
@@ -13,11 +12,6 @@
 /// Tells what is known about the owner behind an epoch of an upstream.
 pub type StandingLookup = Box<dyn Fn(&UpstreamId, OwnerEpoch) -> EpochStanding + Send + Sync>;
 
-/// Asks for a load permit; resolves to the permit if one was granted.
-pub type PermitAsk = Box<dyn Fn(PermitBid) -> BoxFuture<'static, Option<u64>> + Send + Sync>;
-/// Returns a load permit.
-pub type PermitReturn = Box<dyn Fn(PermitDone) -> BoxFuture<'static, ()> + Send + Sync>;
-
 /// What the owners of all upstreams of an instance share.
 pub struct OwnerContext {
     /// This instance.
@@ -32,10 +26,10 @@
     pub ledger: Arc<ReleaseLedger>,
     /// Writes the ownership records.
     pub recorder: OwnerRecorder,
-    /// Asks for a load permit.
-    pub ask_permit: PermitAsk,
-    /// Returns a load permit.
-    pub return_permit: PermitReturn,
+    /// Asks for load permits.
+    pub permits: PermitClient,
+    /// The audit trail.
+    pub audit: AuditTrail,
     /// Requests that were in flight at upstream crashes.
     pub suspects: Arc<Mutex<SuspectList>>,
     /// The metrics.
--- a/src/owner/owner_registry.rs
+++ b/src/owner/owner_registry.rs
@@ -6,6 +6,7 @@
 
 use super::upstream_owner::send_refusal;
 use super::{OwnerCall, OwnerContext, OwnerPhase, UpstreamOwner};
+use crate::audit::AuditKind;
 use crate::error::{Error, ErrorKind};
 use crate::id::{OwnerEpoch, UpstreamId};
 use crate::peer::{HandoverItem, ResidencyItem};
@@ -138,6 +139,17 @@
         self.context
             .recorder
             .record(owner.upstream(), &self.context.instance, epoch);
+        let (former, taken) = (
+            seen.iter().max().map(ToString::to_string),
+            epoch.to_string(),
+        );
+        self.context.audit.record(
+            AuditKind::OwnerChange,
+            owner.upstream().as_str(),
+            (former.as_deref().unwrap_or_default(), &taken),
+            "the membership of the failure domain or the tables changed",
+            0,
+        );
         owner.log(LogName::OwnershipTaken).send();
     }
 
--- a/src/owner/owner_state.rs
+++ b/src/owner/owner_state.rs
@@ -3,6 +3,7 @@
 use super::owned_call::OwnedCall;
 use super::{OwnerCall, OwnerPhase};
 use crate::id::{AdapterRef, EngineName, OwnerEpoch, RequestId};
+use crate::permit::LoadPermit;
 use crate::policy::UpstreamScheduler;
 
 /// What an owner knows about its upstream; guarded by one lock per upstream.
@@ -15,7 +16,7 @@
     /// Adapters that may be used, with the names that the engine knows them by.
     pub names: BTreeMap<AdapterRef, EngineName>,
     /// Load permits in use.
-    pub permits: BTreeMap<AdapterRef, u64>,
+    pub permits: BTreeMap<AdapterRef, LoadPermit>,
     /// Loads that wait for an answer of the permit holder.
     pub asking: BTreeSet<AdapterRef>,
     /// Adapters of former owners that must not be evicted yet.
--- a/src/owner/upstream_owner.rs
+++ b/src/owner/upstream_owner.rs
@@ -12,18 +12,20 @@
 use super::owner_state::OwnerState;
 use super::upstream_client::UpstreamClient;
 use super::{OwnerCall, OwnerContext, OwnerPhase};
+use crate::audit::AuditKind;
 use crate::error::{Error, ErrorKind, RunState};
 use crate::id::{AdapterRef, EngineName, OwnerEpoch, RequestId, UpstreamId};
-use crate::peer::{CallChunk, CallOpen, PermitBid, PermitDone, ResidencyItem};
-use crate::policy::{ScheduleAction, SchedulerConfig, SuspectVerdict, UpstreamScheduler, WorkItem};
+use crate::peer::{CallChunk, CallOpen, ResidencyItem};
+use crate::permit::LoadPermit;
+use crate::policy::{
+    PermitConfig, ScheduleAction, SchedulerConfig, SuspectVerdict, UpstreamScheduler, WorkItem,
+};
 use crate::table::{PoolKind, PoolRow, StoreRow, UpstreamRow, UpstreamState};
 use crate::telemetry::{LogEvent, LogName, MetricName};
 use crate::upstream::{EngineClient, EngineStatus, PlainClient};
 
 /// Time allowed for an order or a status question to an engine; loads have their own limit.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time allowed for a load; a store at a quarter of its speed needs a multiple of the usual time.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest call of a plain service; the deadline of a call ends most of them sooner.
 const CALL_TIMEOUT: Duration = Duration::from_mins(10);
 /// Tokens assumed for a request that states no limit.
@@ -57,7 +59,7 @@
         let client = match pool.kind {
             PoolKind::Model => UpstreamClient::Engine {
                 orders: EngineClient::new(row.address, ORDER_TIMEOUT),
-                loads: EngineClient::new(row.address, LOAD_TIMEOUT),
+                loads: EngineClient::new(row.address, longest_load(store)),
             },
             PoolKind::Plain => UpstreamClient::Plain(PlainClient::new(row.address, CALL_TIMEOUT)),
         };
@@ -275,44 +277,38 @@
         }
         let (owner, adapter) = (self.clone(), adapter.clone());
         tokio::spawn(async move {
-            let bid = PermitBid {
-                store: store.clone(),
-                upstream: owner.upstream().as_str().to_owned(),
-                adapter: adapter.to_string(),
-                value,
-            };
-            let granted = (owner.inner.context.ask_permit)(bid).await;
-            let Some(permit) = granted else {
+            let permits = &owner.inner.context.permits;
+            let acquired = permits
+                .acquire(&store, owner.upstream(), &adapter, value)
+                .await;
+            let Ok(Some(permit)) = acquired else {
                 owner.state().asking.remove(&adapter);
                 return;
             };
-            let (actions, is_wanted) = owner.take_permit(&adapter, permit);
-            if is_wanted {
-                owner.perform(actions);
-            } else {
-                (owner.inner.context.return_permit)(PermitDone {
-                    store,
-                    permit,
-                    is_used: false,
-                })
-                .await;
+            match owner.take_permit(&adapter, permit) {
+                Ok(actions) => owner.perform(actions),
+                Err(unused) => permits.finish(unused, false).await,
             }
         });
     }
 
-    /// Hands a permit to the scheduler; returns whether a load will use it.
-    fn take_permit(&self, adapter: &AdapterRef, permit: u64) -> (Vec<ScheduleAction>, bool) {
+    /// Hands a permit to the scheduler, or gives it back if no load will use it.
+    fn take_permit(
+        &self,
+        adapter: &AdapterRef,
+        permit: LoadPermit,
+    ) -> std::result::Result<Vec<ScheduleAction>, LoadPermit> {
         let mut state = self.state();
         state.asking.remove(adapter);
         if state.phase != OwnerPhase::Active {
-            return (Vec::new(), false);
+            return Err(permit);
         }
         let actions = state.scheduler.permit_granted(adapter, self.now());
-        let is_wanted = !actions.is_empty();
-        if is_wanted {
-            state.permits.insert(adapter.clone(), permit);
+        if actions.is_empty() {
+            return Err(permit);
         }
-        (actions, is_wanted)
+        state.permits.insert(adapter.clone(), permit);
+        Ok(actions)
     }
 
     /// Carries out what the scheduler decided.
@@ -447,6 +443,11 @@
             return false;
         }
         self.note(LogName::EvictOrdered, MetricName::Evictions, &name);
+        self.audit(
+            AuditKind::EvictionOrder,
+            &name,
+            "a slot is needed for another adapter",
+        );
         match orders.evict(&name, epoch).await {
             Ok(()) => true,
             Err(error) => {
@@ -476,13 +477,8 @@
                 )
             };
             owner.perform(actions);
-            if let (Some(permit), Some(store)) = (permit, &owner.inner.pool.store) {
-                let done = PermitDone {
-                    store: store.clone(),
-                    permit,
-                    is_used: true,
-                };
-                (owner.inner.context.return_permit)(done).await;
+            if let Some(permit) = permit {
+                owner.inner.context.permits.finish(permit, true).await;
             }
         });
     }
@@ -497,6 +493,7 @@
         let epoch = self.epoch();
         let name = EngineName::new(adapter.clone(), epoch);
         self.note(LogName::LoadOrdered, MetricName::Loads, &name);
+        self.audit(AuditKind::LoadOrder, &name, "requests wait for the adapter");
         match loads.load(&name, epoch).await {
             Ok(()) => Some(name),
             Err(error) => {
@@ -650,6 +647,12 @@
         self.log(event).with("adapter", name).send();
     }
 
+    fn audit(&self, kind: AuditKind, name: &EngineName, reason: &str) {
+        let (subject, adapter) = (self.upstream().as_str(), name.to_string());
+        let audit = &self.inner.context.audit;
+        audit.record(kind, subject, ("", &adapter), reason, 0);
+    }
+
     pub(super) fn log(&self, event: LogName) -> LogEvent {
         LogEvent::new(event)
             .with("upstream", self.upstream())
@@ -677,6 +680,13 @@
     }
 }
 
+/// Returns the time after which the permit holder counts a load as ended.
+fn longest_load(store: Option<&StoreRow>) -> Duration {
+    store.map_or(ORDER_TIMEOUT, |store| {
+        PermitConfig::from_row(store).longest_load
+    })
+}
+
 /// Digests what identifies a request across resends: route, adapter and body.
 fn fingerprint(open: &CallOpen) -> u64 {
     let mut digest = Xxh3::new();
--- a/tests/boundaries/orders.rs
+++ b/tests/boundaries/orders.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreychute::ErrorKind;
-use comfreychute::id::{EngineName, InstanceId, OwnerEpoch};
+use comfreychute::id::{EngineName, OwnerEpoch};
 use comfreychute::upstream::EngineClient;
 use comfreychute_standins::EngineStandin;
 use comfreychute_standins::engine::{EngineSettings, WeightStore};
@@ -11,7 +11,7 @@
 use crate::fixture::{LONG, call, engine, epoch, name, read_text, until};
 
 fn later_epoch() -> OwnerEpoch {
-    OwnerEpoch::after(&[epoch()], &InstanceId::from_name("second"))
+    OwnerEpoch::after(&[epoch()], "second")
 }
 
 /// Guards against a status that misses adapters, and against slots that are not respected.
