--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod journal;
+pub mod load;
 pub mod plain;
 pub mod platform;
 mod server;
