--- /dev/null
+++ b/crates/measure/src/policy_kind.rs
@@ -0,0 +1,54 @@
+use comfreychute::policy::{PlacementPolicy, ResidencyRule, SchedulerConfig};
+
+use crate::SitePlan;
+
+/// A set of decisions to compare.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PolicyKind {
+    /// The decision code with its present settings.
+    Present,
+    /// The decision code with the settings of its first version.
+    First,
+    /// Least-loaded placement with least-recently-used eviction.
+    LeastLoaded,
+    /// Placement by rendezvous hash alone with least-recently-used eviction.
+    Rendezvous,
+}
+
+impl PolicyKind {
+    /// All kinds, the present one first.
+    pub const ALL: [Self; 4] = [
+        Self::Present,
+        Self::First,
+        Self::LeastLoaded,
+        Self::Rendezvous,
+    ];
+
+    /// Returns the name used in tables and plots.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Present => "present",
+            Self::First => "first",
+            Self::LeastLoaded => "least-loaded",
+            Self::Rendezvous => "rendezvous",
+        }
+    }
+
+    /// Returns the settings of the schedulers.
+    #[must_use]
+    pub fn scheduler_config(self, site: &SitePlan) -> SchedulerConfig {
+        let mut config = SchedulerConfig::from_rows(&site.pool, Some(&site.store));
+        config.token_time = site.token_time;
+        if self != Self::Present {
+            config.residency = ResidencyRule::LeastRecent;
+        }
+        config
+    }
+
+    /// Returns the settings of the placement.
+    #[must_use]
+    pub fn placement_policy(self) -> PlacementPolicy {
+        PlacementPolicy::default()
+    }
+}
--- a/src/policy/queued_item.rs
+++ b/src/policy/queued_item.rs
@@ -9,5 +9,7 @@
     pub item: WorkItem,
     /// When it was offered.
     pub queued_at: Duration,
+    /// Whether it ran before and was preempted; such a request is not refused any more.
+    pub is_resumed: bool,
     pub(super) tag: (u64, u64),
 }
--- a/src/policy/rank_queue.rs
+++ b/src/policy/rank_queue.rs
@@ -25,7 +25,7 @@
     /// Adds a request; a request that is already waiting keeps its place.
     ///
     /// Returns whether it was added.
-    pub fn push(&mut self, item: WorkItem, now: Duration) -> bool {
+    pub fn push(&mut self, item: WorkItem, is_resumed: bool, now: Duration) -> bool {
         if self.places.contains_key(&item.request) {
             return false;
         }
@@ -40,6 +40,7 @@
         let queued = QueuedItem {
             item,
             queued_at: now,
+            is_resumed,
             tag,
         };
         group.insert(tag, queued);
--- a/src/policy/residency_policy.rs
+++ b/src/policy/residency_policy.rs
@@ -54,12 +54,11 @@
         self.state(adapter) == Some(SlotState::Resident)
     }
 
-    /// Iterates over the resident adapters.
-    pub fn residents(&self) -> impl Iterator<Item = &AdapterRef> {
+    /// Iterates over the adapters that have a slot.
+    pub fn adapters(&self) -> impl Iterator<Item = (&AdapterRef, SlotState)> {
         self.entries
             .iter()
-            .filter(|(_, entry)| entry.state == SlotState::Resident)
-            .map(|(adapter, _)| adapter)
+            .map(|(adapter, entry)| (adapter, entry.state))
     }
 
     /// Returns whether a load may start.
--- a/src/policy/scheduler_admission.rs
+++ b/src/policy/scheduler_admission.rs
@@ -26,6 +26,7 @@
                 .by_deadline()
                 // No request is predicted to take longer than this, so later deadlines are safe.
                 .take_while(|queued| queued.item.deadline < now + self.admission.longest_time())
+                .filter(|queued| !queued.is_resumed)
                 .filter(|queued| now + self.shortest_time(&queued.item) > queued.item.deadline)
                 .map(|queued| queued.item.request)
                 .collect();
--- a/src/policy/upstream_scheduler.rs
+++ b/src/policy/upstream_scheduler.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::load_attempt::LoadAttempt;
@@ -21,6 +21,7 @@
     pub(super) residency: ResidencyPolicy,
     pub(super) admission: AdmissionPolicy,
     pub(super) attempts: BTreeMap<AdapterRef, LoadAttempt>,
+    preempted: BTreeSet<RequestId>,
 }
 
 impl UpstreamScheduler {
@@ -34,13 +35,15 @@
             residency: ResidencyPolicy::new(&config),
             admission: AdmissionPolicy::new(&config),
             attempts: BTreeMap::new(),
+            preempted: BTreeSet::new(),
             config,
         }
     }
 
     /// Offers a request; it is dispatched, queued or refused.
     ///
-    /// A request that is already waiting or running is ignored.
+    /// A request that is already waiting or running is ignored. The rest of a preempted request is
+    /// offered under the same id after `finished`, and is not refused.
     pub fn offer(&mut self, item: WorkItem, now: Duration) -> Vec<ScheduleAction> {
         let mut actions = Vec::new();
         let is_known = self.running.contains_key(&item.request)
@@ -48,19 +51,22 @@
         if is_known {
             return actions;
         }
-        if let Some(adapter) = &item.adapter {
-            self.residency.requested(adapter, now);
-        }
-        if let Some(retry_after) = self.refusal(&item, now) {
-            actions.push(ScheduleAction::Refuse {
-                request: item.request,
-                kind: ErrorKind::Overloaded,
-                retry_after,
-            });
-            return actions;
+        let is_resumed = self.preempted.remove(&item.request);
+        if !is_resumed {
+            if let Some(adapter) = &item.adapter {
+                self.residency.requested(adapter, now);
+            }
+            if let Some(retry_after) = self.refusal(&item, now) {
+                actions.push(ScheduleAction::Refuse {
+                    request: item.request,
+                    kind: ErrorKind::Overloaded,
+                    retry_after,
+                });
+                return actions;
+            }
         }
         self.admission.observe_size(item.tokens);
-        queue_of(&mut self.queues, item.rank).push(item, now);
+        queue_of(&mut self.queues, item.rank).push(item, is_resumed, now);
         self.advance(now, &mut actions);
         actions
     }
@@ -115,7 +121,13 @@
             if let Some(adapter) = &running.item.adapter {
                 self.residency.unpin(adapter, now);
             }
-            if !running.is_cancelled {
+            if running.is_cancelled {
+                // Bounded, because a driver may never offer the rest of a preempted request.
+                if self.preempted.len() >= self.config.queue_limit {
+                    self.preempted.pop_first();
+                }
+                self.preempted.insert(request);
+            } else {
                 let took = now.saturating_sub(running.started_at);
                 self.admission.observe_run(running.item.tokens, took);
             }
