Group waiting requests so that bids cost no walk over them

Sampling showed all time in bids(). Groups now keep the sum of their waits, and the holder is woken when a permit is available.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -32,6 +32,7 @@
 mod suspect_list;
 mod suspect_verdict;
 mod upstream_scheduler;
+mod waiting_group;
 mod work_item;
 
 pub use admission_policy::AdmissionPolicy;
--- a/src/policy/permit_bucket.rs
+++ b/src/policy/permit_bucket.rs
@@ -130,6 +130,12 @@
         if self.bids.is_empty() {
             return None;
         }
+        self.ready_at(now)
+    }
+
+    /// Returns when the limits next allow a grant, whether or not a bid waits.
+    #[must_use]
+    pub fn ready_at(&self, now: Duration) -> Option<Duration> {
         let rate = self.config.rate * self.share;
         if rate <= 0.0 {
             return None;
--- a/src/policy/rank_queue.rs
+++ b/src/policy/rank_queue.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::fair_clock::FairClock;
+use super::waiting_group::WaitingGroup;
 use super::{QueuedItem, WorkItem};
 use crate::id::{AdapterRef, RequestId, RequestRank};
 
@@ -9,7 +10,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct RankQueue {
     clock: FairClock,
-    groups: BTreeMap<Option<AdapterRef>, BTreeMap<(u64, u64), QueuedItem>>,
+    plain: WaitingGroup,
+    groups: BTreeMap<AdapterRef, WaitingGroup>,
     places: BTreeMap<RequestId, (Option<AdapterRef>, (u64, u64))>,
     deadlines: BTreeSet<(Duration, RequestId)>,
     tokens: u64,
@@ -36,25 +38,33 @@
             .insert(item.request, (item.adapter.clone(), tag));
         self.deadlines.insert((item.deadline, item.request));
         self.tokens += u64::from(item.tokens);
-        let group = self.groups.entry(item.adapter.clone()).or_default();
-        let queued = QueuedItem {
+        let group = match &item.adapter {
+            None => &mut self.plain,
+            Some(adapter) => self.groups.entry(adapter.clone()).or_default(),
+        };
+        group.insert(QueuedItem {
             item,
             queued_at: now,
             is_resumed,
             tag,
-        };
-        group.insert(tag, queued);
+        });
         true
     }
 
     /// Removes a request.
     pub fn remove(&mut self, request: RequestId) -> Option<QueuedItem> {
         let (adapter, tag) = self.places.remove(&request)?;
-        let group = self.groups.get_mut(&adapter)?;
-        let queued = group.remove(&tag)?;
-        if group.is_empty() {
-            self.groups.remove(&adapter);
-        }
+        let queued = match &adapter {
+            None => self.plain.remove(tag)?,
+            Some(adapter) => {
+                let group = self.groups.get_mut(adapter)?;
+                let queued = group.remove(tag)?;
+                if group.is_empty() {
+                    self.groups.remove(adapter);
+                }
+                queued
+            }
+        };
         self.deadlines.remove(&(queued.item.deadline, request));
         self.tokens -= u64::from(queued.item.tokens);
         if self.places.is_empty() {
@@ -72,21 +82,24 @@
         Some(queued)
     }
 
-    /// Borrows the next request in fair order among those whose adapter passes `is_ready`.
-    pub fn next(&self, is_ready: impl Fn(Option<&AdapterRef>) -> bool) -> Option<&QueuedItem> {
-        self.groups
-            .iter()
-            .filter(|(adapter, _)| is_ready(adapter.as_ref()))
-            .filter_map(|(_, group)| group.values().next())
+    /// Borrows the next request in fair order among plain work and the given adapters.
+    pub fn next_of<'a>(
+        &self,
+        adapters: impl Iterator<Item = &'a AdapterRef>,
+    ) -> Option<&QueuedItem> {
+        adapters
+            .filter_map(|adapter| self.groups.get(adapter))
+            .chain([&self.plain])
+            .filter_map(WaitingGroup::first)
             .min_by_key(|queued| queued.tag)
     }
 
-    /// Counts the requests whose adapter passes `is_ready`.
-    pub fn count_ready(&self, is_ready: impl Fn(Option<&AdapterRef>) -> bool) -> usize {
-        self.groups
-            .iter()
-            .filter(|(adapter, _)| is_ready(adapter.as_ref()))
-            .map(|(_, group)| group.len())
+    /// Counts the requests among plain work and the given adapters.
+    pub fn count_of<'a>(&self, adapters: impl Iterator<Item = &'a AdapterRef>) -> usize {
+        adapters
+            .filter_map(|adapter| self.groups.get(adapter))
+            .chain([&self.plain])
+            .map(WaitingGroup::len)
             .sum()
     }
 
@@ -99,27 +112,40 @@
     /// Returns whether requests wait for the adapter.
     #[must_use]
     pub fn has_adapter(&self, adapter: &AdapterRef) -> bool {
-        self.groups.contains_key(&Some(adapter.clone()))
+        self.groups.contains_key(adapter)
     }
 
     /// Iterates over the waiting requests of one adapter.
     pub fn of_adapter(&self, adapter: &AdapterRef) -> impl Iterator<Item = &QueuedItem> {
         self.groups
-            .get(&Some(adapter.clone()))
+            .get(adapter)
             .into_iter()
-            .flat_map(BTreeMap::values)
+            .flat_map(WaitingGroup::iter)
+    }
+
+    /// Returns the number of requests that wait for the adapter and the sum of their waits.
+    #[must_use]
+    pub fn demand(&self, adapter: &AdapterRef, now: Duration) -> (usize, Duration) {
+        self.groups
+            .get(adapter)
+            .map_or((0, Duration::ZERO), |group| {
+                (group.len(), group.total_wait(now))
+            })
     }
 
     /// Iterates over the adapters with waiting requests.
     pub fn adapters(&self) -> impl Iterator<Item = &AdapterRef> {
-        self.groups.keys().flatten()
+        self.groups.keys()
     }
 
     /// Iterates over the waiting requests by deadline, the earliest first.
     pub fn by_deadline(&self) -> impl Iterator<Item = &QueuedItem> {
         self.deadlines.iter().filter_map(|(_, request)| {
             let (adapter, tag) = self.places.get(request)?;
-            self.groups.get(adapter)?.get(tag)
+            match adapter {
+                None => self.plain.find(*tag),
+                Some(adapter) => self.groups.get(adapter)?.find(*tag),
+            }
         })
     }
 
--- a/src/policy/residency_policy.rs
+++ b/src/policy/residency_policy.rs
@@ -54,6 +54,13 @@
         self.state(adapter) == Some(SlotState::Resident)
     }
 
+    /// Iterates over the resident adapters.
+    pub fn residents(&self) -> impl Iterator<Item = &AdapterRef> {
+        self.adapters()
+            .filter(|(_, state)| *state == SlotState::Resident)
+            .map(|(adapter, _)| adapter)
+    }
+
     /// Iterates over the adapters that have a slot.
     pub fn adapters(&self) -> impl Iterator<Item = (&AdapterRef, SlotState)> {
         self.entries
--- a/src/policy/scheduler_dispatch.rs
+++ b/src/policy/scheduler_dispatch.rs
@@ -55,8 +55,7 @@
     }
 
     fn head(&self, rank: RequestRank) -> Option<&QueuedItem> {
-        self.queues[rank.index()]
-            .next(|adapter| adapter.is_none_or(|adapter| self.residency.is_resident(adapter)))
+        self.queues[rank.index()].next_of(self.residency.residents())
     }
 
     fn is_below_floor(&self, rank: RequestRank) -> bool {
@@ -71,9 +70,7 @@
             return;
         };
         let is_alone = head.item.is_alone;
-        let ready = self.queues[urgent.index()].count_ready(|adapter| {
-            adapter.is_none_or(|adapter| self.residency.is_resident(adapter))
-        });
+        let ready = self.queues[urgent.index()].count_of(self.residency.residents());
         let cancelled = self
             .running
             .values()
--- a/src/policy/scheduler_loads.rs
+++ b/src/policy/scheduler_loads.rs
@@ -39,6 +39,15 @@
         bids
     }
 
+    /// Returns whether any waiting request needs a load.
+    #[must_use]
+    pub fn has_bids(&self, now: Duration) -> bool {
+        self.queues
+            .iter()
+            .flat_map(super::RankQueue::adapters)
+            .any(|adapter| self.needs_permit(adapter, now))
+    }
+
     /// Returns whether requests wait for the adapter.
     pub(super) fn is_wanted(&self, adapter: &AdapterRef) -> bool {
         self.queues.iter().any(|queue| queue.has_adapter(adapter))
@@ -111,8 +120,10 @@
     fn worth(&self, adapter: &AdapterRef, now: Duration) -> f64 {
         self.queues
             .iter()
-            .flat_map(|queue| queue.of_adapter(adapter))
-            .map(|queued| 1.0 + now.saturating_sub(queued.queued_at).as_secs_f64())
+            .map(|queue| {
+                let (count, wait) = queue.demand(adapter, now);
+                f64::from(u32::try_from(count).unwrap_or(u32::MAX)) + wait.as_secs_f64()
+            })
             .sum()
     }
 
