Let loads share the weight store's speed while they are in flight

Cause: a load's slowdown was fixed at its start, so loads that joined later did not slow down the earlier ones, and loads of an engine that had restarted still counted as in flight. Ruled out: one factor per load at its end, which would need the whole history of the store.

--- a/crates/standins/src/engine/engine_loads.rs
+++ b/crates/standins/src/engine/engine_loads.rs
@@ -3,7 +3,6 @@
 use comfreychute::id::{AttemptId, EngineName, OwnerEpoch};
 use comfreychute::upstream::EngineOrder;
 use tokio::sync::watch;
-use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::engine_core::EngineCore;
@@ -57,13 +56,16 @@
         state.counters.loads += 1;
         let (core, name) = (Arc::clone(self), order.name.clone());
         let incarnation = state.incarnation;
+        let mut order = receiver.clone();
         let ticket = self
             .store
             .begin(settings.store_rate, settings.store_in_flight);
         tokio::spawn(async move {
-            sleep(settings.load_time.mul_f64(ticket.slowdown())).await;
-            drop(ticket);
-            core.end_load(&name, incarnation, !fails);
+            tokio::select! {
+                () = ticket.run(settings.load_time) => core.end_load(&name, incarnation, !fails),
+                // A restart or an eviction drops the sender, which ends the load.
+                _ = order.wait_for(|_| false) => {}
+            }
         });
         Ok(Some(receiver))
     }
