--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,10 +28,12 @@
 mod scheduler_config;
 mod scheduler_dispatch;
 mod scheduler_loads;
+mod scheduler_takeover;
 mod slot_state;
 mod suspect_list;
 mod suspect_verdict;
 mod upstream_scheduler;
+mod waiting_group;
 mod work_item;
 
 pub use admission_policy::AdmissionPolicy;
