--- a/src/command/node_command.rs
+++ b/src/command/node_command.rs
@@ -1,7 +1,7 @@
 use clap::Args;
 
 use super::CommandReport;
-use crate::error::{Error, ErrorKind, Result};
+use crate::error::Result;
 use crate::settings::{NodeSettings, SettingSources};
 use crate::telemetry::{JsonLogger, LogEvent, LogName};
 
@@ -40,15 +40,9 @@
                 LogEvent::new(LogName::StartFailed)
                     .with("reason", &error)
                     .send();
-                Err(Error::new(
-                    // An operator reads the fault; only the platform counts as unreachable here.
-                    if error.kind() == ErrorKind::Peer {
-                        ErrorKind::Settings
-                    } else {
-                        error.kind()
-                    },
-                    error.detail(),
-                ))
+                // The log has told it; text would break the JSON lines on standard error.
+                let report = CommandReport::from_error(&error);
+                Ok(CommandReport::new(report.exit, "", report.json))
             }
         }
     }
--- /dev/null
+++ b/tests/command_process.rs
@@ -0,0 +1,68 @@
+//! The binary: exit codes and the separation of its outputs.
+
+use std::process::{Command, Output};
+
+/// Runs the binary with arguments separated by spaces.
+fn run(arguments: &str) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_comfreychute"))
+        .args(arguments.split_whitespace())
+        .env_remove("COMFREYCHUTE_PLATFORM_ADDRESS")
+        .output()
+        .expect("the binary runs")
+}
+
+/// Guards against exit codes that scripts cannot rely on.
+#[test]
+fn exit_codes_are_the_documented_ones() {
+    let example = "--routes examples/lanka/routes.toml --pools examples/lanka/pools.toml";
+    // Nothing listens on the discard port of the loopback address.
+    let closed = "--platform 127.0.0.1:9 --timeout 500ms";
+    for (arguments, code) in [
+        (format!("check {example}"), 0),
+        ("check --settings missing.toml".to_owned(), 1),
+        ("node --settings missing.toml".to_owned(), 1),
+        ("drain upstream".to_owned(), 2),
+        (format!("show {closed}"), 3),
+        (format!("apply {example} {closed}"), 3),
+        ("where --admin 127.0.0.1:9 --timeout 500ms".to_owned(), 3),
+        (
+            "upstreams --admin 127.0.0.1:9 --timeout 500ms".to_owned(),
+            3,
+        ),
+    ] {
+        let output = run(&arguments);
+        assert_eq!(output.status.code(), Some(code), "{arguments}: {output:?}");
+    }
+}
+
+/// Guards against faults within the data that a script reads.
+#[test]
+fn faults_go_to_standard_error_and_json_to_standard_output() {
+    let text = run("check --settings missing.toml");
+    let json = run("--output json check --settings missing.toml");
+
+    assert!(text.stdout.is_empty() && !text.stderr.is_empty());
+    assert!(json.stderr.is_empty());
+    let report: serde_json::Value = serde_json::from_slice(&json.stdout).expect("one JSON object");
+    assert_eq!(report["faults"][0]["place"], "missing.toml");
+}
+
+/// Guards against a node that logs anything but JSON lines when it cannot start.
+#[test]
+fn a_node_logs_json_lines() {
+    let output = run(
+        "node --settings examples/lanka/node.toml --set caller.address=192.0.2.1:1 \
+                      --set peer.address=192.0.2.1:2 --set admin.address=192.0.2.1:3",
+    );
+
+    assert_ne!(output.status.code(), Some(0));
+    let log = String::from_utf8(output.stderr).expect("the log is text");
+    let events: Vec<serde_json::Value> = log
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a JSON line"))
+        .collect();
+    assert!(
+        events.iter().any(|line| line["event"] == "start_failed"),
+        "{log}"
+    );
+}
