--- a/src/config/config_store.rs
+++ b/src/config/config_store.rs
@@ -69,7 +69,8 @@
         if tables.revision <= self.revision() {
             return Ok(AdoptOutcome::Stale);
         }
-        let rows = checked_rows(&tables)?;
+        check(&tables)?;
+        let rows = TableRows::from_set(&tables)?;
         let mut state = self.state();
         if tables.revision <= state.revision {
             return Ok(AdoptOutcome::Stale);
@@ -99,9 +100,17 @@
             Err(_) if !delta.is_complete() => return Ok(AdoptOutcome::PullAgain(0)),
             Err(error) => return Err(error),
         };
-        let tables = rows.to_set(delta.revision)?;
-        checked_rows(&tables)?;
-        let delta = state.rows.diff(state.revision, &rows, delta.revision);
+        let tables = if delta.is_complete() {
+            rows.to_set(delta.revision)?
+        } else {
+            rows.patch(&self.current(), &delta)?
+        };
+        check(&tables)?;
+        let delta = if delta.is_complete() {
+            state.rows.diff(state.revision, &rows, delta.revision)
+        } else {
+            delta
+        };
         self.adopt(&mut state, tables, rows, delta);
         Ok(AdoptOutcome::Adopted)
     }
@@ -156,7 +165,7 @@
     }
 }
 
-fn checked_rows(tables: &TableSet) -> Result<TableRows> {
+fn check(tables: &TableSet) -> Result<()> {
     let faults = tables.check(&TableLines::default());
     if let Some(fault) = faults.first() {
         LogEvent::new(LogName::ConfigRefused)
@@ -169,5 +178,5 @@
             format!("revision {}: {fault}", tables.revision),
         ));
     }
-    TableRows::from_set(tables)
+    Ok(())
 }
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -3,11 +3,14 @@
 mod adapter_rule;
 mod chained_row;
 mod fencing_mode;
+mod pool_check;
 mod pool_kind;
 mod pool_row;
 mod pool_table;
+mod route_check;
 mod route_row;
 mod route_table;
+mod row_assembly;
 mod row_reader;
 mod store_row;
 mod table_check;
--- a/src/table/table_check.rs
+++ b/src/table/table_check.rs
@@ -1,16 +1,12 @@
 use std::collections::BTreeSet;
-use std::time::Duration;
 
-use super::{PoolKind, PoolRow, RouteRow, StoreRow, TableLines, TableSet, UpstreamRow};
+use super::{TableLines, TableSet, UpstreamRow};
 use crate::error::InputFault;
 
-/// A body travels in one peer frame of at most 4 MiB; the rest is left for headers and names.
-const MAX_BODY: u64 = 3 << 20;
-
 /// Checks the rows of both tables and the joins between them.
 #[derive(Debug)]
 pub(super) struct TableCheck<'a> {
-    set: &'a TableSet,
+    pub(super) set: &'a TableSet,
     lines: &'a TableLines,
     faults: Vec<InputFault>,
 }
@@ -73,105 +69,6 @@
         }
     }
 
-    fn check_route(&mut self, row: &RouteRow) {
-        let key = format!("route.{}", row.name);
-        match self.set.pools.pool(&row.pool) {
-            None => self.add(
-                &key,
-                &format!("pool {:?} does not exist", row.pool),
-                "name a pool of the pool table",
-            ),
-            Some(pool) if pool.kind == PoolKind::Model => self.check_model_route(&key, row, pool),
-            Some(_) => self.check_plain_route(&key, row),
-        }
-        if row.timeout.is_zero() || row.timeout > Duration::from_hours(24) {
-            self.add(
-                &key,
-                "timeout is zero or above 24h",
-                "use a duration from 1ms to 24h",
-            );
-        }
-        if row.max_body == 0 || row.max_body > MAX_BODY {
-            self.add(
-                &key,
-                "max_body is zero or does not fit into a peer frame",
-                "use a size from 1B to 3MiB",
-            );
-        }
-    }
-
-    fn check_model_route(&mut self, key: &str, row: &RouteRow, pool: &PoolRow) {
-        match &row.model {
-            None => self.add(
-                key,
-                &format!(
-                    "pool {:?} is a model pool and the route has no model",
-                    pool.name
-                ),
-                "add model with the base model of the pool",
-            ),
-            Some(model) if pool.model.as_ref() != Some(model) => self.add(
-                key,
-                &format!("model {model:?} is not the model of pool {:?}", pool.name),
-                "name the same base model in the route and in the pool",
-            ),
-            Some(_) => {}
-        }
-        if row.path.is_some() {
-            self.add(key, "a model route has a path", "remove path");
-        }
-        if row.adapters.is_empty() {
-            self.add(
-                key,
-                "a model route accepts no adapter",
-                "add adapters, such as adapters = [\"*@1\"]",
-            );
-        }
-        let mut seen = BTreeSet::new();
-        for rule in &row.adapters {
-            if !seen.insert(rule) {
-                self.add(
-                    key,
-                    &format!("adapter {rule} is listed twice"),
-                    "remove one of them",
-                );
-            }
-        }
-        if !row.repeatable {
-            self.add(
-                key,
-                "a model route is not repeatable",
-                "remove repeatable; only plain routes support calls that run at most once",
-            );
-        }
-    }
-
-    fn check_plain_route(&mut self, key: &str, row: &RouteRow) {
-        match &row.path {
-            None => self.add(
-                key,
-                &format!(
-                    "pool {:?} is a plain pool and the route has no path",
-                    row.pool
-                ),
-                "add path, such as path = \"/orders\"",
-            ),
-            Some(path) if !is_path(path) => self.add(
-                key,
-                &format!("path {path:?} has an unusable form"),
-                "start it with '/' and use neither '?', '#', '//', '..' nor spaces",
-            ),
-            Some(_) => {}
-        }
-        if row.model.is_some() || !row.adapters.is_empty() {
-            self.add(
-                key,
-                "a plain route names a model or adapters",
-                "remove model and adapters, or name a model pool",
-            );
-        }
-    }
-
     /// A model or a path that two routes match would hide the second one.
     fn check_matches(&mut self) {
         let mut models = BTreeSet::new();
@@ -199,93 +96,6 @@
         }
     }
 
-    fn check_store(&mut self, row: &StoreRow) {
-        let key = format!("store.{}", row.name);
-        if !row.loads_per_second.is_finite() || row.loads_per_second <= 0.0 {
-            self.add(
-                &key,
-                "loads_per_second is not positive",
-                "use the rate that the weight store allows the whole fleet",
-            );
-        }
-        if row.parallel == 0 {
-            self.add(&key, "parallel is zero", "use at least 1");
-        }
-        if row.max_in_flight < row.parallel {
-            self.add(
-                &key,
-                "max_in_flight is below parallel",
-                "use at least the value of parallel",
-            );
-        }
-        if row.load_time.is_zero() {
-            self.add(
-                &key,
-                "load_time is zero",
-                "use the time of one load, such as \"250ms\"",
-            );
-        }
-    }
-
-    fn check_pool(&mut self, row: &PoolRow) {
-        let key = format!("pool.{}", row.name);
-        let is_model = row.kind == PoolKind::Model;
-        if is_model && row.model.is_none() {
-            self.add(
-                &key,
-                "a model pool has no model",
-                "add model with the base model",
-            );
-        }
-        match &row.store {
-            None if is_model => self.add(
-                &key,
-                "a model pool has no weight store",
-                "add store with the name of a [[store]] row",
-            ),
-            Some(store) if is_model && self.set.pools.store(store).is_none() => self.add(
-                &key,
-                &format!("store {store:?} does not exist"),
-                "name a [[store]] row of the pool table",
-            ),
-            _ => {}
-        }
-        if !is_model && (row.model.is_some() || row.store.is_some()) {
-            self.add(
-                &key,
-                "a plain pool names a model or a store",
-                "remove model and store, or use kind = \"model\"",
-            );
-        }
-        if row.slots == 0 || row.max_running == 0 {
-            self.add(&key, "slots or max_running is zero", "use at least 1");
-        }
-        let is_share = |share: f64| (0.0..=1.0).contains(&share);
-        if !row.floors.values().copied().all(is_share)
-            || row.floors.values().sum::<f64>() > 1.0 + 1e-9
-        {
-            self.add(
-                &key,
-                "the floors are not shares that sum to at most 1",
-                "use shares from 0 to 1, such as floors = { standard = 0.2, batch = 0.1 }",
-            );
-        }
-        if !is_share(row.stall_weight) {
-            self.add(
-                &key,
-                "stall_weight is not from 0 to 1",
-                "use 1 to favour urgent service, 0 to favour full batches",
-            );
-        }
-        if row.frozen_owner_limit.is_zero() {
-            self.add(
-                &key,
-                "frozen_owner_limit is zero",
-                "use a duration such as \"60s\"",
-            );
-        }
-    }
-
     fn check_upstreams(&mut self) {
         let mut addresses = BTreeSet::new();
         for (
@@ -323,7 +133,7 @@
         }
     }
 
-    fn add(&mut self, key: &str, problem: &str, remedy: &str) {
+    pub(super) fn add(&mut self, key: &str, problem: &str, remedy: &str) {
         self.faults.push(InputFault {
             place: self.lines.place(key),
             subject: key.to_owned(),
@@ -341,12 +151,3 @@
             .bytes()
             .all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.'))
 }
-
-fn is_path(path: &str) -> bool {
-    path.starts_with('/')
-        && !path.contains("//")
-        && !path.split('/').any(|segment| segment == "..")
-        && path
-            .bytes()
-            .all(|byte| byte.is_ascii_graphic() && !matches!(byte, b'?' | b'#'))
-}
--- a/src/table/table_rows.rs
+++ b/src/table/table_rows.rs
@@ -1,14 +1,11 @@
 use std::collections::BTreeMap;
 
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::chained_row::{ChainedRow, in_order};
-use super::{
-    AdapterRule, PoolRow, PoolTable, RouteRow, RouteTable, StoreRow, TableDelta, TableSet,
-    UpstreamRow,
-};
+use super::chained_row::ChainedRow;
+use super::row_assembly::{EditFacts, RowAssembly, SET_KEY, escaped};
+use super::{AdapterRule, PoolRow, RouteRow, TableDelta, TableSet};
 use crate::error::{Error, ErrorKind};
 
 /// A table set as keyed rows of canonical JSON; the form in which changes travel between nodes.
@@ -22,18 +19,6 @@
     rows: BTreeMap<String, String>,
 }
 
-/// The key of the row with the facts about the edit.
-const SET_KEY: &str = "set";
-
-/// The facts about an edit that are not rows of a table.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct EditFacts {
-    operation: String,
-    author: String,
-    edited_at_ms: u64,
-}
-
 impl TableRows {
     /// Splits a checked set into rows.
     ///
@@ -105,53 +90,19 @@
     ///
     /// Fails if a row is malformed, or if the order of the rows has a gap.
     pub fn to_set(&self, revision: u64) -> Result<TableSet, Error> {
-        let facts = self.rows.get(SET_KEY).ok_or_else(|| {
-            Error::new(
-                ErrorKind::Protocol,
-                "the tables have no row with their author",
-            )
-        })?;
-        let facts: EditFacts = from_json(SET_KEY, facts)?;
-        let mut adapters = in_order(self.typed::<String>("adapter.")?)?;
-        let mut upstreams = in_order(self.typed::<UpstreamRow>("upstream.")?)?;
-        let mut routes = in_order(self.typed::<RouteRow>("route.")?)?
-            .remove(&None)
-            .unwrap_or_default();
-        for route in &mut routes {
-            let rules = adapters
-                .remove(&Some(route.name.clone()))
-                .unwrap_or_default();
-            route.adapters = rules
-                .iter()
-                .map(|rule| rule.parse())
-                .collect::<Result<_, Error>>()?;
-        }
-        let mut pools = in_order(self.typed::<PoolRow>("pool.")?)?
-            .remove(&None)
-            .unwrap_or_default();
-        for pool in &mut pools {
-            pool.upstreams = upstreams
-                .remove(&Some(pool.name.clone()))
-                .unwrap_or_default();
-        }
-        if let Some(parent) = adapters.into_keys().chain(upstreams.into_keys()).next() {
-            return Err(Error::new(
-                ErrorKind::Protocol,
-                format!("rows belong to {parent:?}, which is missing"),
-            ));
-        }
-        let stores = in_order(self.typed::<StoreRow>("store.")?)?
-            .remove(&None)
-            .unwrap_or_default();
-        Ok(TableSet {
-            revision,
-            operation: facts.operation,
-            author: facts.author,
-            edited_at_ms: facts.edited_at_ms,
-            recent_operations: Vec::new(),
-            routes: RouteTable { routes },
-            pools: PoolTable { stores, pools },
-        })
+        RowAssembly::new(&self.rows).whole(revision)
+    }
+
+    /// Joins the rows after a change, taking over from `base`, the set before it, the adapters of the
+    /// routes and the upstreams that the change leaves alone.
+    ///
+    /// With 13,000 adapters and 4,100 upstreams, parsing all rows takes most of the time of a change.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`TableRows::to_set`].
+    pub fn patch(&self, base: &TableSet, delta: &TableDelta) -> Result<TableSet, Error> {
+        RowAssembly::new(&self.rows).patched(base, delta)
     }
 
     /// Borrows the rows.
@@ -257,36 +208,4 @@
         self.rows.insert(key, json);
         Ok(())
     }
-
-    /// Types the rows whose keys start with `prefix` and names them by the rest of the key.
-    fn typed<T: DeserializeOwned>(
-        &self,
-        prefix: &str,
-    ) -> Result<Vec<(String, ChainedRow<T>)>, Error> {
-        self.rows
-            .range(prefix.to_owned()..)
-            .take_while(|(key, _)| key.starts_with(prefix))
-            .map(|(key, value)| {
-                let chained: ChainedRow<T> = from_json(key, value)?;
-                let rest = &key[prefix.len()..];
-                // Keys of adapters also contain the route, which is escaped and has no dot.
-                let name = if prefix == "adapter." {
-                    rest.split_once('.').map_or(rest, |(_, rule)| rule)
-                } else {
-                    rest
-                };
-                Ok((name.to_owned(), chained))
-            })
-            .collect()
-    }
-}
-
-fn from_json<T: DeserializeOwned>(key: &str, json: &str) -> Result<T, Error> {
-    serde_json::from_str(json)
-        .map_err(|error| Error::new(ErrorKind::Protocol, format!("row {key:?}: {error}")))
-}
-
-/// Escapes dots, so that the end of a route name within a key is known.
-fn escaped(name: &str) -> String {
-    name.replace('%', "%25").replace('.', "%2E")
 }
--- a/tests/table_delta.rs
+++ b/tests/table_delta.rs
@@ -173,9 +173,10 @@
 
         let applied = rows(&before)
             .apply(&TableDelta::from_message(message_of(&delta)))
-            .and_then(|rows| rows.to_set(2));
+            .expect("the change fits");
 
-        prop_assert_eq!(applied.expect("the change fits"), after);
+        prop_assert_eq!(&applied.to_set(2).expect("the rows are whole"), &after);
+        prop_assert_eq!(applied.patch(&before, &delta).expect("the rows are whole"), after);
     }
 
     /// Guards against joined changes that differ from the changes one by one.
