--- a/src/member/member_state.rs
+++ b/src/member/member_state.rs
@@ -9,6 +9,8 @@
     pub(super) domain: DomainId,
     pub(super) listing: ListState,
     pub(super) link: LinkState,
+    /// Whether the mesh keeps a link to the instance, so that silence tells something.
+    pub(super) is_kept: bool,
     /// Whether the instance said that it is shutting down.
     pub(super) is_draining: bool,
     /// When it was last heard.
@@ -49,6 +51,7 @@
             domain,
             listing: ListState::Unlisted,
             link: LinkState::Down,
+            is_kept: true,
             is_draining: false,
             heard_at: None,
             incarnation: None,
@@ -60,6 +63,15 @@
         matches!(self.listing, ListState::Listed { .. })
     }
 
+    /// Returns whether the process that was last heard has certainly ended.
+    pub(super) const fn has_ended(&self) -> bool {
+        match self.link {
+            LinkState::Up => false,
+            LinkState::Refused => true,
+            LinkState::Down => matches!(self.listing, ListState::Removed),
+        }
+    }
+
     /// Returns whether the instance counts as live.
     pub(super) fn is_live(&self, now: Duration, timeout: Duration) -> bool {
         let is_recent = |since: Duration| now.saturating_sub(since) <= timeout;
@@ -68,7 +80,9 @@
             (LinkState::Up, _) => true,
             (LinkState::Refused, _) | (LinkState::Down, ListState::Removed) => false,
             (LinkState::Down, ListState::Unlisted) => is_heard,
-            (LinkState::Down, ListState::Listed { since, .. }) => is_heard || is_recent(since),
+            (LinkState::Down, ListState::Listed { since, .. }) => {
+                is_heard || is_recent(since) || !self.is_kept
+            }
         }
     }
 
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -1,6 +1,11 @@
 //! Tests of the peer protocol: codec, handshake, links and mesh, on loopback.
 
 mod calls;
+mod codec;
 mod failures;
 mod fixture;
+mod handshake;
+mod link_rules;
+mod raw_peer;
 mod test_proxy;
+mod traffic;
