--- a/tests/command_process.rs
+++ b/tests/command_process.rs
@@ -1,6 +1,12 @@
 //! The binary: exit codes and the separation of its outputs.
 
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
+
+use comfreychute::audit::{AuditKind, AuditTrail};
+use comfreychute::platform::ObjectStore;
+use comfreychute_standins::PlatformStandin;
+use comfreychute_standins::platform::PlatformSettings;
+use tokio::io::{AsyncBufReadExt, BufReader};
 
 /// Runs the binary with arguments separated by spaces.
 fn run(arguments: &str) -> Output {
@@ -66,3 +72,49 @@
         "{log}"
     );
 }
+
+/// Guards against a follower that shows a record twice, late only at its end, or never.
+#[tokio::test]
+async fn audit_follows_new_records() {
+    let standin = PlatformStandin::start(PlatformSettings::default())
+        .await
+        .expect("the stand-in starts");
+    let store = ObjectStore::new(standin.address(), std::time::Duration::from_secs(2));
+    let trail = AuditTrail::new(store, "node-1");
+    let record = |subject: &str| {
+        trail.record(
+            AuditKind::OwnerChange,
+            subject,
+            ("node-2", "node-1"),
+            "takeover",
+            3,
+        );
+    };
+    record("engine-1");
+    trail.finish(3).await;
+    let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_comfreychute"))
+        .args([
+            "audit",
+            "--follow",
+            "--hours",
+            "2",
+            "--output",
+            "json",
+            "--platform",
+        ])
+        .arg(standin.address().to_string())
+        .stdout(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the binary runs");
+    let mut lines = BufReader::new(child.stdout.take().expect("the output is piped")).lines();
+
+    let first = lines.next_line().await.expect("readable").expect("a line");
+    record("engine-2");
+    trail.finish(3).await;
+    let second = lines.next_line().await.expect("readable").expect("a line");
+
+    assert!(first.contains("engine-1"), "{first}");
+    assert!(second.contains("engine-2"), "{second}");
+    child.kill().await.expect("the child can be ended");
+}
