Test load permits over holder changes, pauses and cuts

The limits of a weight store must hold for the whole fleet, not only for one holder.

The wait of a new holder is now the sum of the longest load, the validity of a grant and 5/4 of the lease. The former maximum of longest load and lease was too short: a predecessor may grant a permit at the end of its lease whose load then takes the longest time. This costs 9.75 s without loads after a change of the holder, for a longest load of 5 s (20 times the load time).

Loops of the claim tests that wait for a call are now bounded; a fault put in on purpose made one of them spin.

--- a/src/permit/store_bucket.rs
+++ b/src/permit/store_bucket.rs
@@ -32,10 +32,10 @@
     /// Creates an empty bucket; `term` is a number that no other holder or restart uses.
     pub(super) fn new(row: &StoreRow, config: &HolderConfig, term: u64, now: Duration) -> Self {
         let mut limits = PermitConfig::from_row(row);
-        // A predecessor may go on granting until it learns of the change, at most one lease, and
-        // its last permits may be used up to the end of their validity.
-        limits.longest_load =
-            limits.longest_load.max(config.lease + limits.load_time) + config.grant_time;
+        // A predecessor goes on granting until it learns of the change: at most one lease, and a
+        // quarter more for the heartbeat that tells it. The last permit may be used until the end
+        // of its validity, and its load takes as long as a load may take.
+        limits.longest_load += config.lease * 5 / 4 + config.grant_time;
         Self {
             row: row.clone(),
             bucket: PermitBucket::new(limits, now),
--- a/tests/claim/bench.rs
+++ b/tests/claim/bench.rs
@@ -8,7 +8,7 @@
 };
 use comfreychute::id::{AttemptId, CallerId};
 
-use crate::fake_store::FakeStore;
+use crate::fake_store::{CallFate, FakeStore};
 use crate::fixtures::{answer_of, attempt_of, instance_of};
 
 /// A claim store over an object store that answers at once, with a clock and a live flag.
@@ -49,6 +49,17 @@
             .await
     }
 
+    /// Ends the next call of the object store, which has to come within a bounded time.
+    pub async fn resolve_next(&self, fate: CallFate) {
+        for _ in 0..1_000 {
+            if self.fake.resolve(|_| true, 0, fate) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        panic!("expected a call that ends with {fate:?}");
+    }
+
     pub async fn finish_with(&self, number: u32, body: usize) -> ClaimKey {
         let key = ClaimKey::new(&CallerId::from_name("c"), "r", &number.to_string());
         let attempt = attempt_of(number);
--- a/tests/claim/rules.rs
+++ b/tests/claim/rules.rs
@@ -1,7 +1,6 @@
 //! The answers to claims in each state of an earlier claim.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use comfreychute::claim::ClaimOutcome;
 use comfreychute::{ErrorKind, RunState};
@@ -92,9 +91,7 @@
     };
     let faults = async {
         for fate in [CallFate::Succeed, CallFate::LoseReply] {
-            while !bench.fake.resolve(|_| true, 0, fate) {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            bench.resolve_next(fate).await;
         }
         bench.fake.set_immediate(true);
     };
@@ -127,9 +124,7 @@
             CallFate::Fail,
             CallFate::Fail,
         ] {
-            while !bench.fake.resolve(|_| true, 0, fate) {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            bench.resolve_next(fate).await;
         }
     };
 
--- /dev/null
+++ b/tests/permit/asking.rs
@@ -0,0 +1,227 @@
+//! The client and the endpoint of the holder.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use comfreychute::id::InstanceId;
+use comfreychute::peer::{PermitBid, PermitDone, PermitGrant};
+use comfreychute::permit::{ClientConfig, ClientHooks, PermitClient, PermitEndpoint};
+use comfreychute::time::ClockSource;
+use comfreychute::{Error, ErrorKind};
+use futures_util::FutureExt;
+
+use crate::fixtures::{adapter, lanka, open_holder, upstream};
+
+const WAIT: Duration = Duration::from_millis(500);
+
+/// An endpoint whose bucket is full, and its clock.
+fn open_endpoint() -> (PermitEndpoint, ClockSource) {
+    let (holder, now) = open_holder(&lanka());
+    let clock = ClockSource::virtual_time();
+    clock.advance(now);
+    (PermitEndpoint::new(holder, clock.clone(), WAIT), clock)
+}
+
+fn bid_of(number: usize) -> PermitBid {
+    PermitBid {
+        store: "weights".to_owned(),
+        upstream: upstream(number).as_str().to_owned(),
+        adapter: adapter(number).to_string(),
+        value: 1.0,
+    }
+}
+
+fn in_flight(endpoint: &PermitEndpoint) -> usize {
+    let mut count = 0;
+    endpoint.update(|holder, _| count = holder.in_flight("weights"));
+    count
+}
+
+/// Guards against a bid that is lost between holder and waiter.
+#[tokio::test(start_paused = true)]
+async fn a_waiting_bid_is_granted_when_the_bucket_refills() {
+    let (endpoint, clock) = open_endpoint();
+
+    let first = endpoint.bid(&bid_of(1)).await.expect("the bid is accepted");
+    let waiting = tokio::spawn({
+        let endpoint = endpoint.clone();
+        async move { endpoint.bid(&bid_of(2)).await }
+    });
+    tokio::task::yield_now().await;
+    clock.advance(Duration::from_millis(400));
+    endpoint.tick();
+    let second = waiting.await.expect("the bid does not panic");
+
+    assert_ne!(first.permit, 0);
+    assert_eq!(first.valid_ms, 1_000);
+    assert_ne!(second.expect("the bid is accepted").permit, 0);
+}
+
+/// Guards against grants to bids that nobody waits for, which would waste the rate.
+#[tokio::test(start_paused = true)]
+async fn a_bid_without_waiter_is_withdrawn() {
+    let (endpoint, clock) = open_endpoint();
+    endpoint.bid(&bid_of(1)).await.expect("the bid is accepted");
+
+    let timed_out = endpoint.bid(&bid_of(2)).await.expect("the bid is accepted");
+    let mut waiting = 0;
+    endpoint.update(|holder, _| waiting = holder.waiting("weights"));
+    clock.advance(Duration::from_millis(400));
+    endpoint.tick();
+
+    assert_eq!(timed_out.permit, 0);
+    assert_eq!(waiting, 0);
+    assert_eq!(in_flight(&endpoint), 1);
+}
+
+/// Guards against a permit that stays in flight because its receiver went away with the grant.
+#[tokio::test(start_paused = true)]
+async fn a_grant_that_nobody_receives_is_freed() {
+    let (endpoint, clock) = open_endpoint();
+    endpoint.bid(&bid_of(1)).await.expect("the bid is accepted");
+    let mut waiting = Box::pin({
+        let endpoint = endpoint.clone();
+        async move { endpoint.bid(&bid_of(2)).await }
+    });
+    assert!(waiting.as_mut().now_or_never().is_none());
+    clock.advance(Duration::from_millis(400));
+    endpoint.tick();
+    let before = in_flight(&endpoint);
+
+    drop(waiting);
+
+    assert_eq!(before, 2);
+    assert_eq!(in_flight(&endpoint), 1);
+}
+
+/// Guards against the loop of the endpoint that misses the time of the next grant.
+#[tokio::test(start_paused = true)]
+async fn the_endpoint_grants_without_further_bids() {
+    let (holder, _) = open_holder(&lanka());
+    let clock = ClockSource::virtual_time();
+    clock.advance(Duration::from_secs(12));
+    let endpoint = PermitEndpoint::new(holder, clock.clone(), Duration::from_secs(30));
+    let task = tokio::spawn(endpoint.clone().run());
+    endpoint.bid(&bid_of(1)).await.expect("the bid is accepted");
+
+    let waiting = tokio::spawn({
+        let endpoint = endpoint.clone();
+        async move { endpoint.bid(&bid_of(2)).await }
+    });
+    tokio::task::yield_now().await;
+    clock.advance(Duration::from_millis(400));
+    let second = waiting.await.expect("the bid does not panic");
+    let second = second.expect("the bid is accepted");
+    task.abort();
+
+    assert_ne!(second.permit, 0);
+}
+
+/// A client whose bids reach the endpoint, on a clock that `delay` moves forward on the way back.
+fn client_of(endpoint: &PermitEndpoint, clock: &ClockSource, delay: Duration) -> PermitClient {
+    let (bids, dones, moved) = (endpoint.clone(), endpoint.clone(), clock.clone());
+    let hooks = ClientHooks::new(
+        || Some(InstanceId::from_name("entry-1")),
+        move |_, bid| {
+            let (endpoint, clock) = (bids.clone(), moved.clone());
+            async move {
+                let grant = endpoint.bid(&bid).await;
+                clock.advance(delay);
+                grant
+            }
+            .boxed()
+        },
+        move |_, done| {
+            dones.done(&done);
+            async { Ok(()) }.boxed()
+        },
+    );
+    PermitClient::new(ClientConfig::default(), hooks, clock.clone())
+}
+
+/// Guards against a load that starts long after its permit was granted.
+#[tokio::test(start_paused = true)]
+async fn a_grant_that_arrives_late_is_returned_unused() {
+    for (delay, is_usable) in [(999, true), (1_000, false)] {
+        let (endpoint, clock) = open_endpoint();
+        let client = client_of(&endpoint, &clock, Duration::from_millis(delay));
+
+        let permit = client
+            .acquire("weights", &upstream(1), &adapter(1), 1.0)
+            .await
+            .expect("the holder answers");
+
+        assert_eq!(permit.is_some(), is_usable, "after {delay} ms");
+        assert_eq!(in_flight(&endpoint), usize::from(is_usable));
+        if let Some(permit) = permit {
+            assert!(permit.is_valid(clock.now()));
+            client.finish(permit, true).await;
+            assert_eq!(in_flight(&endpoint), 0);
+        }
+    }
+}
+
+/// Guards against a client that waits forever for a holder that does not answer, and against bids
+/// that pile up meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_silent_holder_fails_the_bid() {
+    let hooks = ClientHooks::new(
+        || Some(InstanceId::from_name("entry-1")),
+        |_, _| std::future::pending().boxed(),
+        |_, _| std::future::pending().boxed(),
+    );
+    let config = ClientConfig {
+        ask_limit: 1,
+        ..ClientConfig::default()
+    };
+    let client = PermitClient::new(config, hooks, ClockSource::virtual_time());
+    let (worker, style) = (upstream(1), adapter(1));
+
+    let (first, second) = tokio::join!(
+        client.acquire("weights", &worker, &style, 1.0),
+        client.acquire("weights", &worker, &style, 1.0),
+    );
+
+    assert_eq!(first.map_err(|error| error.kind()), Err(ErrorKind::Peer));
+    let second = second.map_err(|error| error.kind());
+    assert_eq!(second, Err(ErrorKind::Overloaded));
+}
+
+/// Guards against a permit that stays in flight because one message was lost.
+#[tokio::test(start_paused = true)]
+async fn the_return_of_a_permit_is_tried_again() {
+    let tries = Arc::new(AtomicU32::new(0));
+    let returned = Arc::new(Mutex::new(Vec::<PermitDone>::new()));
+    let (count, kept) = (Arc::clone(&tries), Arc::clone(&returned));
+    let hooks = ClientHooks::new(
+        || Some(InstanceId::from_name("entry-1")),
+        |_, _| {
+            let grant = PermitGrant {
+                permit: 9,
+                valid_ms: 1_000,
+            };
+            async { Ok(grant) }.boxed()
+        },
+        move |_, done| {
+            if count.fetch_add(1, Ordering::Relaxed) == 0 {
+                return async { Err(Error::new(ErrorKind::Peer, "lost")) }.boxed();
+            }
+            kept.lock().expect("no panic under this lock").push(done);
+            async { Ok(()) }.boxed()
+        },
+    );
+    let client = PermitClient::new(ClientConfig::default(), hooks, ClockSource::virtual_time());
+    let permit = client
+        .acquire("weights", &upstream(1), &adapter(1), 1.0)
+        .await
+        .expect("the holder answers")
+        .expect("a permit is granted");
+
+    client.finish(permit, true).await;
+
+    let returned = returned.lock().expect("no panic under this lock");
+    assert_eq!(tries.load(Ordering::Relaxed), 2);
+    assert_eq!(returned.len(), 1);
+    assert_eq!((returned[0].permit, returned[0].is_used), (9, true));
+}
--- /dev/null
+++ b/tests/permit/fleet_member.rs
@@ -0,0 +1,85 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use comfreychute::id::DomainId;
+use comfreychute::permit::{HolderConfig, HolderGrant, PermitHolder, counted_domains};
+use comfreychute::table::StoreRow;
+
+use crate::fixtures::{adapter, upstream};
+
+/// Silence after which an instance counts as dead.
+const DEAD_AFTER: Duration = Duration::from_secs(3);
+
+/// One instance of a fleet.
+pub struct FleetMember {
+    pub domain: usize,
+    pub holder: PermitHolder,
+    /// Time until which the instance does nothing.
+    pub stopped_until: Duration,
+    /// Whether the instance is a new process once it goes on.
+    pub is_replaced: bool,
+    /// When each other instance was last heard, and what domains it reached.
+    pub heard: BTreeMap<usize, (Duration, BTreeSet<DomainId>)>,
+    next_adapter: usize,
+}
+
+impl FleetMember {
+    pub fn new(domain: usize, salt: u64, row: &StoreRow, now: Duration) -> Self {
+        let mut holder = PermitHolder::new(HolderConfig::default(), salt, now);
+        holder.set_stores(std::slice::from_ref(row), now);
+        Self {
+            domain,
+            holder,
+            stopped_until: Duration::ZERO,
+            is_replaced: false,
+            heard: BTreeMap::new(),
+            next_adapter: 0,
+        }
+    }
+
+    /// Returns the domains that the instance reaches.
+    pub fn reachable(&self, domains: &[usize], now: Duration) -> BTreeSet<DomainId> {
+        self.live(now)
+            .map(|member| domain_id(domains[member]))
+            .chain([domain_id(self.domain)])
+            .collect()
+    }
+
+    /// Takes its role from its own view, collects bids and grants.
+    ///
+    /// Members are ordered by their index instead of a hash; the first live one is the holder.
+    pub fn act(&mut self, own: usize, domains: &[usize], now: Duration) -> Vec<HolderGrant> {
+        let first = self.live(now).chain([own]).min();
+        let reachable = self.reachable(domains, now);
+        let reports = self
+            .live(now)
+            .map(|member| (domain_id(domains[member]), self.heard[&member].1.clone()))
+            .collect::<Vec<_>>();
+        let counted = counted_domains(&domain_id(self.domain), &reachable, &reports);
+        let total = domains.iter().collect::<BTreeSet<_>>().len();
+        let total = u32::try_from(total).expect("a few domains");
+        self.holder.set_reach(counted, total, now);
+        self.holder.set_holding(first == Some(own), now);
+        for _ in 0..2 {
+            self.next_adapter += 1;
+            let name = adapter(self.next_adapter);
+            // Refusals by members that do not hold are expected.
+            let _refused = self
+                .holder
+                .bid("weights", &upstream(own), &name, 1.0, now)
+                .is_err();
+        }
+        self.holder.grants(now)
+    }
+
+    fn live(&self, now: Duration) -> impl Iterator<Item = usize> {
+        self.heard
+            .iter()
+            .filter(move |(_, (at, _))| now.saturating_sub(*at) < DEAD_AFTER)
+            .map(|(member, _)| *member)
+    }
+}
+
+fn domain_id(number: usize) -> DomainId {
+    DomainId::from_name(&format!("zone-{number}"))
+}
--- /dev/null
+++ b/tests/permit/rules.rs
@@ -0,0 +1,218 @@
+//! Rules of a single holder.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use comfreychute::ErrorKind;
+use comfreychute::id::DomainId;
+use comfreychute::permit::{HolderConfig, PermitHolder, counted_domains};
+
+use crate::fixtures::{FIRST_WAIT, adapter, brannock, fresh_holder, lanka, open_holder, upstream};
+
+const STORE: &str = "weights";
+
+/// Guards against a load that waits behind less valuable ones.
+#[test]
+fn the_most_valuable_bid_is_granted_first() {
+    let (mut holder, now) = open_holder(&lanka());
+    for (number, value) in [(1, 5.0), (2, 9.0), (3, 7.0)] {
+        holder
+            .bid(STORE, &upstream(number), &adapter(number), value, now)
+            .expect("the holder accepts bids");
+    }
+
+    let first = holder.grants(now);
+    let second = holder.grants(now + Duration::from_millis(400));
+
+    assert_eq!(first.len(), 1);
+    assert_eq!(first[0].adapter, adapter(2));
+    assert_eq!(second.len(), 1);
+    assert_eq!(second[0].adapter, adapter(3));
+}
+
+/// Guards against grants for bids whose owner has gone away.
+#[test]
+fn a_bid_expires_unless_it_is_renewed() {
+    let (mut holder, now) = open_holder(&lanka());
+    let bid = |holder: &mut PermitHolder, number, now| {
+        holder
+            .bid(STORE, &upstream(number), &adapter(number), 1.0, now)
+            .expect("the holder accepts bids");
+    };
+    for number in 1..=3 {
+        bid(&mut holder, number, now);
+    }
+
+    let first = holder.grants(now);
+    bid(&mut holder, 3, now + Duration::from_secs(1));
+    let rest = holder.grants(now + Duration::from_secs(2));
+
+    assert_eq!(first[0].adapter, adapter(1));
+    assert_eq!(rest.len(), 1);
+    assert_eq!(rest[0].adapter, adapter(3));
+    assert_eq!(holder.waiting(STORE), 0);
+}
+
+/// Guards against loads that exceed the limits because a predecessor's loads still run.
+#[test]
+fn a_new_holder_waits_for_the_loads_of_its_predecessor() {
+    let start = Duration::from_secs(50);
+    let mut holder = fresh_holder(&lanka(), start);
+    let mut first = None;
+    let mut now = start;
+    while first.is_none() {
+        now += Duration::from_millis(50);
+        holder
+            .bid(STORE, &upstream(1), &adapter(1), 1.0, now)
+            .expect("the holder accepts bids");
+        first = holder.grants(now).pop();
+    }
+
+    let waited = now.saturating_sub(start);
+    assert!(waited >= FIRST_WAIT, "{waited:?}");
+    assert!(waited <= FIRST_WAIT + Duration::from_millis(400));
+}
+
+/// Guards against a holder that goes on with its old state although another one has taken over.
+#[test]
+fn a_pause_longer_than_the_lease_starts_over() {
+    let lease = HolderConfig::default().lease;
+    for (pause, is_open) in [(lease, true), (lease + Duration::from_millis(1), false)] {
+        let (mut holder, now) = open_holder(&lanka());
+        let now = now + pause;
+        holder
+            .bid(STORE, &upstream(1), &adapter(1), 1.0, now)
+            .expect("the holder accepts bids");
+
+        let granted = holder.grants(now).len();
+
+        assert_eq!(granted == 1, is_open, "after a pause of {pause:?}");
+    }
+}
+
+/// Guards against a slot that is freed by the return of a permit of an earlier term.
+#[test]
+fn a_permit_of_an_earlier_term_frees_nothing() {
+    let (mut holder, now) = open_holder(&lanka());
+    let grant = |holder: &mut PermitHolder, now| {
+        holder
+            .bid(STORE, &upstream(1), &adapter(1), 1.0, now)
+            .expect("the holder accepts bids");
+        holder.grants(now).pop()
+    };
+    let old = grant(&mut holder, now).expect("the bucket is full");
+    holder.set_holding(false, now);
+    holder.set_holding(true, now);
+    let mut now = now;
+    let new = loop {
+        now += Duration::from_millis(500);
+        if let Some(new) = grant(&mut holder, now) {
+            break new;
+        }
+    };
+
+    holder.done(STORE, old.permit, now);
+    let with_old = holder.in_flight(STORE);
+    holder.done(STORE, new.permit, now);
+
+    assert_ne!(old.permit, new.permit);
+    assert_eq!(with_old, 1);
+    assert_eq!(holder.in_flight(STORE), 0);
+}
+
+/// Guards against a slot that stays taken because the report of the end was lost.
+#[test]
+fn a_lost_report_frees_the_permit_after_the_longest_load() {
+    let (mut holder, now) = open_holder(&brannock());
+    let mut step = now;
+    while holder.in_flight(STORE) < 16 {
+        step += Duration::from_millis(250);
+        holder
+            .bid(STORE, &upstream(1), &adapter(1), 1.0, step)
+            .expect("the holder accepts bids");
+        holder.grants(step);
+        assert!(step < now + FIRST_WAIT, "the limit is reached");
+    }
+
+    let mut freed = step;
+    while holder.in_flight(STORE) > 0 {
+        freed += Duration::from_millis(250);
+        holder.grants(freed);
+        assert!(freed <= step + FIRST_WAIT, "all permits are freed");
+    }
+}
+
+/// Guards against unbounded memory, and against valuable bids that are lost behind others.
+#[test]
+fn a_full_queue_keeps_the_most_valuable_bids() {
+    let now = Duration::ZERO;
+    let config = HolderConfig {
+        bid_limit: 2,
+        ..HolderConfig::default()
+    };
+    let mut holder = PermitHolder::new(config, 7, now);
+    holder.set_stores(&[lanka()], now);
+    holder.set_holding(true, now);
+    let mut bid =
+        |number, value| holder.bid(STORE, &upstream(number), &adapter(number), value, now);
+
+    let kept = [bid(1, 5.0).is_ok(), bid(2, 6.0).is_ok()];
+    let low = bid(3, 4.0).map_err(|error| error.kind());
+    let high = bid(4, 7.0).is_ok();
+
+    assert_eq!(kept, [true, true]);
+    assert_eq!(low, Err(ErrorKind::Overloaded));
+    assert!(high);
+    assert_eq!(holder.waiting(STORE), 2);
+}
+
+/// Guards against bids at an instance that is not the holder, for unknown stores, and against
+/// values that cannot be ordered.
+#[test]
+fn bids_that_cannot_be_granted_are_refused() {
+    let now = Duration::ZERO;
+    let mut holder = PermitHolder::new(HolderConfig::default(), 7, now);
+    holder.set_stores(&[lanka()], now);
+    let bid = |holder: &mut PermitHolder, store, value| {
+        holder
+            .bid(store, &upstream(1), &adapter(1), value, now)
+            .map_err(|error| error.kind())
+    };
+
+    let without_role = bid(&mut holder, STORE, 1.0);
+    holder.set_holding(true, now);
+    let unknown = bid(&mut holder, "other", 1.0);
+    let without_order = bid(&mut holder, STORE, f64::NAN);
+
+    assert_eq!(without_role, Err(ErrorKind::Unavailable));
+    assert_eq!(unknown, Err(ErrorKind::NotFound));
+    assert_eq!(without_order, Err(ErrorKind::BadRequest));
+}
+
+/// Guards against two holders that both count a domain which reaches both of them.
+#[test]
+fn a_domain_with_another_view_is_not_counted() {
+    let set = |names: &[&str]| {
+        names
+            .iter()
+            .map(|name| DomainId::from_name(name))
+            .collect::<BTreeSet<_>>()
+    };
+    let id = DomainId::from_name;
+    let all = set(&["a", "b", "c"]);
+
+    let whole = counted_domains(
+        &id("a"),
+        &all,
+        &[(id("b"), all.clone()), (id("c"), all.clone())],
+    );
+    let partial = counted_domains(&id("a"), &set(&["a", "b"]), &[(id("b"), all.clone())]);
+    let divided = counted_domains(
+        &id("a"),
+        &set(&["a", "b"]),
+        &[(id("b"), set(&["a", "b"])), (id("b"), all.clone())],
+    );
+    let alone = counted_domains(&id("a"), &set(&["a"]), &[]);
+
+    assert_eq!((whole, partial, divided, alone), (3, 1, 1, 1));
+}
