--- a/tests/permit/rules.rs
+++ b/tests/permit/rules.rs
@@ -73,6 +73,40 @@
     assert!(waited <= FIRST_WAIT + Duration::from_millis(400));
 }
 
+/// Guards against a holder that uses the share of a returning domain while the loads that the
+/// domain's own holder has permitted still run.
+#[test]
+fn a_grown_share_waits_for_the_loads_of_the_other_side() {
+    let (mut holder, start) = open_holder(&lanka());
+    holder.set_reach(1, 2, start);
+    let mut now = start;
+    let mut granted = 0;
+    let mut run_until = |holder: &mut PermitHolder, end: Duration| {
+        granted = 0;
+        while now < end {
+            now += Duration::from_millis(20);
+            holder
+                .bid(STORE, &upstream(1), &adapter(1), 1.0, now)
+                .expect("the holder accepts bids");
+            for grant in holder.grants(now) {
+                granted += 1;
+                holder.done(STORE, grant.permit, now);
+            }
+        }
+        granted
+    };
+
+    let half = run_until(&mut holder, start + Duration::from_secs(20));
+    let healed = start + Duration::from_secs(20);
+    holder.set_reach(2, 2, healed);
+    let waiting = run_until(&mut holder, healed + FIRST_WAIT);
+    let whole = run_until(&mut holder, healed + FIRST_WAIT + Duration::from_secs(20));
+
+    assert!((28..=31).contains(&half), "{half}");
+    assert_eq!(waiting, 0);
+    assert!((57..=60).contains(&whole), "{whole}");
+}
+
 /// Guards against a holder that goes on with its old state although another one has taken over.
 #[test]
 fn a_pause_longer_than_the_lease_starts_over() {
