--- a/src/policy/residency_policy.rs
+++ b/src/policy/residency_policy.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Sets the number of slots.
+    pub const fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
     /// Returns the state of an adapter's slot.
     #[must_use]
     pub fn state(&self, adapter: &AdapterRef) -> Option<SlotState> {
@@ -56,10 +61,16 @@
 
     /// Iterates over the resident adapters.
     pub fn residents(&self) -> impl Iterator<Item = &AdapterRef> {
+        self.adapters()
+            .filter(|(_, state)| *state == SlotState::Resident)
+            .map(|(adapter, _)| adapter)
+    }
+
+    /// Iterates over the adapters that have a slot.
+    pub fn adapters(&self) -> impl Iterator<Item = (&AdapterRef, SlotState)> {
         self.entries
             .iter()
-            .filter(|(_, entry)| entry.state == SlotState::Resident)
-            .map(|(adapter, _)| adapter)
+            .map(|(adapter, entry)| (adapter, entry.state))
     }
 
     /// Returns whether a load may start.
@@ -196,8 +207,8 @@
                 idle.iter()
                     .take(kept)
                     .min_by(|left, right| {
-                        self.popularity(left.0, now)
-                            .total_cmp(&self.popularity(right.0, now))
+                        let standing = |adapter| self.popularity.standing(adapter, now);
+                        standing(left.0).total_cmp(&standing(right.0))
                     })
                     .map(|(adapter, _)| (*adapter).clone())
             }
