Model the use of a former owner's adapters

The present owner may also dispatch to names of a former epoch, so that a late eviction by the former owner matters as well.

--- a/spec/owner.pml
+++ b/spec/owner.pml
@@ -2,19 +2,21 @@
  *
  * Owner 1 loads, dispatches and evicts under names with its epoch. It may stop between any two
  * steps, and its orders may be under way for any time. Owner 2 takes over with a higher epoch and
- * wants the slots that names of epoch 1 take. Name e is the adapter loaded with epoch e.
+ * wants to use the names of epoch 1, or the slots that they take. Name e is the adapter loaded with epoch e.
  *
  * CHECKED: the engine rejects orders of an epoch below the highest it has seen, requests
  * included. Otherwise it ignores epochs.
  *
  * Mutants: PLAIN_NAMES (names without epoch), SILENCE (a foreign name is evicted after long
  * silence of its owner), NO_DRAIN (after the death of its owner at once, although its orders may
- * be under way), COMPLETE_UNFENCED (a checking engine accepts requests of any epoch), FENCE_LAST
+ * be under way), RELEASE_EARLY (a handover before the engine has answered the last
+ * eviction), COMPLETE_UNFENCED (a checking engine accepts requests of any epoch), FENCE_LAST
  * (the status is read before the engine has seen the new epoch). */
 mtype = { LOAD, EVICT, COMPLETE, FENCE };
 
 bool resident[3];
-byte running[3];
+byte running[3];        /* requests of the name's own epoch that run on it */
+byte adopted;           /* requests of owner 2 that run on name 1 */
 byte fence;
 bool lease = true;      /* owner 1 believes in its lease; ends at any time */
 bool released = false;  /* owner 1 has handed over */
@@ -24,12 +26,14 @@
 bool is_fenced = false; /* the engine has confirmed the epoch of owner 2 */
 
 /* Orders under way, in any order: kind, name, epoch of the sender. */
-chan wire = [4] of { mtype, byte, byte };
+chan wire = [5] of { mtype, byte, byte };
 
 #ifdef PLAIN_NAMES
 #define name_of(e) 1
+#define is_own(name, by) (by == 1)
 #else
 #define name_of(e) e
+#define is_own(name, by) (name == by)
 #endif
 
 #ifdef CHECKED
@@ -54,12 +58,14 @@
       if \
       :: accepts(by) -> \
         assert(running[name] == 0); /* no adapter is evicted while a request runs on it */ \
+        assert(name != 1 || adopted == 0); \
         resident[name] = false; raise(by) \
       :: else \
       fi; name = 0 } \
   :: atomic { wire ?? COMPLETE, name, eval(by) -> \
       if \
-      :: resident[name] && accepts_request(by) -> running[name]++ \
+      :: resident[name] && accepts_request(by) && is_own(name, by) -> running[name]++ \
+      :: resident[name] && accepts_request(by) && !is_own(name, by) -> adopted++ \
       :: else -> if :: by == 1 -> answers++ :: else fi \
       fi; name = 0 }
 
@@ -71,6 +77,7 @@
   :: atomic { wire ?? FENCE, name, 2 -> raise(2); is_fenced = true; name = 0 }
   :: atomic { running[1] > 0 -> running[1]--; answers++ } /* a request ends */
   :: atomic { running[2] > 0 -> running[2]-- }
+  :: atomic { adopted > 0 -> adopted-- }
   od
 }
 
@@ -85,6 +92,11 @@
     wire ! COMPLETE, name_of(1), 1
   :: pins == 0 -> /* nothing runs: evict, and use the name no more */
     wire ! EVICT, name_of(1), 1;
+#ifndef RELEASE_EARLY
+    /* A handover follows only once the engine has answered all orders. */
+    !(wire ?? [EVICT, name_of(1), 1]);
+#endif
+    if :: released = true :: skip fi;
     break
   :: atomic { pins == 0 -> released = true; break }
   od
@@ -123,13 +135,16 @@
   fi;
 #endif
 #ifndef PLAIN_NAMES
-  do
-  :: is_idle = (running[1] == 0); /* the engine's status */
-    if
-    :: is_idle -> wire ! EVICT, name_of(1), 2; break
-    :: else
-    fi
-  od
+  if
+  :: wire ! COMPLETE, name_of(1), 2 /* the adapter is used under the name of epoch 1 */
+  :: do
+    :: is_idle = (running[1] == 0); /* the engine's status */
+      if
+      :: is_idle -> wire ! EVICT, name_of(1), 2; break
+      :: else
+      fi
+    od
+  fi
 #endif
 }
 
