Keep granting the former share while a larger one waits

The bucket stopped all grants for the longest load whenever its share grew. The former share is the holder's own and now goes on; only the growth waits. A smaller share still holds at once.

--- a/src/policy/permit_bucket.rs
+++ b/src/policy/permit_bucket.rs
@@ -15,6 +15,8 @@
 pub struct PermitBucket {
     config: PermitConfig,
     share: f64,
+    /// A larger share and the time from which it holds.
+    growth: Option<(f64, Duration)>,
     level: f64,
     filled_at: Duration,
     opens_at: Duration,
@@ -32,6 +34,7 @@
         Self {
             config,
             share: 1.0,
+            growth: None,
             level: 0.0,
             filled_at: opens_at,
             opens_at,
@@ -44,17 +47,22 @@
 
     /// Sets how many of all failure domains the holder reaches; the limits shrink to their share.
     ///
-    /// When the share grows, the bucket waits for the loads that the other side may have granted.
+    /// A smaller share holds at once. A larger one holds after the longest possible load, since the
+    /// other side may have granted permits up to now; until then the former share goes on. Stopping
+    /// all grants for that time instead would stall the fleet whenever one instance restarts.
     pub fn set_reach(&mut self, reachable: u32, total: u32, now: Duration) {
         let share = (f64::from(reachable) / f64::from(total.max(1))).clamp(0.0, 1.0);
         self.fill(now);
-        if share > self.share {
-            self.level = 0.0;
-            self.opens_at = self.opens_at.max(now + self.config.longest_load);
-            self.filled_at = self.opens_at;
+        if share <= self.share {
+            self.share = share;
+            self.growth = None;
+            self.level = self.level.min(self.burst());
+        } else if self
+            .growth
+            .is_none_or(|(expected, _)| (expected - share).abs() > f64::EPSILON)
+        {
+            self.growth = Some((share, now + self.config.longest_load));
         }
-        self.share = share;
-        self.level = self.level.min(self.burst());
     }
 
     /// Adds or renews a bid.
@@ -193,12 +201,22 @@
         (f64::from(self.config.burst) * self.share).max(1.0)
     }
 
+    /// Adds the tokens gained since the last call, with the share that was in force.
     fn fill(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.filled_at).as_secs_f64();
+        if let Some((share, at)) = self.growth.filter(|(_, at)| *at <= now) {
+            self.gain(at);
+            self.share = share;
+            self.growth = None;
+        }
+        self.gain(now);
+    }
+
+    fn gain(&mut self, until: Duration) {
+        let passed = until.saturating_sub(self.filled_at).as_secs_f64();
         if passed > 0.0 {
             let gained = passed * self.config.rate * self.share;
             self.level = (self.level + gained).min(self.burst());
-            self.filled_at = now;
+            self.filled_at = until;
         }
     }
 }
