Base claims on the newest version seen, and list the proofs

With reads that lag by one version an instance conflicted with its own write until it gave up, or answered a resend from a state before its own change; the test against the platform's stand-in showed "in progress" for a claim that had been abandoned. The object that comes with a conflict is now used instead of another read, and a read older than what the instance has seen is never answered from. An object that existed and is missing is not created anew. Reads that lag behind other instances can still show an older state; they never lead to a grant.

--- a/src/claim/claim_batch.rs
+++ b/src/claim/claim_batch.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeSet;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use super::ClaimDocument;
 use super::claim_change::{ChangeKind, ChangeReply, ChangeTarget, ClaimChange};
@@ -8,16 +8,20 @@
 use super::waiting_change::WaitingChange;
 use crate::error::{Error, ErrorKind, Result, RunState};
 use crate::id::AttemptId;
-use crate::platform::WriteOutcome;
+use crate::platform::{StoredObject, WriteOutcome};
 
 /// Changes that are written together, with the state of their write.
 #[derive(Debug)]
 pub(super) struct ClaimBatch<'a> {
     name: &'a str,
     context: &'a ClaimContext,
+    /// The highest version of the object that this instance has seen.
+    seen: &'a AtomicU64,
     changes: Vec<WaitingChange>,
     replies: Vec<Result<ChangeReply>>,
     withdrawn: BTreeSet<(u128, AttemptId)>,
+    /// The object that the last write conflicted with.
+    rival: Option<StoredObject>,
     failures: u32,
     conflicts: u32,
 }
@@ -26,15 +30,18 @@
     pub(super) const fn new(
         name: &'a str,
         context: &'a ClaimContext,
+        seen: &'a AtomicU64,
         changes: Vec<WaitingChange>,
         withdrawn: BTreeSet<(u128, AttemptId)>,
     ) -> Self {
         Self {
             name,
             context,
+            seen,
             changes,
             replies: Vec::new(),
             withdrawn,
+            rival: None,
             failures: 0,
             conflicts: 0,
         }
@@ -44,29 +51,42 @@
     ///
     /// Returns true once the replies are final, and false if another try is needed.
     pub(super) async fn attempt(&mut self) -> Result<bool> {
-        let counters = &self.context.counters;
-        ClaimCounters::add(&counters.reads);
-        let stored = match self.context.storage.read(self.name).await {
+        let stored = match self.present().await {
             Ok(stored) => stored,
             Err(error) => return self.failed(&error),
         };
+        let expected = stored.as_ref().map(|stored| stored.version);
+        let seen = self
+            .seen
+            .fetch_max(expected.unwrap_or(0), Ordering::Relaxed);
+        if stored.is_none() && seen > 0 {
+            return self.failed(&self.vanished());
+        }
         let mut document = match &stored {
             Some(stored) => ClaimDocument::decode(&stored.value)?,
             None => ClaimDocument::default(),
         };
-        if !self.apply(&mut document) {
+        // A write at a version that has passed cannot succeed; its conflict brings the present
+        // object, on which the replies must be based.
+        let is_stale = expected.unwrap_or(0) < seen;
+        if !self.apply(&mut document) && !is_stale {
             return Ok(true);
         }
-        ClaimCounters::add(&counters.writes);
-        let expected = stored.map(|stored| stored.version);
+        ClaimCounters::add(&self.context.counters.writes);
         let outcome = self
             .context
             .storage
             .write(self.name, document.encode(), expected)
             .await;
         match outcome {
-            Ok(WriteOutcome::Written(_)) => Ok(true),
-            Ok(WriteOutcome::Conflict(_)) => self.conflicted(),
+            Ok(WriteOutcome::Written(version)) => {
+                self.seen.fetch_max(version, Ordering::Relaxed);
+                Ok(true)
+            }
+            Ok(WriteOutcome::Conflict(rival)) => {
+                self.rival = rival;
+                self.conflicted()
+            }
             Err(error) => {
                 // The write may have happened, and may still happen until the version moves on.
                 // The next try reads the object back and finds its own attempts, or writes again
@@ -79,6 +99,18 @@
         }
     }
 
+    /// Returns the object to change.
+    ///
+    /// After a conflict this is the object that came with it: it is newer than what a lagging
+    /// replica would return, which could conflict over and over.
+    async fn present(&mut self) -> Result<Option<StoredObject>> {
+        if let Some(rival) = self.rival.take() {
+            return Ok(Some(rival));
+        }
+        ClaimCounters::add(&self.context.counters.reads);
+        self.context.storage.read(self.name).await
+    }
+
     /// Applies all changes and returns whether the document must be written.
     fn apply(&mut self, document: &mut ClaimDocument) -> bool {
         let config = &self.context.config;
@@ -140,6 +172,16 @@
         ))
     }
 
+    fn vanished(&self) -> Error {
+        Error::new(
+            ErrorKind::Platform,
+            format!(
+                "{} existed before and is missing; creating it anew would forget its claims",
+                self.name
+            ),
+        )
+    }
+
     /// Borrows the withdrawn attempts that the batch included.
     pub(super) const fn withdrawn(&self) -> &BTreeSet<(u128, AttemptId)> {
         &self.withdrawn
--- a/src/claim/claim_shard.rs
+++ b/src/claim/claim_shard.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeSet;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     name: String,
     context: Arc<ClaimContext>,
     queue: Mutex<ClaimQueue>,
+    /// The highest version of the object that this instance has seen.
+    seen: AtomicU64,
     arrival: Notify,
 }
 
@@ -35,6 +38,7 @@
             name: format!("claims/{index}"),
             context,
             queue: Mutex::default(),
+            seen: AtomicU64::new(0),
             arrival: Notify::new(),
         }
     }
@@ -125,7 +129,7 @@
         changes: Vec<WaitingChange>,
         withdrawn: BTreeSet<(u128, AttemptId)>,
     ) -> bool {
-        let mut batch = ClaimBatch::new(&self.name, &self.context, changes, withdrawn);
+        let mut batch = ClaimBatch::new(&self.name, &self.context, &self.seen, changes, withdrawn);
         let result = loop {
             match batch.attempt().await {
                 Ok(true) => break Ok(()),
@@ -153,7 +157,8 @@
         batch.answer();
         if let Err(error) = &result {
             // Claims that arrived meanwhile would wait as long for the same refusal.
-            let mut batch = ClaimBatch::new(&self.name, &self.context, late, BTreeSet::new());
+            let mut batch =
+                ClaimBatch::new(&self.name, &self.context, &self.seen, late, BTreeSet::new());
             batch.refuse(error);
             batch.answer();
         }
--- a/tests/claim/fake_store.rs
+++ b/tests/claim/fake_store.rs
@@ -146,6 +146,11 @@
         });
     }
 
+    /// Removes an object without any check.
+    pub fn remove(&self, key: &str) {
+        self.with(|state| state.objects.remove(key));
+    }
+
     /// Returns the raw content of an object.
     pub fn raw(&self, key: &str) -> Option<Vec<u8>> {
         self.with(|state| state.objects.get(key).map(|stored| stored.value.to_vec()))
--- a/tests/claim/limits.rs
+++ b/tests/claim/limits.rs
@@ -72,6 +72,23 @@
     }
 }
 
+/// Guards against a second run after the platform has lost the claims.
+#[tokio::test(start_paused = true)]
+async fn an_object_that_vanishes_is_not_created_anew() {
+    let bench = Bench::new(quick_config());
+    let key = key_of(1);
+    let first = bench.claim(&key, 1, attempt_of(1)).await;
+    assert_eq!(first.ok(), Some(ClaimOutcome::Granted));
+
+    bench.fake.remove("claims/0");
+    let refusal = bench.claim(&key, 1, attempt_of(2)).await;
+
+    let refusal = refusal.expect_err("the claims are lost");
+    assert_eq!(refusal.kind(), ErrorKind::Platform);
+    assert_eq!(refusal.run_state(), RunState::NotRun);
+    assert_eq!(bench.fake.raw("claims/0"), None);
+}
+
 /// Guards against objects that grow without bound, and against claims dropped too early.
 #[tokio::test(start_paused = true)]
 async fn claims_are_kept_for_the_retention_only() {
--- a/tests/claim/main.rs
+++ b/tests/claim/main.rs
@@ -6,6 +6,7 @@
 mod fixtures;
 mod interleavings;
 mod limits;
+mod platform;
 mod rules;
 mod trial_checks;
 mod trial_step;
--- /dev/null
+++ b/tests/claim/platform.rs
@@ -0,0 +1,120 @@
+//! Claims through the object store client and the platform's stand-in.
+
+use std::time::Duration;
+
+use comfreychute::claim::{ClaimHooks, ClaimOutcome, ClaimStorage, ClaimStore};
+use comfreychute::platform::ObjectStore;
+use comfreychute::{ErrorKind, Result, RunState};
+use comfreychute_standins::PlatformStandin;
+use comfreychute_standins::platform::{OutageMode, PlatformSettings};
+
+use crate::fixtures::{answer_of, attempt_of, instance_of, key_of, quick_config};
+
+/// Long enough for a reply on a busy machine.
+const REPLY_LIMIT: Duration = Duration::from_secs(10);
+
+async fn platform() -> PlatformStandin {
+    PlatformStandin::start(PlatformSettings::default())
+        .await
+        .expect("the stand-in starts")
+}
+
+fn claims_of(platform: &PlatformStandin, entry: usize) -> ClaimStore {
+    let store = ObjectStore::new(platform.address(), REPLY_LIMIT);
+    ClaimStore::new(
+        ClaimStorage::from_store(&store),
+        quick_config(),
+        ClaimHooks::new(|_, _| true),
+        entry as u64,
+    )
+}
+
+async fn claim(claims: &ClaimStore, entry: usize, attempt: u32) -> Result<ClaimOutcome> {
+    let time_left = Duration::from_mins(1);
+    claims
+        .claim(
+            &key_of(1),
+            1,
+            attempt_of(attempt),
+            &instance_of(entry),
+            time_left,
+        )
+        .await
+}
+
+/// Guards against a second run through another instance, and against a lost stored answer.
+#[tokio::test]
+async fn another_instance_learns_of_the_claim_and_its_answer() {
+    let platform = platform().await;
+    let (first, second) = (claims_of(&platform, 0), claims_of(&platform, 1));
+    let key = key_of(1);
+
+    let granted = claim(&first, 0, 1).await;
+    let while_running = claim(&second, 1, 2).await;
+    let answer = answer_of(attempt_of(1));
+    let finish = first.finish(&key, attempt_of(1), answer.clone());
+    finish.await.expect("the platform answers");
+    let after_end = claim(&second, 1, 3).await;
+
+    assert_eq!(granted.ok(), Some(ClaimOutcome::Granted));
+    assert_eq!(while_running.ok(), Some(ClaimOutcome::InProgress));
+    assert_eq!(after_end.ok(), Some(ClaimOutcome::Finished(answer)));
+}
+
+/// Guards against a grant to two instances, or to none, when the reply to a write is lost.
+#[tokio::test]
+async fn a_lost_reply_is_settled_by_the_own_attempt() {
+    let platform = platform().await;
+    let (first, second) = (claims_of(&platform, 0), claims_of(&platform, 1));
+    platform.change(|settings| settings.lost_replies = 1);
+
+    let granted = claim(&first, 0, 1).await;
+    let other = claim(&second, 1, 2).await;
+
+    assert_eq!(granted.ok(), Some(ClaimOutcome::Granted));
+    assert_eq!(other.ok(), Some(ClaimOutcome::InProgress));
+    assert_eq!(first.counts().failures, 1);
+}
+
+/// Guards against claims that conflict with themselves for as long as reads lag behind writes, and
+/// against replies that are older than what the instance has written itself.
+#[tokio::test]
+async fn lagging_reads_hide_no_own_change() {
+    let platform = platform().await;
+    let claims = claims_of(&platform, 0);
+    let first = claim(&claims, 0, 1).await;
+    platform.change(|settings| settings.stale_versions = 1);
+    claims
+        .abandon(&key_of(1), attempt_of(1))
+        .await
+        .expect("the platform answers");
+
+    let second = claim(&claims, 0, 2).await;
+    let answer = answer_of(attempt_of(2));
+    let finished = claims.finish(&key_of(1), attempt_of(2), answer).await;
+
+    assert_eq!(first.ok(), Some(ClaimOutcome::Granted));
+    assert_eq!(second.ok(), Some(ClaimOutcome::Granted));
+    assert!(finished.is_ok(), "{finished:?}");
+    let resend = claim(&claims, 0, 3).await;
+    assert!(
+        matches!(resend, Ok(ClaimOutcome::Finished(_))),
+        "{resend:?}"
+    );
+}
+
+/// Guards against a dispatch while the platform is out.
+#[tokio::test]
+async fn an_outage_refuses_as_not_run() {
+    let platform = platform().await;
+    let claims = claims_of(&platform, 0);
+    platform.change(|settings| settings.outage = OutageMode::Refuse);
+
+    let refusal = claim(&claims, 0, 1).await.expect_err("the platform is out");
+    platform.change(|settings| settings.outage = OutageMode::Off);
+    let resend = claim(&claims, 0, 2).await;
+
+    assert_eq!(refusal.kind(), ErrorKind::Platform);
+    assert_eq!(refusal.run_state(), RunState::NotRun);
+    assert_eq!(resend.ok(), Some(ClaimOutcome::Granted));
+}
