Hold batch work so that one load serves all waiting requests

Cause: a quarter of the steady requests are batch, and a third of them caused a load of their own although they have an hour; an urgent or standard request for the same adapter often follows.

Batch waits at most ten minutes longer.

--- a/crates/measure/src/policy_kind.rs
+++ b/crates/measure/src/policy_kind.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use comfreychute::policy::{PlacementPolicy, ResidencyRule, SchedulerConfig};
 
 use crate::SitePlan;
@@ -42,6 +44,7 @@
         config.token_time = site.token_time;
         if self != Self::Present {
             config.residency = ResidencyRule::LeastRecent;
+            config.batch_hold = Duration::ZERO;
         }
         config
     }
--- a/src/policy/rank_queue.rs
+++ b/src/policy/rank_queue.rs
@@ -138,6 +138,12 @@
         self.groups.keys()
     }
 
+    /// Returns the number of adapters with waiting requests.
+    #[must_use]
+    pub fn adapters_len(&self) -> usize {
+        self.groups.len()
+    }
+
     /// Iterates over the waiting requests by deadline, the earliest first.
     pub fn by_deadline(&self) -> impl Iterator<Item = &QueuedItem> {
         self.deadlines.iter().filter_map(|(_, request)| {
--- a/src/policy/scheduler_config.rs
+++ b/src/policy/scheduler_config.rs
@@ -29,6 +29,8 @@
     pub residency: ResidencyRule,
     /// Slots that turn over by last use under [`ResidencyRule::Popularity`].
     pub one_off_slots: u32,
+    /// Time that batch work alone waits for other requests for its adapter before it bids for a load.
+    pub batch_hold: Duration,
     /// Time in which the popularity of an unused adapter halves.
     pub half_life: Duration,
 }
@@ -53,6 +55,7 @@
             queue_limit: 2048,
             residency: ResidencyRule::Popularity,
             one_off_slots: 0,
+            batch_hold: Duration::from_mins(10),
             half_life: Duration::from_mins(20),
         }
     }
--- a/src/policy/scheduler_loads.rs
+++ b/src/policy/scheduler_loads.rs
@@ -22,7 +22,8 @@
                 let is_counted = self.queues[..index]
                     .iter()
                     .any(|queue| queue.has_adapter(adapter));
-                if !is_counted && self.needs_permit(adapter, now) {
+                let is_held = rank == RequestRank::Batch && self.is_held(adapter, now);
+                if !is_counted && !is_held && self.needs_permit(adapter, now) {
                     bids.push(LoadBid::new(
                         adapter.clone(),
                         rank,
@@ -42,10 +43,14 @@
     /// Returns whether any waiting request needs a load.
     #[must_use]
     pub fn has_bids(&self, now: Duration) -> bool {
-        self.queues
-            .iter()
-            .flat_map(super::RankQueue::adapters)
+        let [urgent, standard, batch] = &self.queues;
+        urgent
+            .adapters()
+            .chain(standard.adapters())
             .any(|adapter| self.needs_permit(adapter, now))
+            || batch
+                .adapters()
+                .any(|adapter| !self.is_held(adapter, now) && self.needs_permit(adapter, now))
     }
 
     /// Returns whether requests wait for the adapter.
@@ -116,6 +121,23 @@
                 .is_none_or(|attempt| attempt.permit_until.is_none() && attempt.retry_at <= now)
     }
 
+    /// Returns whether batch work waits for more requests before it bids.
+    ///
+    /// A load that urgent or standard work causes later then serves it too. The hold shrinks with
+    /// the backlog: where loads are the bottleneck, work gathers while it waits for its turn.
+    fn is_held(&self, adapter: &AdapterRef, now: Duration) -> bool {
+        let batch = &self.queues[RequestRank::Batch.index()];
+        let Some(first) = batch.of_adapter(adapter).next() else {
+            return false;
+        };
+        let age = now.saturating_sub(first.queued_at);
+        let backlog = f64::from(u32::try_from(batch.adapters_len()).unwrap_or(u32::MAX));
+        let clearing = backlog / self.config.load_share.max(1e-3);
+        let allowed = first.item.deadline.saturating_sub(first.queued_at) / 4;
+        let hold = self.config.batch_hold.min(allowed);
+        age.as_secs_f64() + clearing < hold.as_secs_f64()
+    }
+
     /// Weighs the requests that one load would serve, and how long they have waited.
     fn worth(&self, adapter: &AdapterRef, now: Duration) -> f64 {
         self.queues
