Bid only for loads that a slot can be freed for

Ruled out: longer validity of permits, which moves more loads out of their window. Bids now count the slots that could be freed, adapters that only less urgent work waits for may leave, and batch work leaves one slot unpinned.

--- a/crates/measure/src/policy_kind.rs
+++ b/crates/measure/src/policy_kind.rs
@@ -44,6 +44,8 @@
         config.token_time = site.token_time;
         if self != Self::Present {
             config.residency = ResidencyRule::LeastRecent;
+            config.bids_need_slot = false;
+            config.batch_headroom = 0;
             config.batch_hold = Duration::ZERO;
         }
         config
--- a/src/policy/residency_policy.rs
+++ b/src/policy/residency_policy.rs
@@ -74,6 +74,12 @@
         self.entries.len() < self.slots as usize
     }
 
+    /// Returns the number of slots that hold nothing.
+    #[must_use]
+    pub fn free_slots(&self) -> usize {
+        (self.slots as usize).saturating_sub(self.entries.len())
+    }
+
     /// Returns the number of evictions that have been ordered and have not ended.
     #[must_use]
     pub fn evicting(&self) -> usize {
@@ -117,6 +123,14 @@
         self.pins.contains_key(adapter)
     }
 
+    /// Returns the number of slots whose adapters dispatched requests use.
+    #[must_use]
+    pub fn pinned_slots(&self) -> usize {
+        self.residents()
+            .filter(|adapter| self.is_pinned(adapter))
+            .count()
+    }
+
     /// Takes a free slot for a load; returns whether there was one.
     pub fn begin_load(&mut self, adapter: &AdapterRef, now: Duration) -> bool {
         let is_free = self.has_free_slot() && !self.entries.contains_key(adapter);
@@ -181,17 +195,7 @@
         is_waited: impl Fn(&AdapterRef) -> bool,
         now: Duration,
     ) -> Option<AdapterRef> {
-        let mut idle: Vec<(&AdapterRef, Duration)> = self
-            .entries
-            .iter()
-            .filter(|(adapter, entry)| {
-                entry.state == SlotState::Resident
-                    && entry.keep_until <= now
-                    && !self.is_pinned(adapter)
-                    && !is_waited(adapter)
-            })
-            .map(|(adapter, entry)| (adapter, entry.used_at))
-            .collect();
+        let mut idle: Vec<(&AdapterRef, Duration)> = self.idle(is_waited, now).collect();
         idle.sort_by_key(|(_, used_at)| *used_at);
         let oldest = idle.first().map(|(adapter, _)| (*adapter).clone());
         match self.rule {
@@ -210,6 +214,28 @@
         }
     }
 
+    /// Counts the adapters that [`ResidencyPolicy::victim`] could choose.
+    #[must_use]
+    pub fn evictable(&self, is_waited: impl Fn(&AdapterRef) -> bool, now: Duration) -> usize {
+        self.idle(is_waited, now).count()
+    }
+
+    fn idle(
+        &self,
+        is_waited: impl Fn(&AdapterRef) -> bool,
+        now: Duration,
+    ) -> impl Iterator<Item = (&AdapterRef, Duration)> {
+        self.entries
+            .iter()
+            .filter(move |(adapter, entry)| {
+                entry.state == SlotState::Resident
+                    && entry.keep_until <= now
+                    && !self.is_pinned(adapter)
+                    && !is_waited(adapter)
+            })
+            .map(|(adapter, entry)| (adapter, entry.used_at))
+    }
+
     fn insert(&mut self, adapter: &AdapterRef, state: SlotState, now: Duration) {
         let entry = SlotEntry {
             state,
--- a/src/policy/scheduler_config.rs
+++ b/src/policy/scheduler_config.rs
@@ -31,6 +31,11 @@
     pub one_off_slots: u32,
     /// Time that batch work alone waits for other requests for its adapter before it bids for a load.
     pub batch_hold: Duration,
+    /// Whether bids are made only while a slot could be made free for them, which includes slots
+    /// of adapters that only less urgent requests wait for.
+    pub bids_need_slot: bool,
+    /// Slots that running batch requests may not pin, so that other loads find a victim.
+    pub batch_headroom: u32,
     /// Time in which the popularity of an unused adapter halves.
     pub half_life: Duration,
 }
@@ -56,6 +61,8 @@
             residency: ResidencyRule::Popularity,
             one_off_slots: 0,
             batch_hold: Duration::from_mins(10),
+            bids_need_slot: true,
+            batch_headroom: 1,
             half_life: Duration::from_mins(20),
         }
     }
--- a/src/policy/scheduler_dispatch.rs
+++ b/src/policy/scheduler_dispatch.rs
@@ -55,7 +55,17 @@
     }
 
     fn head(&self, rank: RequestRank) -> Option<&QueuedItem> {
-        self.queues[rank.index()].next_of(self.residency.residents())
+        let queue = &self.queues[rank.index()];
+        let headroom = self.config.batch_headroom as usize;
+        let limit = (self.config.slots as usize).saturating_sub(headroom).max(1);
+        if rank == RequestRank::Batch && self.residency.pinned_slots() >= limit {
+            let pinned = self
+                .residency
+                .residents()
+                .filter(|adapter| self.residency.is_pinned(adapter));
+            return queue.next_of(pinned);
+        }
+        queue.next_of(self.residency.residents())
     }
 
     fn is_below_floor(&self, rank: RequestRank) -> bool {
--- a/src/policy/scheduler_loads.rs
+++ b/src/policy/scheduler_loads.rs
@@ -37,7 +37,33 @@
         }
         bids.sort_by(|left, right| right.value.total_cmp(&left.value));
         bids.truncate(MAX_BIDS);
-        bids
+        self.keep_placeable(bids)
+    }
+
+    /// Drops bids for which no slot could be made free.
+    ///
+    /// A permit that waits for a slot lapses, or its load starts late and exceeds the rate of the
+    /// store together with the following ones.
+    fn keep_placeable(&self, bids: Vec<LoadBid>) -> Vec<LoadBid> {
+        if !self.config.bids_need_slot {
+            return bids;
+        }
+        let pending = self
+            .attempts
+            .values()
+            .filter(|attempt| attempt.permit_until.is_some())
+            .count();
+        let free = self.residency.free_slots() + self.residency.evicting();
+        let room = RequestRank::ALL
+            .map(|rank| (free + self.evictable(rank, Duration::MAX)).saturating_sub(pending));
+        let mut kept = 0;
+        bids.into_iter()
+            .filter(|bid| {
+                let is_placeable = kept < room[LoadBid::rank_of(bid.value).index()];
+                kept += usize::from(is_placeable);
+                is_placeable
+            })
+            .collect()
     }
 
     /// Returns whether any waiting request needs a load.
@@ -61,15 +87,22 @@
     /// Starts permitted loads in free slots and orders evictions for the others.
     pub(super) fn start_loads(&mut self, now: Duration, actions: &mut Vec<ScheduleAction>) {
         self.drop_stale_attempts(now);
-        let mut permitted: Vec<(f64, AdapterRef)> = self
+        let mut permitted: Vec<LoadBid> = self
             .attempts
             .iter()
             .filter(|(_, attempt)| attempt.permit_until.is_some())
-            .map(|(adapter, _)| (self.worth(adapter, now), adapter.clone()))
+            .filter_map(|(adapter, _)| {
+                let rank = self.most_urgent(adapter)?;
+                Some(LoadBid::new(
+                    adapter.clone(),
+                    rank,
+                    self.worth(adapter, now),
+                ))
+            })
             .collect();
-        permitted.sort_by(|left, right| right.0.total_cmp(&left.0));
+        permitted.sort_by(|left, right| right.value.total_cmp(&left.value));
         let mut evicting = self.residency.evicting();
-        for (_, adapter) in permitted {
+        for LoadBid { adapter, value } in permitted {
             if self.residency.begin_load(&adapter, now) {
                 if let Some(attempt) = self.attempts.get_mut(&adapter) {
                     attempt.permit_until = None;
@@ -78,7 +111,7 @@
                 actions.push(ScheduleAction::Load(adapter));
             } else if evicting > 0 {
                 evicting -= 1;
-            } else if let Some(victim) = self.victim(now) {
+            } else if let Some(victim) = self.victim(LoadBid::rank_of(value), now) {
                 self.residency.begin_evict(&victim);
                 actions.push(ScheduleAction::Evict(victim));
             }
@@ -149,9 +182,35 @@
             .sum()
     }
 
-    fn victim(&self, now: Duration) -> Option<AdapterRef> {
+    /// Chooses the adapter that makes room for a request of a rank.
+    ///
+    /// Adapters that requests of the same or a more urgent rank wait for stay.
+    fn victim(&self, rank: RequestRank, now: Duration) -> Option<AdapterRef> {
         self.residency
-            .victim(|adapter| self.is_wanted(adapter), now)
+            .victim(|adapter| self.is_kept_from(rank, adapter), now)
+    }
+
+    fn evictable(&self, rank: RequestRank, now: Duration) -> usize {
+        self.residency
+            .evictable(|adapter| self.is_kept_from(rank, adapter), now)
+    }
+
+    fn is_kept_from(&self, rank: RequestRank, adapter: &AdapterRef) -> bool {
+        let ranks = if self.config.bids_need_slot {
+            rank.index() + 1
+        } else {
+            self.queues.len()
+        };
+        self.queues[..ranks]
+            .iter()
+            .any(|queue| queue.has_adapter(adapter))
+    }
+
+    /// Returns the most urgent rank that waits for the adapter.
+    fn most_urgent(&self, adapter: &AdapterRef) -> Option<RequestRank> {
+        RequestRank::ALL
+            .into_iter()
+            .find(|rank| self.queues[rank.index()].has_adapter(adapter))
     }
 
     /// Forgets lapsed permits and adapters that nobody waits for any more.
