--- a/src/policy/scheduler_loads.rs
+++ b/src/policy/scheduler_loads.rs
@@ -14,39 +14,56 @@
 
 impl UpstreamScheduler {
     /// Lists the loads that waiting requests need, the most valuable first.
+    ///
+    /// Bids for which no slot could be made free are left out: a permit that waits for a slot
+    /// lapses, or its load starts late and exceeds the rate of the store together with the next.
     #[must_use]
     pub fn bids(&self, now: Duration) -> Vec<LoadBid> {
+        let room = self.room(now);
         let mut bids = Vec::new();
-        for (index, rank) in RequestRank::ALL.into_iter().enumerate() {
-            for adapter in self.queues[index].adapters() {
-                let is_counted = self.queues[..index]
-                    .iter()
-                    .any(|queue| queue.has_adapter(adapter));
-                let is_held = rank == RequestRank::Batch && self.is_held(adapter, now);
-                if !is_counted && !is_held && self.needs_permit(adapter, now) {
-                    bids.push(LoadBid::new(
-                        adapter.clone(),
-                        rank,
-                        self.worth(adapter, now),
-                    ));
-                }
-            }
-            if bids.len() >= MAX_BIDS {
-                break;
+        for rank in RequestRank::ALL {
+            let limit = room[rank.index()].min(MAX_BIDS).saturating_sub(bids.len());
+            if limit == 0 {
+                continue;
             }
+            let mut wanted: Vec<(f64, &AdapterRef)> = self
+                .wanted(rank, now)
+                .map(|adapter| (self.worth(adapter, now), adapter))
+                .collect();
+            wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
+            bids.extend(
+                wanted
+                    .into_iter()
+                    .take(limit)
+                    .map(|(worth, adapter)| LoadBid::new(adapter.clone(), rank, worth)),
+            );
         }
-        bids.sort_by(|left, right| right.value.total_cmp(&left.value));
-        bids.truncate(MAX_BIDS);
-        self.keep_placeable(bids)
+        bids
     }
 
-    /// Drops bids for which no slot could be made free.
-    ///
-    /// A permit that waits for a slot lapses, or its load starts late and exceeds the rate of the
-    /// store together with the following ones.
-    fn keep_placeable(&self, bids: Vec<LoadBid>) -> Vec<LoadBid> {
+    /// Returns whether [`UpstreamScheduler::bids`] would list any.
+    #[must_use]
+    pub fn has_bids(&self, now: Duration) -> bool {
+        let room = self.room(now);
+        RequestRank::ALL
+            .into_iter()
+            .any(|rank| room[rank.index()] > 0 && self.wanted(rank, now).next().is_some())
+    }
+
+    /// Iterates over the adapters that need a load and whose most urgent request has the rank.
+    fn wanted(&self, rank: RequestRank, now: Duration) -> impl Iterator<Item = &AdapterRef> {
+        let (more_urgent, rest) = self.queues.split_at(rank.index());
+        rest[0].adapters().filter(move |adapter| {
+            self.needs_permit(adapter, now)
+                && !more_urgent.iter().any(|queue| queue.has_adapter(adapter))
+                && !(rank == RequestRank::Batch && self.is_held(adapter, now))
+        })
+    }
+
+    /// Counts the loads that could find a slot, by the rank that they are for.
+    fn room(&self, now: Duration) -> [usize; 3] {
         if !self.config.bids_need_slot {
-            return bids;
+            return [usize::MAX; 3];
         }
         let pending = self
             .attempts
@@ -54,29 +71,7 @@
             .filter(|attempt| attempt.permit_until.is_some())
             .count();
         let free = self.residency.free_slots() + self.residency.evicting();
-        let room = RequestRank::ALL
-            .map(|rank| (free + self.evictable(rank, Duration::MAX)).saturating_sub(pending));
-        let mut kept = 0;
-        bids.into_iter()
-            .filter(|bid| {
-                let is_placeable = kept < room[LoadBid::rank_of(bid.value).index()];
-                kept += usize::from(is_placeable);
-                is_placeable
-            })
-            .collect()
-    }
-
-    /// Returns whether any waiting request needs a load.
-    #[must_use]
-    pub fn has_bids(&self, now: Duration) -> bool {
-        let [urgent, standard, batch] = &self.queues;
-        urgent
-            .adapters()
-            .chain(standard.adapters())
-            .any(|adapter| self.needs_permit(adapter, now))
-            || batch
-                .adapters()
-                .any(|adapter| !self.is_held(adapter, now) && self.needs_permit(adapter, now))
+        RequestRank::ALL.map(|rank| (free + self.evictable(rank, now)).saturating_sub(pending))
     }
 
     /// Returns whether requests wait for the adapter.
