--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,1 +1,20 @@
 //! Wires the parts of a node together, from startup to graceful shutdown.
+//!
+//! [`Node::start`] builds the parts and connects them with closures: the hooks of the mesh, the
+//! lookups of the router, and the loops that follow membership, tables and the instance list.
+
+mod call_forwarder;
+mod config_loop;
+mod epoch_lookup;
+mod fleet_view;
+mod member_loop;
+mod mesh_wiring;
+mod node_parts;
+mod node_runner;
+mod node_status;
+mod permit_wiring;
+mod running_node;
+
+pub use fleet_view::FleetView;
+pub use node_runner::run;
+pub use running_node::Node;
