--- a/crates/measure/src/fleet_holders.rs
+++ b/crates/measure/src/fleet_holders.rs
@@ -17,7 +17,7 @@
 
 impl FleetHolders {
     pub(crate) fn new(site: &SitePlan, policy: PolicyKind) -> Self {
-        let mut config = PermitConfig::from_rows(&site.store, &[&site.pool]);
+        let mut config = PermitConfig::from_row(&site.store).with_floors(&[&site.pool]);
         if policy != PolicyKind::Present {
             config.floors = [0.0; 3];
         }
--- a/src/policy/permit_config.rs
+++ b/src/policy/permit_config.rs
@@ -20,28 +20,37 @@
     pub floors: [f64; 3],
 }
 
+/// Shares of grants where no pool is known; the rest goes to the most valuable bid.
+const DEFAULT_FLOORS: [f64; 3] = [0.5, 0.25, 0.1];
+
 impl PermitConfig {
-    /// Derives the limits from a weight store and the pools that load from it.
+    /// Derives the limits from the row of a weight store, with default floors.
+    #[must_use]
+    pub fn from_row(store: &StoreRow) -> Self {
+        Self {
+            rate: store.loads_per_second,
+            burst: store.parallel,
+            max_in_flight: store.max_in_flight,
+            load_time: store.load_time,
+            longest_load: store.load_time * 20,
+            floors: DEFAULT_FLOORS,
+        }
+    }
+
+    /// Replaces the floors by those of the pools that load from the store.
     ///
-    /// Each rank keeps the mean of its floors in these pools, weighed by their upstreams.
+    /// Each rank keeps the mean of its floors, weighed by the upstreams of the pools.
     #[must_use]
-    pub fn from_rows(store: &StoreRow, pools: &[&PoolRow]) -> Self {
+    pub fn with_floors(mut self, pools: &[&PoolRow]) -> Self {
         let weight = |pool: &PoolRow| f64::from(u32::try_from(pool.upstreams.len()).unwrap_or(0));
         let total = pools.iter().map(|pool| weight(pool)).sum::<f64>().max(1.0);
-        let floor = |rank| {
+        self.floors = RequestRank::ALL.map(|rank| {
             pools
                 .iter()
                 .map(|pool| weight(pool) * pool.floors.get(&rank).copied().unwrap_or(0.0))
                 .sum::<f64>()
                 / total
-        };
-        Self {
-            rate: store.loads_per_second,
-            burst: store.parallel,
-            max_in_flight: store.max_in_flight,
-            load_time: store.load_time,
-            longest_load: store.load_time * 20,
-            floors: RequestRank::ALL.map(floor),
-        }
+        });
+        self
     }
 }
--- /dev/null
+++ b/tests/policy_limits.rs
@@ -0,0 +1,184 @@
+//! Property tests of permits, retry budget and suspects.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use comfreychute::id::{AdapterRef, InstanceId, RequestRank, UpstreamId};
+use comfreychute::policy::{
+    LoadBid, PermitBucket, PermitConfig, RetryBudget, SuspectList, SuspectVerdict,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn fixed_seed() -> ProptestConfig {
+    ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(20_260_402),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn permit_config() -> PermitConfig {
+    PermitConfig {
+        rate: 4.5,
+        burst: 2,
+        max_in_flight: 6,
+        load_time: Duration::from_millis(250),
+        longest_load: Duration::from_secs(5),
+        floors: [0.5, 0.25, 0.1],
+    }
+}
+
+fn adapter(index: usize) -> AdapterRef {
+    AdapterRef::new(&format!("adapter-{index}"), "1").expect("the name is valid")
+}
+
+/// Returns the most grants in any span of the given length.
+fn most_in_span(grants: &[Duration], span: Duration) -> usize {
+    grants
+        .iter()
+        .map(|start| {
+            grants
+                .iter()
+                .filter(|at| *at >= start && **at < *start + span)
+                .count()
+        })
+        .max()
+        .unwrap_or(0)
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    /// Guards against grants beyond the rate of the store, in any window, or its loads in flight.
+    #[test]
+    fn grants_never_exceed_the_limits(
+        steps in prop::collection::vec((0..900_u64, 0..12_usize, 0..4_u32, 1..4_u32), 1..300),
+    ) {
+        let config = permit_config();
+        let mut bucket = PermitBucket::new(config.clone(), Duration::ZERO);
+        let upstream = UpstreamId::from_name("worker");
+        let (mut now, mut grants, mut open) = (Duration::ZERO, Vec::new(), Vec::new());
+
+        for (step_ms, index, done, reach) in steps {
+            now += Duration::from_millis(step_ms);
+            bucket.set_reach(reach, 3, now);
+            let rank = RequestRank::ALL[index % 3];
+            let bid = LoadBid::new(adapter(index), rank, 1.0);
+            bucket.bid(&upstream, &bid.adapter, bid.value);
+            for grant in bucket.grants(now) {
+                grants.push(now);
+                open.push((grant.permit, now));
+            }
+            open.retain(|(_, at)| now < *at + config.longest_load);
+            prop_assert!(open.len() <= config.max_in_flight as usize);
+            if done == 0 && !open.is_empty() {
+                bucket.done(open.remove(0).0);
+            }
+        }
+
+        prop_assert!(grants.first().is_none_or(|first| *first >= config.longest_load));
+        for seconds in [1_u32, 2, 5, 20] {
+            let most = most_in_span(&grants, Duration::from_secs(u64::from(seconds)));
+            let limit = f64::from(config.burst) + config.rate * f64::from(seconds);
+            let most = f64::from(u32::try_from(most).unwrap_or(u32::MAX));
+            prop_assert!(most <= limit + 1e-6, "{most} grants in {seconds} s");
+        }
+    }
+
+    /// Guards against both sides of a partition granting more than the limit together.
+    #[test]
+    fn shares_of_a_partition_sum_to_the_limit(reachable in 1..3_u32, length in 6..60_u64) {
+        let config = permit_config();
+        let (mut left, mut right) = (
+            PermitBucket::new(config.clone(), Duration::ZERO),
+            PermitBucket::new(config.clone(), Duration::ZERO),
+        );
+        left.set_reach(reachable, 3, Duration::ZERO);
+        right.set_reach(3 - reachable, 3, Duration::ZERO);
+        let upstream = UpstreamId::from_name("worker");
+        let mut grants = Vec::new();
+
+        for tick in 0..length * 100 {
+            let now = Duration::from_millis(tick * 10);
+            for bucket in [&mut left, &mut right] {
+                bucket.bid(&upstream, &adapter(0), 1.0);
+                for grant in bucket.grants(now) {
+                    bucket.done(grant.permit);
+                    grants.push(now);
+                }
+            }
+        }
+
+        for seconds in [1_u32, 5, 20] {
+            let most = most_in_span(&grants, Duration::from_secs(u64::from(seconds)));
+            // Each side may hold a burst of at least one.
+            let limit = f64::from(config.burst + 1) + config.rate * f64::from(seconds);
+            let most = f64::from(u32::try_from(most).unwrap_or(u32::MAX));
+            prop_assert!(most <= limit, "{most} grants in {seconds} s");
+        }
+    }
+
+    /// Guards against upstream calls beyond 1.1 times the requests during an outage.
+    #[test]
+    fn retries_stay_within_the_budget(gaps in prop::collection::vec(0..500_u64, 1..500)) {
+        let mut budget = RetryBudget::new(0.1, 10.0, Duration::from_secs(10), Duration::ZERO);
+        let (mut now, mut first, mut retries) = (Duration::ZERO, 0_u32, 0_u32);
+
+        for gap in gaps {
+            now += Duration::from_millis(gap);
+            budget.earn(now);
+            first += 1;
+            while budget.try_spend(now) {
+                retries += 1;
+            }
+
+            prop_assert!(f64::from(retries) <= 0.1 * f64::from(first) + 1e-6);
+        }
+    }
+
+    /// Guards against losing crashes that several instances saw, in whatever order news arrives.
+    #[test]
+    fn crashes_add_up_over_instances(
+        own in 0..3_u32,
+        news in prop::collection::vec((0..3_usize, 0..3_u32), 0..20),
+    ) {
+        let mut list = SuspectList::new(16, Duration::from_mins(10));
+        let now = Duration::from_secs(1);
+        let mut highest = [0_u32; 3];
+
+        for _ in 0..own {
+            list.charge(7, now);
+        }
+        for (peer, count) in news {
+            highest[peer] = highest[peer].max(count);
+            let counts = BTreeMap::from([(7, count)]);
+            list.merge(&InstanceId::from_name(&format!("peer-{peer}")), &counts, now);
+        }
+
+        let expected = match own + highest.iter().sum::<u32>() {
+            0 => SuspectVerdict::Clear,
+            1 | 2 => SuspectVerdict::Alone,
+            _ => SuspectVerdict::Refused,
+        };
+        prop_assert_eq!(list.judge(7, now), expected);
+        prop_assert!(list.len() <= 16);
+    }
+}
+
+/// Guards against a list of suspects that grows without bound or keeps the wrong entries.
+#[test]
+fn a_full_suspect_list_drops_the_weakest_entry() {
+    let mut list = SuspectList::new(2, Duration::from_mins(10));
+    let now = Duration::from_secs(1);
+
+    list.charge(1, now);
+    list.charge(1, now);
+    list.charge(2, now);
+    list.charge(3, now + Duration::from_secs(1));
+
+    assert_eq!(list.len(), 2);
+    assert_eq!(list.judge(1, now), SuspectVerdict::Alone);
+    assert_eq!(list.judge(2, now), SuspectVerdict::Clear);
+}
