--- a/src/policy/permit_bucket.rs
+++ b/src/policy/permit_bucket.rs
@@ -7,6 +7,12 @@
 /// Bids that are kept; a new one beyond that replaces the least valuable.
 const MAX_BIDS: usize = 65_536;
 
+/// Grants that a rank may be ahead of its floor or behind it.
+///
+/// A rank that has just taken more than its floor, because permits were left, has no claim to its
+/// floor ahead of a more urgent one.
+const MAX_CREDIT: f64 = 8.0;
+
 /// Grants load permits for one weight store within its rate and its number in flight.
 ///
 /// A new bucket is empty and waits for the longest possible load, because its predecessor may have
@@ -169,16 +175,17 @@
         for rank in RequestRank::ALL {
             let index = rank.index();
             if best[index].is_some() {
-                self.credits[index] = (self.credits[index] + self.config.floors[index]).min(2.0);
+                self.credits[index] =
+                    (self.credits[index] + self.config.floors[index]).min(MAX_CREDIT);
                 if self.credits[index] >= 1.0 && chosen.is_none() {
                     chosen = Some(index);
                 }
             } else {
-                self.credits[index] = 0.0;
+                self.credits[index] = self.credits[index].min(0.0);
             }
         }
         let index = chosen.or_else(|| best.iter().position(Option::is_some))?;
-        self.credits[index] = (self.credits[index] - 1.0).max(0.0);
+        self.credits[index] = (self.credits[index] - 1.0).max(-MAX_CREDIT);
         best[index].map(|(key, _)| key.clone())
     }
 
--- a/src/policy/scheduler_loads.rs
+++ b/src/policy/scheduler_loads.rs
@@ -28,7 +28,12 @@
             }
             let mut wanted: Vec<(f64, &AdapterRef)> = self
                 .wanted(rank, now)
-                .map(|adapter| (self.worth(adapter, now), adapter))
+                .map(|adapter| {
+                    (
+                        self.worth(adapter, now) / self.chance(rank, adapter, now),
+                        adapter,
+                    )
+                })
                 .collect();
             wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
             bids.extend(
@@ -173,6 +178,18 @@
         age.as_secs_f64() + clearing < hold.as_secs_f64()
     }
 
+    /// Weighs how likely a more urgent request will have the adapter loaded anyway.
+    ///
+    /// Where loads are the bottleneck, as in a sweep, batch work for popular adapters comes last
+    /// and shares their loads.
+    fn chance(&self, rank: RequestRank, adapter: &AdapterRef, now: Duration) -> f64 {
+        if rank == RequestRank::Batch && self.config.batch_hold > Duration::ZERO {
+            1.0 + self.residency.popularity(adapter, now)
+        } else {
+            1.0
+        }
+    }
+
     /// Weighs the requests that one load would serve, and how long they have waited.
     fn worth(&self, adapter: &AdapterRef, now: Duration) -> f64 {
         self.queues
