--- a/src/policy/scheduler_dispatch.rs
+++ b/src/policy/scheduler_dispatch.rs
@@ -55,7 +55,33 @@
     }
 
     fn head(&self, rank: RequestRank) -> Option<&QueuedItem> {
-        self.queues[rank.index()].next_of(self.residency.residents())
+        let queue = &self.queues[rank.index()];
+        if self.is_turnover_needed()
+            && (rank == RequestRank::Batch || self.is_load_wanted_after(rank))
+        {
+            let pinned = self
+                .residency
+                .residents()
+                .filter(|adapter| self.residency.is_pinned(adapter));
+            return queue.next_of(pinned);
+        }
+        queue.next_of(self.residency.residents())
+    }
+
+    /// Returns whether the slots that are left must stay free for loads.
+    pub(super) fn is_turnover_needed(&self) -> bool {
+        let headroom = self.config.headroom as usize;
+        let limit = (self.config.slots as usize).saturating_sub(headroom).max(1);
+        headroom > 0 && self.residency.pinned_slots() >= limit
+    }
+
+    /// Returns whether a less urgent rank with a floor waits for a load.
+    ///
+    /// A flood of one rank would otherwise pin every slot for as long as it lasts.
+    fn is_load_wanted_after(&self, rank: RequestRank) -> bool {
+        RequestRank::ALL[rank.index() + 1..]
+            .iter()
+            .any(|other| self.config.floors[other.index()] > 0.0 && self.has_wanted(*other))
     }
 
     fn is_below_floor(&self, rank: RequestRank) -> bool {
--- a/src/policy/scheduler_loads.rs
+++ b/src/policy/scheduler_loads.rs
@@ -14,38 +14,76 @@
 
 impl UpstreamScheduler {
     /// Lists the loads that waiting requests need, the most valuable first.
+    ///
+    /// Bids for which no slot could be made free are left out: a permit that waits for a slot
+    /// lapses, or its load starts late and exceeds the rate of the store together with the next.
     #[must_use]
     pub fn bids(&self, now: Duration) -> Vec<LoadBid> {
+        let room = self.room(now);
         let mut bids = Vec::new();
-        for (index, rank) in RequestRank::ALL.into_iter().enumerate() {
-            for adapter in self.queues[index].adapters() {
-                let is_counted = self.queues[..index]
-                    .iter()
-                    .any(|queue| queue.has_adapter(adapter));
-                if !is_counted && self.needs_permit(adapter, now) {
-                    bids.push(LoadBid::new(
-                        adapter.clone(),
-                        rank,
-                        self.worth(adapter, now),
-                    ));
-                }
-            }
-            if bids.len() >= MAX_BIDS {
-                break;
+        for rank in RequestRank::ALL {
+            let limit = room[rank.index()].min(MAX_BIDS).saturating_sub(bids.len());
+            if limit == 0 {
+                continue;
             }
+            let mut wanted: Vec<(f64, &AdapterRef)> = self
+                .wanted(rank, now)
+                .map(|adapter| {
+                    (
+                        self.worth(adapter, now) / self.chance(rank, adapter, now),
+                        adapter,
+                    )
+                })
+                .collect();
+            wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
+            bids.extend(
+                wanted
+                    .into_iter()
+                    .take(limit)
+                    .map(|(worth, adapter)| LoadBid::new(adapter.clone(), rank, worth)),
+            );
         }
-        bids.sort_by(|left, right| right.value.total_cmp(&left.value));
-        bids.truncate(MAX_BIDS);
         bids
     }
 
-    /// Returns whether any waiting request needs a load.
+    /// Returns whether [`UpstreamScheduler::bids`] would list any.
     #[must_use]
     pub fn has_bids(&self, now: Duration) -> bool {
-        self.queues
-            .iter()
-            .flat_map(super::RankQueue::adapters)
-            .any(|adapter| self.needs_permit(adapter, now))
+        let room = self.room(now);
+        RequestRank::ALL
+            .into_iter()
+            .any(|rank| room[rank.index()] > 0 && self.wanted(rank, now).next().is_some())
+    }
+
+    /// Iterates over the adapters that need a load and whose most urgent request has the rank.
+    fn wanted(&self, rank: RequestRank, now: Duration) -> impl Iterator<Item = &AdapterRef> {
+        let (more_urgent, rest) = self.queues.split_at(rank.index());
+        rest[0].adapters().filter(move |adapter| {
+            self.needs_permit(adapter, now)
+                && !more_urgent.iter().any(|queue| queue.has_adapter(adapter))
+                && !(rank == RequestRank::Batch && self.is_held(adapter, now))
+        })
+    }
+
+    /// Returns whether requests of the rank wait for a load.
+    pub(super) fn has_wanted(&self, rank: RequestRank) -> bool {
+        self.queues[rank.index()]
+            .adapters()
+            .any(|adapter| self.residency.state(adapter).is_none())
+    }
+
+    /// Counts the loads that could find a slot, by the rank that they are for.
+    fn room(&self, now: Duration) -> [usize; 3] {
+        if !self.config.bids_need_slot {
+            return [usize::MAX; 3];
+        }
+        let pending = self
+            .attempts
+            .values()
+            .filter(|attempt| attempt.permit_until.is_some())
+            .count();
+        let free = self.residency.free_slots() + self.residency.evicting();
+        RequestRank::ALL.map(|rank| (free + self.evictable(rank, now)).saturating_sub(pending))
     }
 
     /// Returns whether requests wait for the adapter.
@@ -56,15 +94,22 @@
     /// Starts permitted loads in free slots and orders evictions for the others.
     pub(super) fn start_loads(&mut self, now: Duration, actions: &mut Vec<ScheduleAction>) {
         self.drop_stale_attempts(now);
-        let mut permitted: Vec<(f64, AdapterRef)> = self
+        let mut permitted: Vec<LoadBid> = self
             .attempts
             .iter()
             .filter(|(_, attempt)| attempt.permit_until.is_some())
-            .map(|(adapter, _)| (self.worth(adapter, now), adapter.clone()))
+            .filter_map(|(adapter, _)| {
+                let rank = self.most_urgent(adapter)?;
+                Some(LoadBid::new(
+                    adapter.clone(),
+                    rank,
+                    self.worth(adapter, now),
+                ))
+            })
             .collect();
-        permitted.sort_by(|left, right| right.0.total_cmp(&left.0));
+        permitted.sort_by(|left, right| right.value.total_cmp(&left.value));
         let mut evicting = self.residency.evicting();
-        for (_, adapter) in permitted {
+        for LoadBid { adapter, value } in permitted {
             if self.residency.begin_load(&adapter, now) {
                 if let Some(attempt) = self.attempts.get_mut(&adapter) {
                     attempt.permit_until = None;
@@ -73,7 +118,7 @@
                 actions.push(ScheduleAction::Load(adapter));
             } else if evicting > 0 {
                 evicting -= 1;
-            } else if let Some(victim) = self.victim(now) {
+            } else if let Some(victim) = self.victim(LoadBid::rank_of(value), now) {
                 self.residency.begin_evict(&victim);
                 actions.push(ScheduleAction::Evict(victim));
             }
@@ -116,6 +161,35 @@
                 .is_none_or(|attempt| attempt.permit_until.is_none() && attempt.retry_at <= now)
     }
 
+    /// Returns whether batch work waits for more requests before it bids.
+    ///
+    /// A load that urgent or standard work causes later then serves it too. The hold shrinks with
+    /// the backlog: where loads are the bottleneck, work gathers while it waits for its turn.
+    fn is_held(&self, adapter: &AdapterRef, now: Duration) -> bool {
+        let batch = &self.queues[RequestRank::Batch.index()];
+        let Some(first) = batch.of_adapter(adapter).next() else {
+            return false;
+        };
+        let age = now.saturating_sub(first.queued_at);
+        let backlog = f64::from(u32::try_from(batch.adapters_len()).unwrap_or(u32::MAX));
+        let clearing = backlog / self.config.load_share.max(1e-3);
+        let allowed = first.item.deadline.saturating_sub(first.queued_at) / 4;
+        let hold = self.config.batch_hold.min(allowed);
+        age.as_secs_f64() + clearing < hold.as_secs_f64()
+    }
+
+    /// Weighs how likely a more urgent request will have the adapter loaded anyway.
+    ///
+    /// Where loads are the bottleneck, as in a sweep, batch work for popular adapters comes last
+    /// and shares their loads.
+    fn chance(&self, rank: RequestRank, adapter: &AdapterRef, now: Duration) -> f64 {
+        if rank == RequestRank::Batch && self.config.batch_hold > Duration::ZERO {
+            1.0 + self.residency.popularity(adapter, now)
+        } else {
+            1.0
+        }
+    }
+
     /// Weighs the requests that one load would serve, and how long they have waited.
     fn worth(&self, adapter: &AdapterRef, now: Duration) -> f64 {
         self.queues
@@ -127,9 +201,39 @@
             .sum()
     }
 
-    fn victim(&self, now: Duration) -> Option<AdapterRef> {
+    /// Chooses the adapter that makes room for a request of a rank.
+    ///
+    /// Adapters that requests of the same or a more urgent rank wait for stay.
+    fn victim(&self, rank: RequestRank, now: Duration) -> Option<AdapterRef> {
+        self.residency
+            .victim(|adapter| self.is_kept_from(rank, adapter), now)
+    }
+
+    fn evictable(&self, rank: RequestRank, now: Duration) -> usize {
         self.residency
-            .victim(|adapter| self.is_wanted(adapter), now)
+            .evictable(|adapter| self.is_kept_from(rank, adapter), now)
+    }
+
+    fn is_kept_from(&self, rank: RequestRank, adapter: &AdapterRef) -> bool {
+        if !self.config.bids_need_slot {
+            return self.is_wanted(adapter);
+        }
+        // The slot that is left unpinned for loads serves any rank with a floor.
+        let first = if self.config.floors[rank.index()] > 0.0 && self.is_turnover_needed() {
+            rank.index()
+        } else {
+            0
+        };
+        self.queues[first..=rank.index()]
+            .iter()
+            .any(|queue| queue.has_adapter(adapter))
+    }
+
+    /// Returns the most urgent rank that waits for the adapter.
+    fn most_urgent(&self, adapter: &AdapterRef) -> Option<RequestRank> {
+        RequestRank::ALL
+            .into_iter()
+            .find(|rank| self.queues[rank.index()].has_adapter(adapter))
     }
 
     /// Forgets lapsed permits and adapters that nobody waits for any more.
