--- a/src/policy/permit_config.rs
+++ b/src/policy/permit_config.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use crate::table::StoreRow;
+use crate::id::RequestRank;
+use crate::table::{PoolRow, StoreRow};
 
 /// The limits that a [`PermitBucket`](super::PermitBucket) keeps for one weight store.
 #[derive(Debug, Clone, PartialEq)]
@@ -19,8 +20,11 @@
     pub floors: [f64; 3],
 }
 
+/// Shares of grants where no pool is known; the rest goes to the most valuable bid.
+const DEFAULT_FLOORS: [f64; 3] = [0.5, 0.25, 0.1];
+
 impl PermitConfig {
-    /// Derives the limits from the row of a weight store.
+    /// Derives the limits from the row of a weight store, with default floors.
     #[must_use]
     pub fn from_row(store: &StoreRow) -> Self {
         Self {
@@ -29,7 +33,24 @@
             max_in_flight: store.max_in_flight,
             load_time: store.load_time,
             longest_load: store.load_time * 20,
-            floors: [0.0; 3],
+            floors: DEFAULT_FLOORS,
         }
     }
+
+    /// Replaces the floors by those of the pools that load from the store.
+    ///
+    /// Each rank keeps the mean of its floors, weighed by the upstreams of the pools.
+    #[must_use]
+    pub fn with_floors(mut self, pools: &[&PoolRow]) -> Self {
+        let weight = |pool: &PoolRow| f64::from(u32::try_from(pool.upstreams.len()).unwrap_or(0));
+        let total = pools.iter().map(|pool| weight(pool)).sum::<f64>().max(1.0);
+        self.floors = RequestRank::ALL.map(|rank| {
+            pools
+                .iter()
+                .map(|pool| weight(pool) * pool.floors.get(&rank).copied().unwrap_or(0.0))
+                .sum::<f64>()
+                / total
+        });
+        self
+    }
 }
--- a/src/policy/scheduler_config.rs
+++ b/src/policy/scheduler_config.rs
@@ -29,6 +29,14 @@
     pub residency: ResidencyRule,
     /// Slots that turn over by last use under [`ResidencyRule::Popularity`].
     pub one_off_slots: u32,
+    /// Time that batch work alone waits for other requests for its adapter before it bids for a load.
+    pub batch_hold: Duration,
+    /// Whether bids are made only while a slot could be made free for them, which includes slots
+    /// of adapters that only less urgent requests wait for.
+    pub bids_need_slot: bool,
+    /// Slots that are not pinned while other ranks need loads, so that these find a victim; batch
+    /// work never pins them.
+    pub headroom: u32,
     /// Time in which the popularity of an unused adapter halves.
     pub half_life: Duration,
 }
@@ -53,6 +61,9 @@
             queue_limit: 2048,
             residency: ResidencyRule::Popularity,
             one_off_slots: 0,
+            batch_hold: Duration::from_mins(10),
+            bids_need_slot: true,
+            headroom: 1,
             half_life: Duration::from_mins(20),
         }
     }
