Make the test of oversized hellos distinguish the limit from the handshake timeout

The node closed the connection at the handshake timeout even without the limit for hellos, so the test passed with the limit removed. Its node now allows the handshake more time than the test waits; with the limit removed it fails.

--- a/tests/peer/handshake.rs
+++ b/tests/peer/handshake.rs
@@ -138,7 +138,10 @@
 /// after the handshake.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn oversized_frame_closes_the_connection() {
-    let node = TestNode::start("b");
+    // The handshake may take longer than the test waits, so that only the length ends it.
+    let mut patient = config("b", 1);
+    patient.peer_timeout = 4 * LIMIT;
+    let node = TestNode::start_with(patient, answer_three);
     for len in [2_000_u32, u32::MAX] {
         let mut stream = TcpStream::connect(node.mesh.address())
             .await
