--- a/src/policy/rank_queue.rs
+++ b/src/policy/rank_queue.rs
@@ -123,14 +123,12 @@
             .flat_map(WaitingGroup::iter)
     }
 
-    /// Returns the number of requests that wait for the adapter and the sum of their waits.
-    #[must_use]
-    pub fn demand(&self, adapter: &AdapterRef, now: Duration) -> (usize, Duration) {
-        self.groups
-            .get(adapter)
-            .map_or((0, Duration::ZERO), |group| {
-                (group.len(), group.total_wait(now))
-            })
+    pub(super) fn group(&self, adapter: &AdapterRef) -> Option<&WaitingGroup> {
+        self.groups.get(adapter)
+    }
+
+    pub(super) fn groups(&self) -> impl Iterator<Item = (&AdapterRef, &WaitingGroup)> {
+        self.groups.iter()
     }
 
     /// Iterates over the adapters with waiting requests.
--- a/src/policy/scheduler_loads.rs
+++ b/src/policy/scheduler_loads.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::waiting_group::WaitingGroup;
 use super::{LoadBid, ScheduleAction, UpstreamScheduler};
 use crate::error::ErrorKind;
 use crate::id::{AdapterRef, RequestId, RequestRank};
@@ -28,11 +29,9 @@
             }
             let mut wanted: Vec<(f64, &AdapterRef)> = self
                 .wanted(rank, now)
-                .map(|adapter| {
-                    (
-                        self.worth(adapter, now) / self.chance(rank, adapter, now),
-                        adapter,
-                    )
+                .map(|(adapter, group)| {
+                    let worth = self.worth(rank, adapter, group, now);
+                    (worth / self.chance(rank, adapter, now), adapter)
                 })
                 .collect();
             wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
@@ -56,12 +55,16 @@
     }
 
     /// Iterates over the adapters that need a load and whose most urgent request has the rank.
-    fn wanted(&self, rank: RequestRank, now: Duration) -> impl Iterator<Item = &AdapterRef> {
+    fn wanted(
+        &self,
+        rank: RequestRank,
+        now: Duration,
+    ) -> impl Iterator<Item = (&AdapterRef, &WaitingGroup)> {
         let (more_urgent, rest) = self.queues.split_at(rank.index());
-        rest[0].adapters().filter(move |adapter| {
-            self.needs_permit(adapter, now)
+        rest[0].groups().filter(move |(adapter, group)| {
+            !(rank == RequestRank::Batch && self.is_held(group, now))
+                && self.needs_permit(adapter, now)
                 && !more_urgent.iter().any(|queue| queue.has_adapter(adapter))
-                && !(rank == RequestRank::Batch && self.is_held(adapter, now))
         })
     }
 
@@ -100,11 +103,9 @@
             .filter(|(_, attempt)| attempt.permit_until.is_some())
             .filter_map(|(adapter, _)| {
                 let rank = self.most_urgent(adapter)?;
-                Some(LoadBid::new(
-                    adapter.clone(),
-                    rank,
-                    self.worth(adapter, now),
-                ))
+                let group = self.queues[rank.index()].group(adapter)?;
+                let worth = self.worth(rank, adapter, group, now);
+                Some(LoadBid::new(adapter.clone(), rank, worth))
             })
             .collect();
         permitted.sort_by(|left, right| right.value.total_cmp(&left.value));
@@ -165,11 +166,14 @@
     ///
     /// A load that urgent or standard work causes later then serves it too. The hold shrinks with
     /// the backlog: where loads are the bottleneck, work gathers while it waits for its turn.
-    fn is_held(&self, adapter: &AdapterRef, now: Duration) -> bool {
-        let batch = &self.queues[RequestRank::Batch.index()];
-        let Some(first) = batch.of_adapter(adapter).next() else {
+    fn is_held(&self, group: &WaitingGroup, now: Duration) -> bool {
+        if self.config.batch_hold.is_zero() {
+            return false;
+        }
+        let Some(first) = group.first() else {
             return false;
         };
+        let batch = &self.queues[RequestRank::Batch.index()];
         let age = now.saturating_sub(first.queued_at);
         let backlog = f64::from(u32::try_from(batch.adapters_len()).unwrap_or(u32::MAX));
         let clearing = backlog / self.config.load_share.max(1e-3);
@@ -191,14 +195,25 @@
     }
 
     /// Weighs the requests that one load would serve, and how long they have waited.
-    fn worth(&self, adapter: &AdapterRef, now: Duration) -> f64 {
-        self.queues
+    ///
+    /// `group` is that of the most urgent rank that waits for the adapter.
+    fn worth(
+        &self,
+        rank: RequestRank,
+        adapter: &AdapterRef,
+        group: &WaitingGroup,
+        now: Duration,
+    ) -> f64 {
+        let weigh = |group: &WaitingGroup| {
+            f64::from(u32::try_from(group.len()).unwrap_or(u32::MAX))
+                + group.total_wait(now).as_secs_f64()
+        };
+        let less_urgent: f64 = self.queues[rank.index() + 1..]
             .iter()
-            .map(|queue| {
-                let (count, wait) = queue.demand(adapter, now);
-                f64::from(u32::try_from(count).unwrap_or(u32::MAX)) + wait.as_secs_f64()
-            })
-            .sum()
+            .filter_map(|queue| queue.group(adapter))
+            .map(weigh)
+            .sum();
+        weigh(group) + less_urgent
     }
 
     /// Chooses the adapter that makes room for a request of a rank.
