Keep a former owner's adapters until its last orders cannot arrive any more

Cause: the models of ownership (spec/owner.pml) show four ways in which an adapter could be evicted under a request. (1) A silent owner counted as dead after 60 s; the limit is now off unless operators set it. (2) Orders of an owner that has ended may still be under way; its adapters now wait 2 s. (3) A handover was announced while an eviction had no answer; it now follows the last answer. (4) An eviction without an answer freed the adapter for use, although the order could still arrive; it is repeated until the engine answers. A load whose order got no answer is adopted once two statuses show it.

Ruled out: a looser rule for engines that check fencing tokens, because the models need the fence on requests too (COMPLETE_UNFENCED).

Also: a refusal by an engine is mended on another upstream as long as nothing was delivered (a stream that went silent before the engine had it failed with "attempt not known"), and a node that is starting refuses forwarded calls as not run instead of dropping them.

--- a/crates/measure/src/site_plan.rs
+++ b/crates/measure/src/site_plan.rs
@@ -133,7 +133,7 @@
             .zip(floors)
             .collect::<BTreeMap<_, _>>(),
         stall_weight,
-        frozen_owner_limit: Duration::from_mins(1),
+        frozen_owner_limit: None,
         upstreams,
     }
 }
--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -88,7 +88,15 @@
     }
 
     async fn next_event(&mut self) -> String {
-        match self.next().await {
+        let mut step = self.next().await;
+        while let Err(error) = &step {
+            // Nothing was delivered yet, so the request may run again from its start.
+            if self.next_token > 0 || !self.try_restart(error).await {
+                break;
+            }
+            step = self.next().await;
+        }
+        match step {
             Ok(RelayStep::Token(text)) => self.format.token_event(&self.adapter, &text),
             Ok(RelayStep::End { finish, .. }) => {
                 self.is_ended = true;
--- a/src/node/epoch_lookup.rs
+++ b/src/node/epoch_lookup.rs
@@ -7,8 +7,8 @@
 use crate::owner::{EpochStanding, ReleaseLedger};
 use crate::time::ClockSource;
 
-/// Epochs whose silence is timed; each upstream has at most one epoch per former owner.
-const SILENCE_LIMIT: usize = 65_536;
+/// Epochs that are timed; each upstream has at most one epoch per former owner.
+const EPOCH_LIMIT: usize = 65_536;
 
 /// Finds out what is known about the process behind an epoch.
 #[derive(Debug)]
@@ -17,8 +17,9 @@
     view: Arc<FleetView>,
     ledger: Arc<ReleaseLedger>,
     clock: ClockSource,
-    /// When this instance first met an epoch without news of its owner.
-    silent_since: Mutex<BTreeMap<(OwnerEpoch, UpstreamId), Duration>>,
+    /// When this instance first met an epoch in its present standing, and whether its owner has
+    /// ended.
+    met_at: Mutex<BTreeMap<(OwnerEpoch, UpstreamId), (bool, Duration)>>,
 }
 
 impl EpochLookup {
@@ -33,7 +34,7 @@
             view,
             ledger,
             clock,
-            silent_since: Mutex::default(),
+            met_at: Mutex::default(),
         }
     }
 
@@ -47,23 +48,25 @@
             None => {}
         }
         let now = self.clock.now();
-        if self
+        let has_ended = self
             .view
             .members()
-            .has_ended(|process| epoch.is_of(process))
-        {
-            return EpochStanding::Dead;
+            .has_ended(|process| epoch.is_of(process));
+        let mut met_at = self.met_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = met_at
+            .entry((epoch, upstream.clone()))
+            .or_insert((has_ended, now));
+        if entry.0 != has_ended {
+            *entry = (has_ended, now);
         }
-        let mut silent_since = self
-            .silent_since
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let since = *silent_since.entry((epoch, upstream.clone())).or_insert(now);
-        while silent_since.len() > SILENCE_LIMIT {
-            silent_since.pop_first();
+        let since = now.saturating_sub(entry.1);
+        while met_at.len() > EPOCH_LIMIT {
+            met_at.pop_first();
         }
-        EpochStanding::Silent {
-            silent_for: now.saturating_sub(since),
+        if has_ended {
+            EpochStanding::Dead { dead_for: since }
+        } else {
+            EpochStanding::Silent { silent_for: since }
         }
     }
 }
--- a/src/node/mesh_wiring.rs
+++ b/src/node/mesh_wiring.rs
@@ -25,11 +25,8 @@
         heartbeat: Box::new(move || heartbeat(&beat)),
         on_heartbeat: Box::new(move |peer, body| on_heartbeat(&heard, peer, &body)),
         on_call: Box::new(move |_, open, sink| {
-            let Some(registry) = called.registry().map(Arc::clone) else {
-                return;
-            };
-            let clock = called.timer.clock().clone();
-            tokio::spawn(async move { forward_call(&registry, &clock, open, sink).await });
+            let parts = Arc::clone(&called);
+            tokio::spawn(async move { forward_call(&parts, open, sink).await });
         }),
         on_ask: Box::new(move |_, ask| {
             let parts = Arc::clone(&asked);
--- a/src/owner/call_runner.rs
+++ b/src/owner/call_runner.rs
@@ -136,8 +136,9 @@
             Err(error) => error,
         };
         let is_refused = !matches!(cut.kind(), ErrorKind::Unavailable | ErrorKind::Truncated);
-        if next == 0 && resumes == 0 && (is_refused || cut.run_state() == RunState::NotRun) {
-            return CallOutcome::Failed(cut);
+        let is_unsent = resumes == 0 && cut.run_state() == RunState::NotRun;
+        if is_refused || is_unsent {
+            return CallOutcome::Failed(refusal(owner, cut));
         }
         if owner.has_crashed(call).await {
             cut = Error::new(
@@ -166,6 +167,15 @@
     }
 }
 
+/// Turns an engine's refusal into a failure of the upstream, which the entry may mend elsewhere.
+fn refusal(owner: &UpstreamOwner, error: Error) -> Error {
+    if error.kind() == ErrorKind::BadRequest || error.run_state() == RunState::NotRun {
+        return error;
+    }
+    let detail = format!("upstream {} refused: {}", owner.upstream(), error.detail());
+    Error::new(ErrorKind::Upstream, detail).with_run_state(error.run_state())
+}
+
 fn truncated(owner: &UpstreamOwner, reason: &str) -> Error {
     let detail = format!(
         "the answer of upstream {} was cut: {reason}",
--- a/src/owner/owner_registry.rs
+++ b/src/owner/owner_registry.rs
@@ -171,6 +171,9 @@
     /// Announces the handover until every instance of the failure domain has confirmed its end.
     async fn run_release(&self, owner: &UpstreamOwner) {
         let mut ticks = self.context.timer.subscribe(HANDOVER_INTERVAL);
+        while !owner.has_settled() {
+            ticks.next().await;
+        }
         loop {
             let is_released = owner.running() == 0;
             self.context
--- a/src/owner/owner_state.rs
+++ b/src/owner/owner_state.rs
@@ -19,6 +19,10 @@
     pub permits: BTreeMap<AdapterRef, LoadPermit>,
     /// Loads that wait for an answer of the permit holder.
     pub asking: BTreeSet<AdapterRef>,
+    /// Adapters of the own epoch in the last status that the scheduler does not know.
+    pub strays: BTreeSet<EngineName>,
+    /// Loads and evictions that the engine has not confirmed.
+    pub orders: u32,
     /// Adapters of former owners that must not be evicted yet.
     pub held: BTreeSet<AdapterRef>,
     /// The start of the engine process; none before the first status.
@@ -35,6 +39,13 @@
         adapter.is_some_and(|adapter| !self.names.contains_key(adapter))
     }
 
+    /// Returns whether the engine holds an adapter of the own epoch that the scheduler does not know.
+    pub fn is_stray(&self, name: &EngineName) -> bool {
+        let is_known = self.names.contains_key(name.adapter())
+            || self.scheduler.residency().state(name.adapter()).is_some();
+        !is_known
+    }
+
     /// Returns the number of dispatched calls.
     pub fn running(&self) -> u32 {
         let running = self
--- a/src/owner/upstream_owner.rs
+++ b/src/owner/upstream_owner.rs
@@ -26,6 +26,8 @@
 
 /// Time allowed for an order or a status question to an engine; loads have their own limit.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause before an eviction without an answer is ordered again.
+const ORDER_PAUSE: Duration = Duration::from_millis(500);
 /// Longest call of a plain service; the deadline of a call ends most of them sooner.
 const CALL_TIMEOUT: Duration = Duration::from_mins(10);
 /// Tokens assumed for a request that states no limit.
@@ -72,6 +74,8 @@
             names: BTreeMap::new(),
             permits: BTreeMap::new(),
             asking: BTreeSet::new(),
+            orders: 0,
+            strays: BTreeSet::new(),
             held: BTreeSet::new(),
             incarnation: None,
             is_healthy: false,
@@ -124,6 +128,12 @@
         self.state().running()
     }
 
+    /// Returns whether the engine has confirmed all loads and evictions.
+    #[must_use]
+    pub fn has_settled(&self) -> bool {
+        self.state().orders == 0
+    }
+
     /// Returns the state as it is told to other instances.
     #[must_use]
     pub fn residency(&self) -> ResidencyItem {
@@ -415,12 +425,25 @@
         self.perform(actions);
     }
 
+    /// Counts an order that starts, unless the ownership is ending: a handover must follow the
+    /// engine's answer to the last order.
+    fn begin_order(&self) -> bool {
+        let mut state = self.state();
+        let is_active = state.phase == OwnerPhase::Active;
+        state.orders += u32::from(is_active);
+        is_active
+    }
+
     fn spawn_evict(&self, adapter: AdapterRef) {
+        if !self.begin_order() {
+            return;
+        }
         let owner = self.clone();
         tokio::spawn(async move {
             let is_ok = owner.evict(&adapter).await;
             let actions = {
                 let mut state = owner.state();
+                state.orders -= 1;
                 if is_ok {
                     state.names.remove(&adapter);
                 }
@@ -430,43 +453,59 @@
         });
     }
 
+    /// Orders an eviction and repeats it until the engine has answered.
+    ///
+    /// An order without an answer may still arrive; if the adapter were used again meanwhile, it
+    /// would be evicted under a request. Returns whether the adapter is gone.
     async fn evict(&self, adapter: &AdapterRef) -> bool {
         let UpstreamClient::Engine { orders, .. } = &self.inner.client else {
             return false;
         };
-        let (name, epoch) = {
-            let state = self.state();
-            (state.names.get(adapter).cloned(), state.epoch)
-        };
-        let Some(name) = name else { return true };
-        if !self.inner.context.lease.is_valid() {
-            return false;
-        }
-        self.note(LogName::EvictOrdered, MetricName::Evictions, &name);
-        self.audit(
-            AuditKind::EvictionOrder,
-            &name,
-            "a slot is needed for another adapter",
-        );
-        match orders.evict(&name, epoch).await {
-            Ok(()) => true,
-            Err(error) => {
-                self.log(LogName::EvictFailed)
-                    .with("adapter", &name)
-                    .with("reason", &error)
-                    .send();
-                false
+        let mut is_open = false;
+        loop {
+            let (name, epoch) = {
+                let state = self.state();
+                (state.names.get(adapter).cloned(), state.epoch)
+            };
+            // A restart of the engine has removed the adapter.
+            let Some(name) = name else { return true };
+            if self.inner.context.lease.is_valid() {
+                if !is_open {
+                    self.note(LogName::EvictOrdered, MetricName::Evictions, &name);
+                    let reason = "a slot is needed for another adapter";
+                    self.audit(AuditKind::EvictionOrder, &name, reason);
+                }
+                let Err(error) = orders.evict(&name, epoch).await else {
+                    return true;
+                };
+                let log = self.log(LogName::EvictFailed).with("adapter", &name);
+                log.with("reason", &error).send();
+                let is_answered = !matches!(
+                    error.kind(),
+                    ErrorKind::Unavailable | ErrorKind::Truncated | ErrorKind::Upstream
+                );
+                if is_answered || (!is_open && error.run_state() == RunState::NotRun) {
+                    return false;
+                }
+                is_open = true;
+            } else if !is_open {
+                return false;
             }
+            tokio::time::sleep(ORDER_PAUSE).await;
         }
     }
 
     fn spawn_load(&self, adapter: AdapterRef) {
+        if !self.begin_order() {
+            return;
+        }
         let owner = self.clone();
         tokio::spawn(async move {
             let loaded = owner.load(&adapter).await;
             let is_ok = loaded.is_some();
             let (actions, permit) = {
                 let mut state = owner.state();
+                state.orders -= 1;
                 if let Some(name) = loaded {
                     state.names.insert(adapter.clone(), name);
                 }
@@ -567,11 +606,11 @@
     ) -> Vec<ScheduleAction> {
         let (mut actions, now) = (Vec::new(), self.now());
         let limit = self.inner.pool.frozen_owner_limit;
-        let mut blocked = 0;
+        let (mut blocked, mut strays) = (0, BTreeSet::new());
         for resident in &status.resident {
             let (name, adapter) = (&resident.name, resident.name.adapter());
-            let is_own = name.epoch() == state.epoch;
-            if is_own {
+            if name.epoch() == state.epoch {
+                strays.extend(state.is_stray(name).then(|| name.clone()));
                 continue;
             }
             let standing = (self.inner.context.standing)(self.upstream(), name.epoch());
@@ -590,6 +629,13 @@
                 state.scheduler.hold(adapter, now);
             }
         }
+        // A load whose order got no answer may have ended later. A status may be older than the
+        // last eviction, so that one status alone does not count.
+        let former = std::mem::replace(&mut state.strays, strays.clone());
+        for name in strays.intersection(&former) {
+            state.names.insert(name.adapter().clone(), name.clone());
+            actions.extend(state.scheduler.adopted(name.adapter(), now));
+        }
         let slots = self.inner.pool.slots.saturating_sub(blocked);
         state.scheduler.set_slots(slots);
         actions
--- a/src/table/pool_check.rs
+++ b/src/table/pool_check.rs
@@ -82,7 +82,7 @@
                 "use 1 to favour urgent service, 0 to favour full batches",
             );
         }
-        if row.frozen_owner_limit.is_zero() {
+        if row.frozen_owner_limit.is_some_and(|limit| limit.is_zero()) {
             self.add(
                 &key,
                 "frozen_owner_limit is zero",
--- a/src/table/pool_row.rs
+++ b/src/table/pool_row.rs
@@ -38,11 +38,14 @@
     /// Weight of load stalls and urgent service against batch efficiency, from 0 to 1.
     #[serde(default = "default_stall_weight")]
     pub stall_weight: f64,
-    /// Silence of a former owner after which its adapters may be evicted at engines that ignore
-    /// fencing tokens, although it was not seen to have ended.
-    #[serde_as(as = "DurationText")]
-    #[serde(default = "default_frozen_owner_limit")]
-    pub frozen_owner_limit: Duration,
+    /// Silence of a former owner after which its adapters may be used and evicted, although it was
+    /// not seen to have ended; off if unset.
+    ///
+    /// A former owner that is paused for longer, between its last check and its order, may then
+    /// evict an adapter in use or lose one under its request.
+    #[serde_as(as = "Option<DurationText>")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub frozen_owner_limit: Option<Duration>,
     /// The upstreams.
     #[serde(default, rename = "upstream")]
     pub upstreams: Vec<UpstreamRow>,
@@ -63,7 +66,3 @@
 const fn default_stall_weight() -> f64 {
     0.5
 }
-
-const fn default_frozen_owner_limit() -> Duration {
-    Duration::from_mins(1)
-}
