--- a/tests/claim/bench.rs
+++ b/tests/claim/bench.rs
@@ -76,3 +76,10 @@
         key
     }
 }
+
+/// Waits for work that must end; virtual time makes the limit pass at once if nothing moves.
+pub async fn within<T>(work: impl Future<Output = T>) -> T {
+    tokio::time::timeout(Duration::from_mins(10), work)
+        .await
+        .expect("the work ends")
+}
--- a/tests/claim/rules.rs
+++ b/tests/claim/rules.rs
@@ -5,7 +5,7 @@
 use comfreychute::claim::ClaimOutcome;
 use comfreychute::{ErrorKind, RunState};
 
-use crate::bench::Bench;
+use crate::bench::{Bench, within};
 use crate::fake_store::CallFate;
 use crate::fixtures::{answer_of, attempt_of, key_of, quick_config};
 
@@ -96,7 +96,7 @@
         bench.fake.set_immediate(true);
     };
 
-    let ((first, second), ()) = tokio::join!(calls, faults);
+    let ((first, second), ()) = within(async { tokio::join!(calls, faults) }).await;
 
     let outcomes = [first.ok(), second.ok()];
     assert!(
@@ -128,7 +128,8 @@
         }
     };
 
-    let (refusal, ()) = tokio::join!(bench.claim(&key, 1, attempt_of(1)), outage);
+    let claim = bench.claim(&key, 1, attempt_of(1));
+    let (refusal, ()) = within(async { tokio::join!(claim, outage) }).await;
     bench.fake.run_delayed(0);
     bench.fake.set_immediate(true);
     let resend = bench.claim(&key, 1, attempt_of(2)).await;
