Bound the crashes of a resent request and answer the requests beside it

Cause: a charge reached other owners with the next heartbeat, up to 500 ms later, so a resend could run on another engine in between; queued copies were not judged again before their dispatch; a crash charged a fingerprint once for each copy in flight, so three copies of a harmless request were quarantined by one crash; and requests cut by a restart drew on the retry budget of 3 plus 9%, which does not cover the requests that one crash cuts.

Changes: a new charge is sent at once (PeerMesh::beat_now); a dispatch judges the call again; one crash charges a fingerprint once; the error kind Restarted marks a call cut by a restart of its engine, and the entry runs such a request once more without charging the retry budget; the entry reports the error of the last run, so a quarantined request ends with that code.

Not ruled in or out separately: the effect of each change alone. Carrying the count in the refusal was not needed.

Before: crashing.rs (first test) failed; its message was not kept. After: 3 crashes in each of two runs of both tests, all 12 requests in flight answered whole, the last code is quarantined.

--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -38,6 +38,8 @@
     adapter: String,
     next_token: u64,
     resumes: u32,
+    /// Whether the request has used its further run after a restart of the engine.
+    has_free_restart: bool,
     is_ended: bool,
 }
 
@@ -63,6 +65,7 @@
             adapter,
             next_token: 0,
             resumes: 0,
+            has_free_restart: false,
             is_ended: false,
         }
     }
@@ -114,10 +117,12 @@
             match self.next().await {
                 Ok(RelayStep::Token(token)) => text.push_str(&token),
                 Ok(RelayStep::End { finish, tokens }) => break (finish, tokens),
-                Err(error) if self.try_restart(&error).await => text.clear(),
                 Err(error) => {
-                    self.log_failure(&error);
-                    return Err(error);
+                    if let Err(error) = self.restart(error).await {
+                        self.log_failure(&error);
+                        return Err(error);
+                    }
+                    text.clear();
                 }
             }
         };
@@ -129,23 +134,30 @@
     }
 
     /// Runs the request again from the start; possible while nothing was delivered.
-    async fn try_restart(&mut self, error: &Error) -> bool {
+    ///
+    /// The retry budget protects upstreams that fail. One run after a restart of the engine is not
+    /// charged to it, since many harmless requests are cut at once and the engine is up again; the
+    /// owners bound the crashes themselves.
+    ///
+    /// # Errors
+    ///
+    /// Returns the former error if no further run is allowed, or the error of the further run.
+    async fn restart(&mut self, error: Error) -> Result<()> {
+        let is_free = error.kind() == ErrorKind::Restarted && !self.has_free_restart;
         let is_allowed = error.run_state() == RunState::Unknown
             && is_retryable(error.kind())
             && self.context.clock.now() < self.routed.deadline
-            && try_retry(&self.context);
+            && (is_free || try_retry(&self.context));
         if !is_allowed {
-            return false;
+            return Err(error);
         }
+        self.has_free_restart |= is_free;
         let attempt = self.opened.attempt;
-        match open(&self.context, &self.routed, attempt + 1).await {
-            Ok(opened) => {
-                self.opened = opened;
-                self.next_token = 0;
-                true
-            }
-            Err(_) => false,
-        }
+        self.opened = open(&self.context, &self.routed, attempt + 1)
+            .await
+            .map_err(|refusal| refusal.with_run_state(RunState::Unknown))?;
+        self.next_token = 0;
+        Ok(())
     }
 
     async fn next(&mut self) -> Result<RelayStep> {
--- a/src/entry/model_call.rs
+++ b/src/entry/model_call.rs
@@ -183,7 +183,7 @@
 fn note_failure(error: &Error, upstream: &UpstreamId, failures: &mut BTreeMap<UpstreamId, u32>) {
     let weight = if matches!(
         error.kind(),
-        ErrorKind::Upstream | ErrorKind::Overloaded | ErrorKind::Peer
+        ErrorKind::Upstream | ErrorKind::Restarted | ErrorKind::Overloaded | ErrorKind::Peer
     ) {
         AVOIDED_AT
     } else {
@@ -208,7 +208,7 @@
 pub(super) const fn is_retryable(kind: ErrorKind) -> bool {
     matches!(
         kind,
-        ErrorKind::Upstream | ErrorKind::Peer | ErrorKind::Truncated
+        ErrorKind::Upstream | ErrorKind::Restarted | ErrorKind::Peer | ErrorKind::Truncated
     )
 }
 
--- a/src/entry/refusal_answer.rs
+++ b/src/entry/refusal_answer.rs
@@ -73,7 +73,9 @@
         ErrorKind::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         ErrorKind::Overloaded => StatusCode::TOO_MANY_REQUESTS,
         ErrorKind::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-        ErrorKind::Upstream | ErrorKind::Truncated => StatusCode::BAD_GATEWAY,
+        ErrorKind::Upstream | ErrorKind::Restarted | ErrorKind::Truncated => {
+            StatusCode::BAD_GATEWAY
+        }
         ErrorKind::Quarantined | ErrorKind::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         ErrorKind::InProgress | ErrorKind::Conflict => StatusCode::CONFLICT,
         ErrorKind::Unavailable
--- a/src/error/error_kind.rs
+++ b/src/error/error_kind.rs
@@ -18,6 +18,8 @@
     Unavailable,
     /// the upstream failed; retry if the request may be repeated
     Upstream,
+    /// the upstream restarted and lost the request; retry if the request may be repeated
+    Restarted,
     /// the answer was cut off; retry if the request may be repeated
     Truncated,
     /// the request crashed upstreams repeatedly; change it before sending it again
@@ -58,6 +60,7 @@
             Self::DeadlineExceeded => "deadline_exceeded",
             Self::Unavailable => "unavailable",
             Self::Upstream => "upstream_failed",
+            Self::Restarted => "upstream_restarted",
             Self::Truncated => "truncated",
             Self::Quarantined => "quarantined",
             Self::InProgress => "in_progress",
@@ -77,7 +80,7 @@
     /// Finds the kind for a code that came from a peer.
     #[must_use]
     pub fn from_code(code: &str) -> Self {
-        const ALL: [ErrorKind; 20] = [
+        const ALL: [ErrorKind; 21] = [
             ErrorKind::BadRequest,
             ErrorKind::NotFound,
             ErrorKind::BodyTooLarge,
@@ -85,6 +88,7 @@
             ErrorKind::DeadlineExceeded,
             ErrorKind::Unavailable,
             ErrorKind::Upstream,
+            ErrorKind::Restarted,
             ErrorKind::Truncated,
             ErrorKind::Quarantined,
             ErrorKind::InProgress,
--- a/src/node/running_node.rs
+++ b/src/node/running_node.rs
@@ -233,6 +233,7 @@
         Arc::clone(&parts.ledger),
         parts.timer.clock().clone(),
     );
+    let spreading = Arc::clone(parts);
     OwnerContext {
         instance: parts.instance.clone(),
         process,
@@ -243,6 +244,11 @@
         permits: permit_client(parts),
         audit: parts.audit.clone(),
         suspects: Arc::clone(&parts.suspects),
+        spread_suspects: Box::new(move || {
+            if let Some(mesh) = spreading.mesh() {
+                mesh.beat_now();
+            }
+        }),
         metrics: parts.metrics.clone(),
         standing: Box::new(move |upstream, epoch| lookup.standing(upstream, epoch)),
     }
--- a/src/owner/call_runner.rs
+++ b/src/owner/call_runner.rs
@@ -99,6 +99,10 @@
             "the adapter is no longer resident",
         ));
     }
+    // Further crashes may have been charged while the call was queued; a resumed one has run already.
+    if call.open.from_token == 0 {
+        owner.judge(call)?;
+    }
     Ok(())
 }
 
@@ -141,7 +145,7 @@
         }
         if owner.has_crashed(call).await {
             cut = Error::new(
-                ErrorKind::Upstream,
+                ErrorKind::Restarted,
                 format!("upstream {} restarted", owner.upstream()),
             )
             .with_run_state(RunState::Unknown);
--- a/src/owner/owner_context.rs
+++ b/src/owner/owner_context.rs
@@ -32,6 +32,8 @@
     pub audit: AuditTrail,
     /// Requests that were in flight at upstream crashes.
     pub suspects: Arc<Mutex<SuspectList>>,
+    /// Sends new charges to the peers at once; called without any lock held.
+    pub spread_suspects: Box<dyn Fn() + Send + Sync>,
     /// The metrics.
     pub metrics: MetricSink,
     /// Tells what is known about earlier owners.
--- a/src/owner/upstream_owner.rs
+++ b/src/owner/upstream_owner.rs
@@ -204,17 +204,7 @@
         if !state.is_active {
             return Err(self.unavailable("it is draining"));
         }
-        let verdict = context
-            .suspects
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .judge(fingerprint, now);
-        if verdict == SuspectVerdict::Refused {
-            return Err(Error::new(
-                ErrorKind::Quarantined,
-                format!("request {} was in flight at repeated crashes", call.request),
-            ));
-        }
+        let verdict = self.judge(call)?;
         let item = WorkItem {
             request: call.request,
             adapter: call.adapter.clone(),
@@ -231,6 +221,28 @@
         Ok(state.scheduler.offer(item, now))
     }
 
+    /// Judges a call by the crashes that its content is charged with.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Quarantined`] if the call must not run any more.
+    pub(super) fn judge(&self, call: &OwnerCall) -> Result<SuspectVerdict, Error> {
+        let verdict = self
+            .inner
+            .context
+            .suspects
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .judge(fingerprint(&call.open), self.now());
+        if verdict == SuspectVerdict::Refused {
+            return Err(Error::new(
+                ErrorKind::Quarantined,
+                format!("request {} was in flight at repeated crashes", call.request),
+            ));
+        }
+        Ok(verdict)
+    }
+
     fn unavailable(&self, reason: &str) -> Error {
         Error::new(
             ErrorKind::Unavailable,
@@ -508,6 +520,7 @@
 
     /// Compares the engine's status with the state: restarts, adapters of former owners, health.
     pub fn observe_status(&self, status: &Result<EngineStatus, Error>) {
+        let mut has_restarted = false;
         let actions = {
             let mut state = self.state();
             match status {
@@ -523,22 +536,27 @@
                 }
                 Ok(status) => {
                     state.is_healthy = true;
-                    let mut actions = self.observe_incarnation(&mut state, status.incarnation);
+                    let mut actions = Vec::new();
+                    let former = state.incarnation.replace(status.incarnation);
+                    has_restarted = former.is_some_and(|former| former != status.incarnation);
+                    if has_restarted {
+                        actions.extend(self.charge_restart(&mut state));
+                    }
                     actions.extend(self.adopt_residents(&mut state, status));
                     actions.extend(state.scheduler.tick(self.now()));
                     actions
                 }
             }
         };
+        if has_restarted {
+            // A resend may reach another owner before the next regular heartbeat.
+            (self.inner.context.spread_suspects)();
+        }
         self.perform(actions);
     }
 
     /// Forgets the residency after a restart and charges the requests that were in flight.
-    fn observe_incarnation(&self, state: &mut OwnerState, incarnation: u64) -> Vec<ScheduleAction> {
-        let former = state.incarnation.replace(incarnation);
-        if former.is_none_or(|former| former == incarnation) {
-            return Vec::new();
-        }
+    fn charge_restart(&self, state: &mut OwnerState) -> Vec<ScheduleAction> {
         LogEvent::new(LogName::UpstreamRestarted)
             .with("upstream", self.upstream())
             .send();
@@ -552,10 +570,16 @@
             .suspects
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
+        // One crash charges equal requests once; otherwise three copies of a harmless request would
+        // be refused after a single crash.
+        let mut charged = BTreeSet::new();
         for owned in state.calls.values_mut().filter(|owned| owned.is_dispatched) {
             owned.has_crashed = true;
-            suspects.charge(owned.fingerprint, self.inner.context.timer.clock().now());
+            if charged.insert(owned.fingerprint) {
+                suspects.charge(owned.fingerprint, self.inner.context.timer.clock().now());
+            }
         }
+        drop(suspects);
         state.scheduler.restarted(self.now())
     }
 
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod configuration;
+mod crashing;
 mod fixture;
 mod leaving;
 mod orders;
