Test a surge of batch requests across processes

The test guards against unbounded queues, against refused work that runs, and against urgent work that is refused because of batch work.

No product change was made.

The owner assumes 64 tokens of 10 ms at first and holds batch loads. The warm-up separates the bound on queues from these predictions.

--- a/tests/path/fixture.rs
+++ b/tests/path/fixture.rs
@@ -33,6 +33,10 @@
 }
 
 impl OwnedProcess {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill").args(["-s", signal, &pid]).status();
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -12,4 +12,5 @@
 mod processes;
 mod replacement;
 mod slow_store;
+mod surge;
 mod typed_answer;
