Test hostile bytes on the ports of a node

The test sends random bytes (fixed seed), half-open requests, contradictory lengths, oversized headers and deep JSON to the caller, admin and peer ports, keeps the connections open and checks that the node serves and that no task panicked.

--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod crashing;
 mod fixture;
+mod hostile;
 mod leaving;
 mod orders;
 mod outage;
--- a/tests/path/process_fleet.rs
+++ b/tests/path/process_fleet.rs
@@ -134,6 +134,11 @@
         );
     }
 
+    /// Returns the path of a node's log.
+    pub fn log_path(&self, name: &str) -> PathBuf {
+        self.directory.join(format!("{name}.log"))
+    }
+
     /// Writes the list of instances to the platform.
     pub async fn publish(&self) {
         let list = self.nodes.iter().map(|(id, node)| {
