Measure the cost of a node by fleet size

Cause: docs/CAPACITY.md needs slopes for traffic, processor time, memory and platform calls per node, and no program measured whole nodes by fleet size.

comfreychute-capacity runs N nodes and M engines in one failure domain and one process on loopback, idle and with table changes, and prints JSON. Node::heartbeat_bytes exposes the existing counter of the mesh.

Ruled out: reusing LocalFleet, which is fixed to two engines and the example pools; one process per node, since the machine is shared (processor figures therefore contain the stand-ins' share and are upper figures).

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! The crate is not part of the product.
 
+pub mod capacity;
 pub mod control;
 pub mod engine;
 pub mod fleet;
--- a/src/node/running_node.rs
+++ b/src/node/running_node.rs
@@ -117,6 +117,12 @@
         self.parts.config.revision()
     }
 
+    /// Returns the bytes of all heartbeat frames sent so far, for measurements of capacity.
+    #[must_use]
+    pub fn heartbeat_bytes(&self) -> u64 {
+        self.parts.mesh().map_or(0, PeerMesh::heartbeat_bytes)
+    }
+
     /// Describes the node, its peers and all upstreams.
     #[must_use]
     pub fn report(&self) -> NodeReport {
