--- /dev/null
+++ b/src/node/entry_wiring.rs
@@ -0,0 +1,76 @@
+//! Connects the entry with placement, claims and the mesh.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use super::node_parts::NodeParts;
+use crate::claim::{ClaimConfig, ClaimHooks, ClaimStorage, ClaimStore};
+use crate::entry::{EntryContext, EntryRouter};
+use crate::owner::OwnerRegistry;
+use crate::peer::PeerMesh;
+use crate::policy::{PlacementPolicy, RetryBudget};
+
+/// Retries per request that the budget earns. With the reserve, upstream calls stay within 1.1 times
+/// the requests from 300 requests on.
+const RETRY_SHARE: f64 = 0.09;
+/// Retries that an instance with little traffic may make.
+const RETRY_RESERVE: f64 = 3.0;
+/// Retries that an instance may make at once after a quiet time.
+const RETRY_BURST: f64 = 10.0;
+/// Time in which the unused balance of retries halves.
+const RETRY_HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// Builds what the handlers of requests share.
+pub(super) fn entry_context(
+    parts: &Arc<NodeParts>,
+    registry: Arc<OwnerRegistry>,
+    mesh: PeerMesh,
+) -> EntryContext {
+    let clock = parts.timer.clock().clone();
+    let (placing, owning) = (Arc::clone(parts), Arc::clone(parts));
+    let router = EntryRouter {
+        instance: parts.instance.clone(),
+        domain: parts.domain.clone(),
+        clock: clock.clone(),
+        policy: PlacementPolicy::default(),
+        candidates: Box::new(move |pool, adapter| {
+            placing
+                .view
+                .candidates(&placing.config.current(), pool, adapter)
+        }),
+        owner: Box::new(move |upstream| owning.view.owner(upstream)),
+        registry,
+        mesh,
+    };
+    EntryContext {
+        instance: parts.instance.clone(),
+        retries: Mutex::new(
+            RetryBudget::new(RETRY_SHARE, RETRY_BURST, RETRY_HALF_LIFE, clock.now())
+                .with_reserve(RETRY_RESERVE),
+        ),
+        clock,
+        config: parts.config.clone(),
+        router,
+        claims: claim_store(parts),
+        gate: parts.gate.clone(),
+        metrics: parts.metrics.clone(),
+        max_body: parts.settings.limits.max_body,
+        max_in_progress: usize::try_from(parts.settings.limits.max_open_calls)
+            .unwrap_or(usize::MAX),
+    }
+}
+
+fn claim_store(parts: &Arc<NodeParts>) -> ClaimStore {
+    let living = Arc::clone(parts);
+    let storage = ClaimStorage::from_store(&parts.store);
+    let hooks = ClaimHooks::new(move |instance, incarnation| {
+        if *instance == living.instance {
+            return incarnation == living.incarnation;
+        }
+        let peers = living.mesh().map(PeerMesh::live_peers).unwrap_or_default();
+        peers
+            .iter()
+            .any(|peer| peer.id == *instance && peer.incarnation == incarnation)
+    });
+    ClaimStore::new(storage, ClaimConfig::default(), hooks, parts.incarnation)
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 
 mod call_forwarder;
 mod config_loop;
+mod entry_wiring;
 mod epoch_lookup;
 mod fleet_view;
 mod member_loop;
@@ -12,6 +13,7 @@
 mod node_parts;
 mod node_runner;
 mod node_status;
+mod owner_wiring;
 mod permit_wiring;
 mod running_node;
 
--- /dev/null
+++ b/src/node/owner_wiring.rs
@@ -0,0 +1,78 @@
+//! Connects the owners with membership, permits and the mesh.
+
+use std::sync::Arc;
+
+use super::epoch_lookup::EpochLookup;
+use super::node_parts::NodeParts;
+use super::permit_wiring::permit_client;
+use crate::owner::{HandoverAnnouncer, OwnerContext};
+use crate::peer::{HandoverItem, OwnerHandover, PeerAsk, ask};
+
+/// Builds what the owners of all upstreams share.
+pub(super) fn owner_context(parts: &Arc<NodeParts>) -> OwnerContext {
+    let process = format!("{}#{}", parts.instance, parts.incarnation);
+    let lookup = EpochLookup::new(
+        process.clone(),
+        Arc::clone(&parts.view),
+        Arc::clone(&parts.ledger),
+        parts.timer.clock().clone(),
+    );
+    let spreading = Arc::clone(parts);
+    OwnerContext {
+        instance: parts.instance.clone(),
+        process,
+        timer: parts.timer.clone(),
+        lease: parts.lease.clone(),
+        ledger: Arc::clone(&parts.ledger),
+        recorder: parts.recorder.clone(),
+        permits: permit_client(parts),
+        audit: parts.audit.clone(),
+        suspects: Arc::clone(&parts.suspects),
+        spread_suspects: Box::new(move || {
+            if let Some(mesh) = spreading.mesh() {
+                mesh.beat_now();
+            }
+        }),
+        metrics: parts.metrics.clone(),
+        standing: Box::new(move |upstream, epoch| lookup.standing(upstream, epoch)),
+    }
+}
+
+/// Builds the announcer of handovers.
+pub(super) fn announcer(parts: &Arc<NodeParts>) -> HandoverAnnouncer {
+    let parts = Arc::clone(parts);
+    Box::new(move |item| {
+        let parts = Arc::clone(&parts);
+        Box::pin(async move { announce(&parts, item).await })
+    })
+}
+
+/// Tells all live peers of the failure domain about a handover.
+async fn announce(parts: &NodeParts, item: HandoverItem) -> bool {
+    let Some(mesh) = parts.mesh() else {
+        return true;
+    };
+    let asks = mesh
+        .live_peers()
+        .into_iter()
+        .filter(|peer| peer.domain == parts.domain)
+        .map(|peer| {
+            let handover = OwnerHandover {
+                items: vec![item.clone()],
+            };
+            async move {
+                mesh.ask(
+                    &peer.id,
+                    PeerAsk {
+                        body: Some(ask::Body::Handover(handover)),
+                    },
+                )
+                .await
+                .is_ok()
+            }
+        });
+    futures_util::future::join_all(asks)
+        .await
+        .into_iter()
+        .all(|is_ok| is_ok)
+}
--- a/src/node/running_node.rs
+++ b/src/node/running_node.rs
@@ -5,22 +5,21 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use super::epoch_lookup::EpochLookup;
+use super::entry_wiring::entry_context;
 use super::node_parts::NodeParts;
-use super::permit_wiring::permit_client;
+use super::owner_wiring::{announcer, owner_context};
 use super::{FleetView, config_loop, member_loop, mesh_wiring, node_status};
 use crate::admin::{AdminContext, AdminServer, NodeReport};
 use crate::audit::AuditTrail;
-use crate::claim::{ClaimConfig, ClaimHooks, ClaimStorage, ClaimStore};
 use crate::config::ConfigStore;
-use crate::entry::{EntryContext, EntryGate, EntryRouter, EntryServer, load_tls};
+use crate::entry::{EntryGate, EntryServer, load_tls};
 use crate::error::Result;
 use crate::member::MemberView;
-use crate::owner::{HandoverAnnouncer, LeaseGuard, OwnerContext, OwnerRecorder, OwnerRegistry};
-use crate::peer::{HandoverItem, MeshConfig, OwnerHandover, PeerAsk, PeerMesh, SharedSecret, ask};
+use crate::owner::{LeaseGuard, OwnerRecorder, OwnerRegistry};
+use crate::peer::{MeshConfig, PeerMesh, SharedSecret};
 use crate::permit::{HolderConfig, PermitEndpoint, PermitHolder};
 use crate::platform::{InstanceList, ObjectStore};
-use crate::policy::{PlacementPolicy, RetryBudget, SuspectList};
+use crate::policy::SuspectList;
 use crate::settings::{NodeSettings, SecretText};
 use crate::telemetry::{LogEvent, LogName, MetricSink};
 use crate::time::{ClockSource, TimerService};
@@ -31,15 +30,6 @@
 const SUSPECT_LIMIT: usize = 4_096;
 /// Time after which a suspect is forgotten.
 const SUSPECT_EXPIRY: Duration = Duration::from_mins(10);
-/// Retries per request that the budget earns. With the reserve, upstream calls stay within 1.1 times
-/// the requests from 300 requests on.
-const RETRY_SHARE: f64 = 0.09;
-/// Retries that an instance with little traffic may make.
-const RETRY_RESERVE: f64 = 3.0;
-/// Retries that an instance may make at once after a quiet time.
-const RETRY_BURST: f64 = 10.0;
-/// Time in which the unused balance of retries halves.
-const RETRY_HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// A running node.
 #[derive(Debug)]
@@ -231,73 +221,6 @@
     }))
 }
 
-fn owner_context(parts: &Arc<NodeParts>) -> OwnerContext {
-    let process = format!("{}#{}", parts.instance, parts.incarnation);
-    let lookup = EpochLookup::new(
-        process.clone(),
-        Arc::clone(&parts.view),
-        Arc::clone(&parts.ledger),
-        parts.timer.clock().clone(),
-    );
-    let spreading = Arc::clone(parts);
-    OwnerContext {
-        instance: parts.instance.clone(),
-        process,
-        timer: parts.timer.clone(),
-        lease: parts.lease.clone(),
-        ledger: Arc::clone(&parts.ledger),
-        recorder: parts.recorder.clone(),
-        permits: permit_client(parts),
-        audit: parts.audit.clone(),
-        suspects: Arc::clone(&parts.suspects),
-        spread_suspects: Box::new(move || {
-            if let Some(mesh) = spreading.mesh() {
-                mesh.beat_now();
-            }
-        }),
-        metrics: parts.metrics.clone(),
-        standing: Box::new(move |upstream, epoch| lookup.standing(upstream, epoch)),
-    }
-}
-
-fn announcer(parts: &Arc<NodeParts>) -> HandoverAnnouncer {
-    let parts = Arc::clone(parts);
-    Box::new(move |item| {
-        let parts = Arc::clone(&parts);
-        Box::pin(async move { announce(&parts, item).await })
-    })
-}
-
-/// Tells all live peers of the failure domain about a handover.
-async fn announce(parts: &NodeParts, item: HandoverItem) -> bool {
-    let Some(mesh) = parts.mesh() else {
-        return true;
-    };
-    let asks = mesh
-        .live_peers()
-        .into_iter()
-        .filter(|peer| peer.domain == parts.domain)
-        .map(|peer| {
-            let handover = OwnerHandover {
-                items: vec![item.clone()],
-            };
-            async move {
-                mesh.ask(
-                    &peer.id,
-                    PeerAsk {
-                        body: Some(ask::Body::Handover(handover)),
-                    },
-                )
-                .await
-                .is_ok()
-            }
-        });
-    futures_util::future::join_all(asks)
-        .await
-        .into_iter()
-        .all(|is_ok| is_ok)
-}
-
 fn mesh_config(parts: &NodeParts) -> MeshConfig {
     let settings = &parts.settings.peer;
     let secret = settings
@@ -318,60 +241,6 @@
     }
 }
 
-fn entry_context(
-    parts: &Arc<NodeParts>,
-    registry: Arc<OwnerRegistry>,
-    mesh: PeerMesh,
-) -> EntryContext {
-    let clock = parts.timer.clock().clone();
-    let (placing, owning) = (Arc::clone(parts), Arc::clone(parts));
-    let router = EntryRouter {
-        instance: parts.instance.clone(),
-        domain: parts.domain.clone(),
-        clock: clock.clone(),
-        policy: PlacementPolicy::default(),
-        candidates: Box::new(move |pool, adapter| {
-            placing
-                .view
-                .candidates(&placing.config.current(), pool, adapter)
-        }),
-        owner: Box::new(move |upstream| owning.view.owner(upstream)),
-        registry,
-        mesh,
-    };
-    EntryContext {
-        instance: parts.instance.clone(),
-        retries: Mutex::new(
-            RetryBudget::new(RETRY_SHARE, RETRY_BURST, RETRY_HALF_LIFE, clock.now())
-                .with_reserve(RETRY_RESERVE),
-        ),
-        clock,
-        config: parts.config.clone(),
-        router,
-        claims: claim_store(parts),
-        gate: parts.gate.clone(),
-        metrics: parts.metrics.clone(),
-        max_body: parts.settings.limits.max_body,
-        max_in_progress: usize::try_from(parts.settings.limits.max_open_calls)
-            .unwrap_or(usize::MAX),
-    }
-}
-
-fn claim_store(parts: &Arc<NodeParts>) -> ClaimStore {
-    let living = Arc::clone(parts);
-    let storage = ClaimStorage::from_store(&parts.store);
-    let hooks = ClaimHooks::new(move |instance, incarnation| {
-        if *instance == living.instance {
-            return incarnation == living.incarnation;
-        }
-        let peers = living.mesh().map(PeerMesh::live_peers).unwrap_or_default();
-        peers
-            .iter()
-            .any(|peer| peer.id == *instance && peer.incarnation == incarnation)
-    });
-    ClaimStore::new(storage, ClaimConfig::default(), hooks, parts.incarnation)
-}
-
 fn spawn_loops(parts: &Arc<NodeParts>) -> JoinSet<()> {
     let mut loops = JoinSet::new();
     loops.spawn(member_loop::follow_list(Arc::clone(parts)));
--- /dev/null
+++ b/src/owner/owner_calls.rs
@@ -0,0 +1,190 @@
+//! Queuing, dispatching and ending calls.
+
+use std::sync::{Arc, PoisonError};
+
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::call_outcome::CallOutcome;
+use super::call_runner;
+use super::owned_call::OwnedCall;
+use super::upstream_owner::send_refusal;
+use super::{OwnerCall, OwnerPhase, UpstreamOwner};
+use crate::error::{Error, ErrorKind, RunState};
+use crate::id::{EngineName, RequestId};
+use crate::peer::CallOpen;
+use crate::policy::{ScheduleAction, SuspectVerdict, WorkItem};
+use crate::telemetry::MetricName;
+
+/// Tokens assumed for a request that states no limit.
+const DEFAULT_TOKENS: u32 = 64;
+
+impl UpstreamOwner {
+    /// Queues a call, or refuses it as not run.
+    pub fn submit(&self, call: OwnerCall) {
+        let call = Arc::new(call);
+        match self.try_submit(&call) {
+            Ok(actions) => self.perform(actions),
+            Err(error) => send_refusal(&call, &error),
+        }
+    }
+
+    fn try_submit(&self, call: &Arc<OwnerCall>) -> Result<Vec<ScheduleAction>, Error> {
+        let context = &self.inner().context;
+        let now = context.timer.clock().now();
+        let fingerprint = fingerprint(&call.open);
+        let mut state = self.state();
+        if state.phase == OwnerPhase::Releasing {
+            return Err(self.unavailable("its owner is changing"));
+        }
+        let is_reattached = state
+            .calls
+            .get(&call.request)
+            .is_some_and(|owned| owned.is_dispatched);
+        if is_reattached && call.open.is_repeatable {
+            // The link to the entry was lost in mid-stream and the entry has come back.
+            let is_stalled = state.is_stalled(call);
+            let owned = OwnedCall::new(call, fingerprint, is_stalled, now);
+            if let Some(former) = state.calls.insert(
+                call.request,
+                OwnedCall {
+                    is_dispatched: true,
+                    ..owned
+                },
+            ) {
+                former.preempted.notify_one();
+            }
+            drop(state);
+            self.spawn_runner(call.request);
+            return Ok(Vec::new());
+        }
+        if state.calls.contains_key(&call.request) {
+            return Err(self.unavailable("the same request is already queued"));
+        }
+        if !state.is_active {
+            return Err(self.unavailable("it is draining"));
+        }
+        let verdict = self.judge(call)?;
+        let item = WorkItem {
+            request: call.request,
+            adapter: call.adapter.clone(),
+            caller: call.caller.clone(),
+            rank: call.rank,
+            deadline: call.deadline,
+            tokens: DEFAULT_TOKENS,
+            is_preemptible: false,
+            is_alone: verdict == SuspectVerdict::Alone,
+        };
+        let is_stalled = state.is_stalled(call);
+        let owned = OwnedCall::new(call, fingerprint, is_stalled, now);
+        state.calls.insert(call.request, owned);
+        Ok(state.scheduler.offer(item, now))
+    }
+
+    /// Judges a call by the crashes that its content is charged with.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Quarantined`] if the call must not run any more.
+    pub(super) fn judge(&self, call: &OwnerCall) -> Result<SuspectVerdict, Error> {
+        let verdict = self
+            .inner()
+            .context
+            .suspects
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .judge(fingerprint(&call.open), self.now());
+        if verdict == SuspectVerdict::Refused {
+            return Err(Error::new(
+                ErrorKind::Quarantined,
+                format!("request {} was in flight at repeated crashes", call.request),
+            ));
+        }
+        Ok(verdict)
+    }
+
+    pub(super) fn dispatch(&self, request: RequestId) {
+        let now = self.now();
+        {
+            let mut state = self.state();
+            let Some(owned) = state.calls.get_mut(&request) else {
+                return;
+            };
+            owned.is_dispatched = true;
+            let (metrics, pool) = (&self.inner().context.metrics, &self.inner().pool.name);
+            let (rank, waited) = (
+                owned.call.rank.as_str(),
+                now.saturating_sub(owned.offered_at),
+            );
+            metrics.record(MetricName::QueueWait, pool, rank, waited);
+            if owned.is_stalled {
+                metrics.add(MetricName::LoadStalls, pool, rank, 1);
+            }
+        }
+        self.spawn_runner(request);
+    }
+
+    fn spawn_runner(&self, request: RequestId) {
+        let owner = self.clone();
+        tokio::spawn(async move {
+            let Some((call, preempted)) = owner.running_call(request) else {
+                return;
+            };
+            let outcome = call_runner::run_call(&owner, &call, &preempted).await;
+            owner.finish(&call, outcome);
+        });
+    }
+
+    fn running_call(&self, request: RequestId) -> Option<(Arc<OwnerCall>, Arc<Notify>)> {
+        let state = self.state();
+        state
+            .calls
+            .get(&request)
+            .map(|owned| (Arc::clone(&owned.call), Arc::clone(&owned.preempted)))
+    }
+
+    /// Ends a run: frees the scheduler's slot and tells the entry about a failure.
+    fn finish(&self, call: &Arc<OwnerCall>, outcome: CallOutcome) {
+        let now = self.now();
+        let actions = {
+            let mut state = self.state();
+            let is_current = state
+                .calls
+                .get(&call.request)
+                .is_some_and(|owned| Arc::ptr_eq(&owned.call, call));
+            if !is_current {
+                // The entry has come back over another link; the slot belongs to the new run.
+                return;
+            }
+            state.calls.remove(&call.request);
+            state.scheduler.finished(call.request, now)
+        };
+        match outcome {
+            CallOutcome::Finished | CallOutcome::Abandoned => {}
+            CallOutcome::Preempted => {
+                let error = Error::new(
+                    ErrorKind::Upstream,
+                    "the request was cancelled to admit urgent work",
+                );
+                send_refusal(call, &error.with_run_state(RunState::Unknown));
+            }
+            CallOutcome::Failed(error) => send_refusal(call, &error),
+        }
+        self.perform(actions);
+    }
+
+    pub(super) fn engine_name(&self, call: &OwnerCall) -> Option<EngineName> {
+        let adapter = call.adapter.as_ref()?;
+        self.state().names.get(adapter).cloned()
+    }
+}
+
+/// Digests what identifies a request across resends: route, adapter and body.
+fn fingerprint(open: &CallOpen) -> u64 {
+    let mut digest = Xxh3::new();
+    for part in [open.route.as_bytes(), open.adapter.as_bytes(), &open.body] {
+        digest.update(&(part.len() as u64).to_be_bytes());
+        digest.update(part);
+    }
+    digest.digest()
+}
