--- a/src/entry/answer_relay.rs
+++ b/src/entry/answer_relay.rs
@@ -12,7 +12,7 @@
 use crate::error::{Error, ErrorKind, Result, RunState};
 use crate::id::AttemptId;
 use crate::peer::{CallChunk, chunk};
-use crate::telemetry::{LogEvent, LogName};
+use crate::telemetry::{LogEvent, LogName, MetricName};
 
 /// Resumptions of one answer over another link.
 const RESUME_LIMIT: u32 = 8;
@@ -225,6 +225,16 @@
                 if token.token > self.next_token {
                     return Err(truncated("a part of the answer is missing"));
                 }
+                if self.next_token == 0 {
+                    let (pool, rank) = (&self.routed.pool, self.routed.rank.as_str());
+                    let waited = self
+                        .context
+                        .clock
+                        .now()
+                        .saturating_sub(self.routed.accepted_at);
+                    let metrics = &self.context.metrics;
+                    metrics.record(MetricName::FirstToken, pool, rank, waited);
+                }
                 self.next_token += 1;
                 Ok(Some(RelayStep::Token(token.text)))
             }
--- a/src/entry/completion_request.rs
+++ b/src/entry/completion_request.rs
@@ -13,6 +13,8 @@
     pub adapter: String,
     /// Whether the answer is wanted as server-sent events.
     pub is_streamed: bool,
+    /// The longest answer in tokens that the caller asked for.
+    pub max_tokens: Option<u32>,
     /// Whether the request has messages (chat) in place of a prompt.
     pub is_chat: bool,
 }
@@ -23,6 +25,8 @@
     #[serde(default)]
     stream: bool,
     #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
     prompt: Option<serde_json::Value>,
     #[serde(default)]
     messages: Option<Vec<serde_json::Value>>,
@@ -57,6 +61,7 @@
             base: base.to_owned(),
             adapter: adapter.to_owned(),
             is_streamed: body.stream,
+            max_tokens: body.max_tokens,
             is_chat: body.messages.is_some(),
         })
     }
--- a/src/entry/model_call.rs
+++ b/src/entry/model_call.rs
@@ -84,12 +84,14 @@
         adapter: Some(adapter),
         caller: headers.caller.clone(),
         rank: headers.rank.unwrap_or(route.rank),
+        accepted_at: context.clock.now(),
         deadline: context.clock.now() + headers.deadline.unwrap_or(route.timeout),
         is_repeatable: true,
         revision: tables.revision,
         method: "POST".to_owned(),
         path: String::new(),
         content_type: headers.content_type.clone(),
+        tokens: completion.max_tokens.unwrap_or(0),
         body,
     })
 }
--- a/src/entry/plain_call.rs
+++ b/src/entry/plain_call.rs
@@ -74,12 +74,14 @@
         adapter: None,
         caller: headers.caller.clone(),
         rank: headers.rank.unwrap_or(route.rank),
+        accepted_at: context.clock.now(),
         deadline: context.clock.now() + headers.deadline.unwrap_or(route.timeout),
         is_repeatable: route.repeatable,
         revision: tables.revision,
         method: method.to_owned(),
         path: path.to_owned(),
         content_type: headers.content_type.clone(),
+        tokens: 0,
         body,
     })
 }
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -20,6 +20,8 @@
     pub caller: CallerId,
     /// The rank.
     pub rank: RequestRank,
+    /// When the request came, on the clock of this process.
+    pub accepted_at: Duration,
     /// The deadline, on the clock of this process.
     pub deadline: Duration,
     /// Whether the request may be sent to an upstream a second time.
@@ -32,6 +34,8 @@
     pub path: String,
     /// The content type of the body.
     pub content_type: String,
+    /// The longest answer in tokens; zero if the caller stated none.
+    pub tokens: u32,
     /// The body.
     pub body: Bytes,
 }
@@ -67,6 +71,7 @@
             route: self.route.clone(),
             revision: self.revision,
             from_token,
+            tokens: self.tokens,
         }
     }
 }
--- a/src/member/member_view.rs
+++ b/src/member/member_view.rs
@@ -7,10 +7,6 @@
 use crate::peer::{LivePeer, PeerChange};
 use crate::platform::ListedInstance;
 
-/// Instances per failure domain that watch the configuration at the platform; a second one covers
-/// the time until the loss of the first is noticed.
-const WATCHERS: usize = 2;
-
 /// The live instances of the fleet, from the platform's list and the state of the links.
 ///
 /// The list lags and may be unavailable, so links decide where they say something: an instance is
@@ -200,9 +196,11 @@
         candidates
     }
 
-    /// Returns the instances of a failure domain that watch the configuration, at most two.
+    /// Returns the instances of a failure domain that watch the configuration, at most `count`.
+    ///
+    /// A second one covers the time until the loss of the first is noticed.
     #[must_use]
-    pub fn watchers(&self, domain: &DomainId, now: Duration) -> Vec<InstanceId> {
+    pub fn watchers(&self, domain: &DomainId, count: u32, now: Duration) -> Vec<InstanceId> {
         let key = format!("watch/{domain}");
         let mut scores: Vec<_> = self
             .candidate_pairs(now)
@@ -212,7 +210,7 @@
         scores.sort_unstable_by(|left, right| right.cmp(left));
         scores
             .into_iter()
-            .take(WATCHERS)
+            .take(count as usize)
             .map(|(_, id)| id.clone())
             .collect()
     }
--- a/src/node/member_loop.rs
+++ b/src/node/member_loop.rs
@@ -4,10 +4,10 @@
 
 use super::node_parts::NodeParts;
 use super::permit_wiring::update_holder;
-use crate::id::{DomainId, InstanceId};
+use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::owner::OwnerMap;
 use crate::platform::ListedInstance;
-use crate::telemetry::{LogEvent, LogName};
+use crate::telemetry::{LogEvent, LogName, MetricName};
 
 /// Heartbeats that a peer may miss before new work avoids the upstreams that it owns.
 const QUIET_HEARTBEATS: u32 = 2;
@@ -139,7 +139,7 @@
         let members = parts.view.members();
         (
             members.candidates(now),
-            members.watchers(&parts.domain, now),
+            members.watchers(&parts.domain, parts.settings.platform.watch_relays, now),
         )
     };
     parts.relay.send_if_modified(|is_relay| {
@@ -156,6 +156,12 @@
         let owned: BTreeSet<_> = owners.owned_by(&parts.instance).cloned().collect();
         parts.view.set_owners(owners);
         registry.reconcile(&tables, &owned);
+        if assigned.is_none() && tables.revision > 0 {
+            LogEvent::new(LogName::NodeReady)
+                .with("instance", &parts.instance)
+                .with_count("revision", tables.revision)
+                .send();
+        }
         *assigned = Some(wanted);
     }
     parts.view.adopt_own(registry.residency());
@@ -167,6 +173,29 @@
     loop {
         ticks.next().await;
         parts.recorder.flush().await;
+        record_metrics(&parts);
         parts.metrics.flush();
     }
 }
+
+fn record_metrics(parts: &NodeParts) {
+    let metrics = &parts.metrics;
+    metrics.set(MetricName::PlatformCalls, "", "", parts.store.call_count());
+    if let Some(mesh) = parts.mesh() {
+        metrics.set(MetricName::ControlBytes, "", "", mesh.heartbeat_bytes());
+    }
+    let tables = parts.config.current();
+    let items = parts.registry().map(|registry| registry.residency());
+    for item in items.unwrap_or_default() {
+        let upstream = UpstreamId::from_name(&item.upstream);
+        if let Some((pool, _)) = tables.pools.upstream(&upstream) {
+            let percent = item.running * 100 / pool.max_running.max(1);
+            metrics.set(
+                MetricName::BatchOccupancy,
+                &pool.name,
+                "",
+                u64::from(percent),
+            );
+        }
+    }
+}
--- a/src/node/owner_wiring.rs
+++ b/src/node/owner_wiring.rs
@@ -21,6 +21,8 @@
     OwnerContext {
         instance: parts.instance.clone(),
         process,
+        max_queued: usize::try_from(parts.settings.limits.max_queued_requests)
+            .unwrap_or(usize::MAX),
         timer: parts.timer.clone(),
         lease: parts.lease.clone(),
         ledger: Arc::clone(&parts.ledger),
--- a/src/owner/owner_calls.rs
+++ b/src/owner/owner_calls.rs
@@ -14,7 +14,7 @@
 use crate::id::{EngineName, RequestId};
 use crate::peer::CallOpen;
 use crate::policy::{ScheduleAction, SuspectVerdict, WorkItem};
-use crate::telemetry::MetricName;
+use crate::telemetry::{LogName, MetricName};
 
 /// Tokens assumed for a request that states no limit.
 const DEFAULT_TOKENS: u32 = 64;
@@ -71,7 +71,10 @@
             caller: call.caller.clone(),
             rank: call.rank,
             deadline: call.deadline,
-            tokens: DEFAULT_TOKENS,
+            tokens: match call.open.tokens {
+                0 => DEFAULT_TOKENS,
+                tokens => tokens,
+            },
             is_preemptible: false,
             is_alone: verdict == SuspectVerdict::Alone,
         };
@@ -95,6 +98,10 @@
             .unwrap_or_else(PoisonError::into_inner)
             .judge(fingerprint(&call.open), self.now());
         if verdict == SuspectVerdict::Refused {
+            self.log(LogName::RequestQuarantined)
+                .with("request", call.request)
+                .with("caller", &call.caller)
+                .send();
             return Err(Error::new(
                 ErrorKind::Quarantined,
                 format!("request {} was in flight at repeated crashes", call.request),
--- a/src/owner/owner_context.rs
+++ b/src/owner/owner_context.rs
@@ -18,6 +18,8 @@
     pub instance: InstanceId,
     /// The name of this process, unique across restarts; epochs carry its hash.
     pub process: String,
+    /// Requests that wait for one upstream, per rank.
+    pub max_queued: usize,
     /// The timer.
     pub timer: TimerService,
     /// The lease of this instance.
--- a/src/owner/owner_orders.rs
+++ b/src/owner/owner_orders.rs
@@ -232,6 +232,12 @@
         self.audit(AuditKind::LoadOrder, &name, "requests wait for the adapter");
         match loads.load(&name, epoch).await {
             Ok(()) => Some(name),
+            Err(error) if error.kind() == ErrorKind::Fenced => {
+                self.log(LogName::OwnershipFenced)
+                    .with("adapter", &name)
+                    .send();
+                None
+            }
             Err(error) => {
                 self.log(LogName::LoadFailed)
                     .with("adapter", &name)
--- a/src/owner/owner_registry.rs
+++ b/src/owner/owner_registry.rs
@@ -150,7 +150,10 @@
             "the membership of the failure domain or the tables changed",
             0,
         );
-        owner.log(LogName::OwnershipTaken).send();
+        owner
+            .log(LogName::OwnershipTaken)
+            .with("epoch", epoch)
+            .send();
     }
 
     /// Hands an upstream back: queued calls are refused as not run, dispatched ones finish.
@@ -186,7 +189,8 @@
             };
             let is_confirmed = (self.announce)(item).await;
             if is_released && is_confirmed {
-                owner.log(LogName::OwnershipReleased).send();
+                let released = owner.log(LogName::OwnershipReleased);
+                released.with("epoch", owner.epoch()).send();
                 return;
             }
             ticks.next().await;
--- a/src/owner/owner_status.rs
+++ b/src/owner/owner_status.rs
@@ -29,7 +29,11 @@
                     Vec::new()
                 }
                 Ok(status) => {
-                    state.is_healthy = true;
+                    if !std::mem::replace(&mut state.is_healthy, true) {
+                        LogEvent::new(LogName::UpstreamRecovered)
+                            .with("upstream", self.upstream())
+                            .send();
+                    }
                     let mut actions = Vec::new();
                     let former = state.incarnation.replace(status.incarnation);
                     has_restarted = former.is_some_and(|former| former != status.incarnation);
--- a/src/owner/upstream_owner.rs
+++ b/src/owner/upstream_owner.rs
@@ -53,10 +53,14 @@
             PoolKind::Plain => UpstreamClient::Plain(PlainClient::new(row.address, CALL_TIMEOUT)),
         };
         let now = context.timer.clock().now();
+        let config = SchedulerConfig {
+            queue_limit: context.max_queued,
+            ..SchedulerConfig::from_rows(pool, store)
+        };
         let state = OwnerState {
             phase: OwnerPhase::Acquiring,
             epoch,
-            scheduler: UpstreamScheduler::new(SchedulerConfig::from_rows(pool, store), now),
+            scheduler: UpstreamScheduler::new(config, now),
             calls: BTreeMap::new(),
             names: BTreeMap::new(),
             permits: BTreeMap::new(),
@@ -154,7 +158,10 @@
 
     /// Follows a change of the row that does not end the ownership.
     pub fn set_active(&self, is_active: bool) {
-        self.state().is_active = is_active;
+        let was_active = std::mem::replace(&mut self.state().is_active, is_active);
+        if was_active && !is_active {
+            self.log(LogName::UpstreamDraining).send();
+        }
     }
 
     pub(super) fn unavailable(&self, reason: &str) -> Error {
@@ -186,10 +193,9 @@
         }
     }
 
+    /// Starts an event about the upstream; it takes no lock, so that it may be called under one.
     pub(super) fn log(&self, event: LogName) -> LogEvent {
-        LogEvent::new(event)
-            .with("upstream", self.upstream())
-            .with("epoch", self.epoch())
+        LogEvent::new(event).with("upstream", self.upstream())
     }
 
     pub(super) fn inner(&self) -> &OwnerInner {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -189,6 +189,9 @@
     /// The first token that is wanted; above zero when a cut stream is resumed.
     #[prost(uint64, tag = "15")]
     pub from_token: u64,
+    /// The longest answer in tokens; zero if the caller stated none.
+    #[prost(uint32, tag = "16")]
+    pub tokens: u32,
 }
 
 /// Part of the answer to a forwarded request.
--- a/tests/member/view.rs
+++ b/tests/member/view.rs
@@ -217,7 +217,7 @@
             prop_assert!(live.contains(&id(0)));
             prop_assert!(able.is_subset(&live));
             for domain in &domains {
-                let watchers = view.watchers(domain, now);
+                let watchers = view.watchers(domain, 2, now);
                 let own = view.candidates(now).remove(domain).unwrap_or_default();
                 prop_assert_eq!(watchers.len(), own.len().min(2));
                 prop_assert!(watchers.iter().all(|watcher| own.contains(watcher)));
@@ -238,7 +238,7 @@
 
             choices.insert((
                 view.permit_holder("store", Duration::ZERO),
-                view.watchers(&domain_of(0), Duration::ZERO),
+                view.watchers(&domain_of(0), 2, Duration::ZERO),
                 view.candidates(Duration::ZERO),
             ));
         }
