--- a/src/owner/call_runner.rs
+++ b/src/owner/call_runner.rs
@@ -47,8 +47,6 @@
     let started = chunk::StartedBody {
         upstream: owner.upstream().as_str().to_owned(),
         engine_name: name.as_ref().map(ToString::to_string).unwrap_or_default(),
-        is_stalled: false,
-        queued_ms: 0,
     };
     // The entry learns of the dispatch before the first byte goes to the upstream; if it has gone
     // by then, nothing is sent and the request was not run.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -235,12 +235,6 @@
         /// The adapter under the name that the engine uses.
         #[prost(string, tag = "2")]
         pub engine_name: String,
-        /// Whether the request waited for a load.
-        #[prost(bool, tag = "3")]
-        pub is_stalled: bool,
-        /// The time in the queue, in milliseconds.
-        #[prost(uint64, tag = "4")]
-        pub queued_ms: u64,
     }
 
     /// A token as the engine stated it.
