Move the run of plain calls to its own file

Cause: call_runner.rs held the relay of model answers and the run of plain calls in 380 lines. No behaviour changes; the moved text is unchanged but for its visibility.

--- a/src/owner/call_runner.rs
+++ b/src/owner/call_runner.rs
@@ -4,21 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::CONTENT_TYPE;
-use http::{HeaderMap, HeaderValue};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::call_outcome::CallOutcome;
+use super::plain_runner::run_plain;
 use super::upstream_client::UpstreamClient;
 use super::{OwnerCall, UpstreamOwner};
 use crate::error::{Error, ErrorKind, RunState};
 use crate::id::EngineName;
 use crate::peer::{CallChunk, chunk};
 use crate::telemetry::{LogName, MetricName};
-use crate::upstream::{
-    ATTEMPT_HEADER, AnswerEvent, AnswerStream, EngineCall, EngineClient, PlainCall, PlainClient,
-};
+use crate::upstream::{AnswerEvent, AnswerStream, EngineCall, EngineClient};
 
 /// Time without a token after which a stream counts as silent and is resumed over a new connection.
 const PROGRESS_LIMIT: Duration = Duration::from_secs(2);
@@ -301,77 +298,8 @@
     }
 }
 
-/// Runs a plain call to its end, whether or not the entry still waits: an order in progress is
-/// never left in doubt by a caller who hangs up.
-async fn run_plain(owner: &UpstreamOwner, plain: &PlainClient, call: &OwnerCall) -> CallOutcome {
-    let Ok(method) = call.open.method.parse() else {
-        let detail = format!("method {:?}", call.open.method);
-        return CallOutcome::Failed(Error::new(ErrorKind::BadRequest, detail));
-    };
-    let mut headers = HeaderMap::new();
-    if let Ok(content_type) = HeaderValue::from_str(&call.open.content_type) {
-        headers.insert(CONTENT_TYPE, content_type);
-    }
-    let body = Bytes::copy_from_slice(&call.open.body);
-    let request = PlainCall {
-        method,
-        path: call.open.path.clone(),
-        headers,
-        body,
-        attempt: call.attempt,
-    };
-    let time_left = call.deadline.saturating_sub(owner.now());
-    let answer = match timeout(time_left, plain.call(&request)).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => return CallOutcome::Failed(error),
-        Err(_) => {
-            let error = Error::new(
-                ErrorKind::DeadlineExceeded,
-                format!("upstream {} did not answer", owner.upstream()),
-            );
-            return CallOutcome::Failed(error.with_run_state(RunState::Unknown));
-        }
-    };
-    let header = |name: &str| {
-        answer
-            .headers
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default()
-    };
-    let stated = header(ATTEMPT_HEADER);
-    if !stated.is_empty() && stated != call.attempt.to_string() {
-        note_mismatch(owner, call, stated);
-        let detail = format!("upstream {} answered another attempt", owner.upstream());
-        return CallOutcome::Failed(
-            Error::new(ErrorKind::Upstream, detail).with_run_state(RunState::Unknown),
-        );
-    }
-    let body = chunk::PlainBody {
-        status: u32::from(answer.status.as_u16()),
-        content_type: header(CONTENT_TYPE.as_str()).to_owned(),
-        body: answer.body.to_vec(),
-        attempt: call.attempt.to_string(),
-    };
-    drop(
-        call.sink
-            .send(CallChunk::from_body(chunk::Body::Plain(body)))
-            .await,
-    );
-    let end = chunk::EndBody {
-        finish: "stop".to_owned(),
-        tokens: 0,
-    };
-    drop(
-        call.sink
-            .send(CallChunk::from_body(chunk::Body::End(end)))
-            .await,
-    );
-    CallOutcome::Finished
-}
-
 /// Reports an answer that belongs to another attempt; it is never delivered.
-fn note_mismatch(owner: &UpstreamOwner, call: &OwnerCall, stated: &str) {
+pub(super) fn note_mismatch(owner: &UpstreamOwner, call: &OwnerCall, stated: &str) {
     owner
         .log(LogName::AnswerMismatch)
         .with("attempt", call.attempt)
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -19,6 +19,7 @@
 mod owner_registry;
 mod owner_state;
 mod owner_status;
+mod plain_runner;
 mod release_ledger;
 mod upstream_client;
 mod upstream_owner;
