--- /dev/null
+++ b/src/forward/connection_body.rs
@@ -0,0 +1,140 @@
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::upstream_pool::PooledConnection;
+use super::{LoadBoard, UpstreamLoad};
+use crate::error::{Error, ErrorKind, Result};
+use crate::id::UpstreamId;
+
+/// The body of an upstream's answer together with its connection.
+///
+/// The connection goes back to the pool after the end of the body, and is closed if the body is
+/// dropped before, which cancels the request at the upstream.
+#[derive(Debug)]
+pub struct ConnectionBody {
+    body: Incoming,
+    connection: Option<PooledConnection>,
+    idle: Option<Duration>,
+    guard: FlightGuard,
+    deadline: Pin<Box<Sleep>>,
+}
+
+/// Counts a request as in flight until it is dropped.
+#[derive(Debug)]
+pub(super) struct FlightGuard {
+    board: Arc<LoadBoard>,
+    upstream: UpstreamId,
+    load: UpstreamLoad,
+}
+
+impl FlightGuard {
+    pub(super) fn new(board: &Arc<LoadBoard>, upstream: &UpstreamId, load: UpstreamLoad) -> Self {
+        board.begin(upstream, &load);
+        Self {
+            board: Arc::clone(board),
+            upstream: upstream.clone(),
+            load,
+        }
+    }
+
+    /// Takes back the prompt, which has been read once the first event is there.
+    pub(super) fn note_first_event(&mut self) {
+        if self.load.prompt_tokens > 0 {
+            let prompt = UpstreamLoad {
+                prompt_tokens: self.load.prompt_tokens,
+                ..UpstreamLoad::default()
+            };
+            self.board.end(&self.upstream, &prompt);
+            self.load.prompt_tokens = 0;
+        }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.board.end(&self.upstream, &self.load);
+    }
+}
+
+impl ConnectionBody {
+    pub(super) fn new(
+        body: Incoming,
+        connection: PooledConnection,
+        idle: Option<Duration>,
+        guard: FlightGuard,
+        deadline: Instant,
+    ) -> Self {
+        let mut this = Self {
+            body,
+            connection: Some(connection),
+            idle,
+            guard,
+            deadline: Box::pin(sleep_until(deadline)),
+        };
+        // An answer without a body has ended already.
+        if this.body.is_end_stream() {
+            this.release();
+        }
+        this
+    }
+
+    /// Keeps the connection from being used again.
+    pub(super) fn close_after_use(&mut self) {
+        self.idle = Some(Duration::ZERO);
+    }
+
+    fn release(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.give_back(self.idle);
+        }
+    }
+}
+
+impl Body for ConnectionBody {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
+        let this = self.get_mut();
+        if this.deadline.as_mut().poll(cx).is_ready() {
+            let error = Error::new(ErrorKind::DeadlineExceeded, "the answer was not complete");
+            return Poll::Ready(Some(Err(error)));
+        }
+        match ready!(Pin::new(&mut this.body).poll_frame(cx)) {
+            None => {
+                this.release();
+                Poll::Ready(None)
+            }
+            Some(Ok(frame)) => {
+                this.guard.note_first_event();
+                if this.body.is_end_stream() {
+                    this.release();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => {
+                this.connection = None;
+                let error = Error::new(ErrorKind::Truncated, error.to_string());
+                Poll::Ready(Some(Err(error)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/src/forward/forward_head.rs
@@ -0,0 +1,117 @@
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
+    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+
+use super::{HeaderNames, ModelRef};
+use crate::error::{Error, ErrorKind, Result};
+
+/// What the headers of a request say.
+#[derive(Debug, Clone)]
+pub struct ForwardHead {
+    /// The caller's attempt.
+    pub attempt: String,
+    /// The time that the caller waits; none if it does not say.
+    pub deadline: Option<Duration>,
+    /// The model; none for a plain service.
+    pub model: Option<ModelRef>,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+    /// The most output tokens.
+    pub output_tokens: u32,
+}
+
+/// The longest deadline that is believed; longer ones would overflow timers.
+const MAX_DEADLINE: Duration = Duration::from_hours(24);
+
+impl ForwardHead {
+    /// Reads the headers of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::BadRequest`] if a header is malformed.
+    pub fn from_headers(headers: &HeaderMap, names: &HeaderNames) -> Result<Self> {
+        let text = |name: &HeaderName| -> Result<Option<&str>> {
+            let Some(value) = headers.get(name) else {
+                return Ok(None);
+            };
+            value
+                .to_str()
+                .map(Some)
+                .map_err(|error| fault(name, &error.to_string()))
+        };
+        let deadline = match text(&names.deadline_ms)? {
+            None => None,
+            Some(digits) => {
+                let millis: u64 = digits
+                    .trim()
+                    .parse()
+                    .map_err(|_error| fault(&names.deadline_ms, "give whole milliseconds"))?;
+                Some(Duration::from_millis(millis).min(MAX_DEADLINE))
+            }
+        };
+        let model = text(&names.model)?.map(ModelRef::from_text);
+        if model.as_ref().is_some_and(|model| model.model.is_empty()) {
+            return Err(fault(&names.model, "name a model"));
+        }
+        let (prompt_tokens, output_tokens) = match text(&names.token_counts)? {
+            None => (0, 0),
+            Some(counts) => parse_counts(counts)
+                .ok_or_else(|| fault(&names.token_counts, "give two whole numbers"))?,
+        };
+        Ok(Self {
+            attempt: text(&names.attempt)?.unwrap_or_default().to_owned(),
+            deadline,
+            model,
+            prompt_tokens,
+            output_tokens,
+        })
+    }
+}
+
+fn parse_counts(counts: &str) -> Option<(u32, u32)> {
+    let (prompt, output) = counts.split_once(',')?;
+    Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
+}
+
+fn fault(name: &HeaderName, remedy: &str) -> Error {
+    Error::new(ErrorKind::BadRequest, format!("header {name}: {remedy}"))
+}
+
+/// Removes the headers that concern one connection only, those that `Connection` names included.
+pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    let keep_alive = HeaderName::from_static("keep-alive");
+    let proxy_connection = HeaderName::from_static("proxy-connection");
+    for name in [
+        CONNECTION,
+        keep_alive,
+        proxy_connection,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        CONTENT_LENGTH,
+    ] {
+        headers.remove(name);
+    }
+}
+
+/// Writes a duration in whole milliseconds, rounded down.
+pub(super) fn millis_value(duration: Duration) -> HeaderValue {
+    HeaderValue::from(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/src/forward/load_board.rs
@@ -0,0 +1,167 @@
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use super::ModelRef;
+use crate::id::{InstanceId, UpstreamId};
+use crate::peer::{FlightItem, LoadShare, UseItem};
+
+/// Requests in flight at one upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UpstreamLoad {
+    /// Requests that were sent and have not ended.
+    pub requests: u32,
+    /// Prompt tokens of requests whose first event has not arrived.
+    pub prompt_tokens: u32,
+    /// Tokens of memory that the requests take at their end.
+    pub memory_tokens: u32,
+}
+
+impl UpstreamLoad {
+    fn add(&mut self, other: &Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.prompt_tokens = self.prompt_tokens.saturating_sub(other.prompt_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+}
+
+/// Counts what this instance and its peers have in flight at each upstream.
+#[derive(Debug, Default)]
+pub struct LoadBoard {
+    state: Mutex<BoardState>,
+}
+
+#[derive(Debug, Default)]
+struct BoardState {
+    own: BTreeMap<UpstreamId, UpstreamLoad>,
+    peers: BTreeMap<InstanceId, PeerShare>,
+    used: BTreeMap<(UpstreamId, ModelRef), u32>,
+}
+
+#[derive(Debug)]
+struct PeerShare {
+    loads: BTreeMap<UpstreamId, UpstreamLoad>,
+    told_at: Duration,
+}
+
+/// Age after which a peer's share no longer counts; several intervals of sharing.
+const SHARE_EXPIRY: Duration = Duration::from_secs(2);
+
+impl LoadBoard {
+    /// Creates an empty board.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request that is sent.
+    pub fn begin(&self, upstream: &UpstreamId, load: &UpstreamLoad) {
+        let mut state = self.lock();
+        state.own.entry(upstream.clone()).or_default().add(load);
+    }
+
+    /// Takes back a part of what [`begin`](Self::begin) counted.
+    pub fn end(&self, upstream: &UpstreamId, load: &UpstreamLoad) {
+        let mut state = self.lock();
+        if let Some(own) = state.own.get_mut(upstream) {
+            own.subtract(load);
+            if *own == UpstreamLoad::default() {
+                state.own.remove(upstream);
+            }
+        }
+    }
+
+    /// Counts a use of an adapter for the owner of the upstream.
+    pub fn note_use(&self, upstream: &UpstreamId, model: &ModelRef) {
+        let mut state = self.lock();
+        *state
+            .used
+            .entry((upstream.clone(), model.clone()))
+            .or_default() += 1;
+    }
+
+    /// Returns what this instance alone has in flight.
+    #[must_use]
+    pub fn own_load(&self, upstream: &UpstreamId) -> UpstreamLoad {
+        self.lock().own.get(upstream).copied().unwrap_or_default()
+    }
+
+    /// Returns what all instances have in flight, as far as it is known.
+    #[must_use]
+    pub fn total_load(&self, upstream: &UpstreamId, now: Duration) -> UpstreamLoad {
+        let state = self.lock();
+        let mut total = state.own.get(upstream).copied().unwrap_or_default();
+        for share in state.peers.values() {
+            if now.saturating_sub(share.told_at) < SHARE_EXPIRY
+                && let Some(load) = share.loads.get(upstream)
+            {
+                total.add(load);
+            }
+        }
+        total
+    }
+
+    /// Takes a peer's share.
+    pub fn merge(&self, peer: &InstanceId, share: &LoadShare, now: Duration) {
+        let loads = share
+            .in_flight
+            .iter()
+            .map(|item| {
+                let load = UpstreamLoad {
+                    requests: item.requests,
+                    prompt_tokens: item.prompt_tokens,
+                    memory_tokens: item.memory_tokens,
+                };
+                (UpstreamId::from_name(&item.upstream), load)
+            })
+            .collect();
+        let told_at = now;
+        self.lock()
+            .peers
+            .insert(peer.clone(), PeerShare { loads, told_at });
+    }
+
+    /// Counts the instances that have told their share lately, this one included.
+    #[must_use]
+    pub fn live_instances(&self, now: Duration) -> usize {
+        let state = self.lock();
+        let is_live = |share: &&PeerShare| now.saturating_sub(share.told_at) < SHARE_EXPIRY;
+        1 + state.peers.values().filter(is_live).count()
+    }
+
+    /// Lists this instance's share for its peers.
+    #[must_use]
+    pub fn own_share(&self) -> Vec<FlightItem> {
+        let to_item = |(upstream, load): (&UpstreamId, &UpstreamLoad)| FlightItem {
+            upstream: upstream.as_str().to_owned(),
+            requests: load.requests,
+            prompt_tokens: load.prompt_tokens,
+            memory_tokens: load.memory_tokens,
+        };
+        self.lock().own.iter().map(to_item).collect()
+    }
+
+    /// Takes the uses of adapters since the last call.
+    #[must_use]
+    pub fn take_uses(&self) -> Vec<UseItem> {
+        let to_item = |((upstream, model), count): ((UpstreamId, ModelRef), u32)| UseItem {
+            upstream: upstream.as_str().to_owned(),
+            adapter: model.to_string(),
+            count,
+        };
+        std::mem::take(&mut self.lock().used)
+            .into_iter()
+            .map(to_item)
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BoardState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/forward/mod.rs
@@ -0,0 +1,51 @@
+//! The opaque ingress: requests are matched by host and path and forwarded unchanged.
+//!
+//! [`forward_server`](ForwardServer) accepts callers, [`RequestRunner`] carries one request through
+//! its attempts, [`UpstreamPool`] keeps connections to upstreams, and [`RelayBody`] relays an
+//! answer. [`FleetState`] holds what the platform tells, [`LoadBoard`] what this instance and its
+//! peers have in flight. The names of headers come from [`HeaderNames`], so that this module knows
+//! no deployment's wire.
+
+mod connection_body;
+mod engine_spec;
+mod fleet_state;
+mod forward_head;
+mod forward_route;
+mod forward_server;
+mod forward_service;
+mod forward_settings;
+mod header_names;
+mod load_board;
+mod model_ref;
+mod relay_body;
+mod reply_body;
+mod request_runner;
+mod route_kind;
+mod route_set;
+mod stream_splitter;
+mod upstream_attempt;
+mod upstream_entry;
+mod upstream_health;
+mod upstream_pool;
+
+pub use connection_body::ConnectionBody;
+pub use engine_spec::{EngineSpec, ModelSpec};
+pub use fleet_state::FleetState;
+pub use forward_head::ForwardHead;
+pub use forward_route::{ForwardRoute, ServiceShare};
+pub use forward_server::ForwardServer;
+pub use forward_service::ForwardService;
+pub use forward_settings::ForwardSettings;
+pub use header_names::HeaderNames;
+pub use load_board::{LoadBoard, UpstreamLoad};
+pub use model_ref::ModelRef;
+pub use relay_body::RelayBody;
+pub use reply_body::ReplyBody;
+pub use request_runner::RequestRunner;
+pub use route_kind::RouteKind;
+pub use route_set::{CallerLimits, RouteSet};
+pub use stream_splitter::StreamSplitter;
+pub use upstream_attempt::{AttemptFailure, UpstreamAnswer};
+pub use upstream_entry::UpstreamEntry;
+pub use upstream_health::UpstreamHealth;
+pub use upstream_pool::UpstreamPool;
--- /dev/null
+++ b/src/forward/relay_body.rs
@@ -0,0 +1,158 @@
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body, Frame};
+use tokio::time::{Instant, Interval, MissedTickBehavior, interval_at};
+
+use super::{ConnectionBody, StreamSplitter};
+use crate::error::{Error, ErrorKind, Result};
+
+/// Opens the rest of a stream after the event with the given id; none if nothing was delivered.
+pub type ResumeCall = Box<dyn FnMut(Option<String>) -> ResumeFuture + Send>;
+
+/// The future of the rest of a stream.
+pub type ResumeFuture = Pin<Box<dyn Future<Output = Result<ConnectionBody>> + Send>>;
+
+/// Relays a stream of events and goes on at another upstream when one breaks off.
+///
+/// Only complete events are passed on. A stream that can't go on ends with an error, so that it
+/// does not look complete to the caller.
+pub struct RelayBody {
+    source: RelaySource,
+    splitter: StreamSplitter,
+    resume: Option<ResumeCall>,
+    checks: Interval,
+    last_event_at: Instant,
+    has_ended: bool,
+}
+
+enum RelaySource {
+    Reading(ConnectionBody),
+    Resuming(ResumeFuture),
+}
+
+/// Time between two looks at whether a stream is silent; no timer is set for each event.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Silence after which a stream that can be resumed goes on elsewhere. Callers give up after two
+/// seconds without an event, and an upstream at work seldom pauses for half of that.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1100);
+
+impl RelayBody {
+    /// Creates a relay of `body`; `resume` opens the rest of the stream, if it can be resumed.
+    #[must_use]
+    pub fn new(body: ConnectionBody, resume: Option<ResumeCall>) -> Self {
+        let now = Instant::now();
+        let mut checks = interval_at(now + CHECK_INTERVAL, CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Self {
+            source: RelaySource::Reading(body),
+            splitter: StreamSplitter::new(),
+            resume,
+            checks,
+            last_event_at: now,
+            has_ended: false,
+        }
+    }
+
+    /// Replaces a broken source; the error stands if the stream can't be resumed.
+    fn start_resume(&mut self, error: Error) -> Result<()> {
+        self.splitter.discard_partial();
+        let Some(resume) = &mut self.resume else {
+            self.has_ended = true;
+            return Err(error);
+        };
+        let last = self.splitter.last_id().map(str::to_owned);
+        self.source = RelaySource::Resuming(resume(last));
+        self.last_event_at = Instant::now();
+        Ok(())
+    }
+
+    /// Returns whether a stream that can be resumed has been silent for too long.
+    fn is_silent(&mut self, cx: &mut Context<'_>) -> bool {
+        let mut is_due = false;
+        while self.checks.poll_tick(cx).is_ready() {
+            is_due = true;
+        }
+        is_due && self.resume.is_some() && self.last_event_at.elapsed() > SILENCE_LIMIT
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
+        let this = self.get_mut();
+        loop {
+            if this.has_ended {
+                return Poll::Ready(None);
+            }
+            let body = match &mut this.source {
+                RelaySource::Resuming(future) => match ready!(future.as_mut().poll(cx)) {
+                    Ok(body) => {
+                        this.source = RelaySource::Reading(body);
+                        this.last_event_at = Instant::now();
+                        continue;
+                    }
+                    Err(error) => {
+                        this.has_ended = true;
+                        return Poll::Ready(Some(Err(error)));
+                    }
+                },
+                RelaySource::Reading(body) => body,
+            };
+            match Pin::new(body).poll_frame(cx) {
+                Poll::Pending => {
+                    if !this.is_silent(cx) {
+                        return Poll::Pending;
+                    }
+                    let error = Error::new(ErrorKind::Upstream, "the stream went silent");
+                    if let Err(error) = this.start_resume(error) {
+                        return Poll::Ready(Some(Err(error)));
+                    }
+                }
+                Poll::Ready(None) => {
+                    this.has_ended = true;
+                    let rest = this.splitter.finish();
+                    if !rest.is_empty() {
+                        return Poll::Ready(Some(Ok(Frame::data(rest))));
+                    }
+                }
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        this.last_event_at = Instant::now();
+                        let events = this.splitter.push(bytes);
+                        if !events.is_empty() {
+                            return Poll::Ready(Some(Ok(Frame::data(events))));
+                        }
+                    }
+                }
+                Poll::Ready(Some(Err(error))) => {
+                    if error.kind() == ErrorKind::DeadlineExceeded {
+                        this.has_ended = true;
+                        return Poll::Ready(Some(Err(error)));
+                    }
+                    if let Err(error) = this.start_resume(error) {
+                        return Poll::Ready(Some(Err(error)));
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl fmt::Debug for RelayBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RelayBody")
+            .field("splitter", &self.splitter)
+            .field("has_ended", &self.has_ended)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/forward/upstream_attempt.rs
@@ -0,0 +1,241 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+use tokio::time::{Instant, timeout_at};
+
+use super::connection_body::FlightGuard;
+use super::forward_head::{millis_value, strip_hop_headers};
+use super::upstream_pool::PooledConnection;
+use super::{ConnectionBody, HeaderNames, LoadBoard, UpstreamEntry, UpstreamLoad, UpstreamPool};
+use crate::error::RunState;
+
+/// The answer of an upstream.
+#[derive(Debug)]
+pub struct UpstreamAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers, without those of the connection.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: ConnectionBody,
+    /// Whether the answer is proved to be an upstream's.
+    pub is_signed: bool,
+}
+
+/// Why an attempt brought no answer that can be passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No byte of the request was written; the upstream was not reached.
+    NotSent(String),
+    /// The upstream stated that it did not run the request.
+    NotRun(StatusCode),
+    /// The connection broke after the request was sent.
+    Broken(String),
+    /// No answer came in time.
+    TimedOut,
+    /// The answer belongs to another request or is not the upstream's.
+    Mismatch(String),
+}
+
+impl AttemptFailure {
+    /// Returns whether the request certainly did not run.
+    #[must_use]
+    pub const fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::NotRun(_))
+    }
+
+    /// Returns a code for logs and metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::NotRun(_) => "not_run",
+            Self::Broken(_) => "broken",
+            Self::TimedOut => "timed_out",
+            Self::Mismatch(_) => "mismatch",
+        }
+    }
+}
+
+/// The parts of a request that are the same at each attempt.
+#[derive(Debug, Clone)]
+pub(super) struct RequestParts {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) attempt: String,
+    pub(super) load: UpstreamLoad,
+}
+
+/// What one attempt adds.
+#[derive(Debug, Clone)]
+pub(super) struct AttemptPlan {
+    pub(super) entry: Arc<UpstreamEntry>,
+    /// Zero leaves the version open.
+    pub(super) version: u64,
+    /// The time until which a head may arrive.
+    pub(super) head_until: Instant,
+    /// The time until which the whole answer may arrive.
+    pub(super) deadline: Instant,
+    pub(super) max_connections: usize,
+    /// The last event that the caller has; none leaves the caller's own header.
+    pub(super) last_event: Option<String>,
+}
+
+/// Sends a request to one upstream and waits for the head of its answer.
+pub(super) async fn send_attempt(
+    pool: &Arc<UpstreamPool>,
+    board: &Arc<LoadBoard>,
+    names: &HeaderNames,
+    parts: &RequestParts,
+    plan: &AttemptPlan,
+) -> Result<UpstreamAnswer, AttemptFailure> {
+    let guard = FlightGuard::new(board, &plan.entry.id, parts.load);
+    let mut is_fresh = false;
+    loop {
+        let taken = pool.take(
+            &plan.entry.id,
+            plan.entry.address,
+            plan.max_connections,
+            is_fresh,
+        );
+        let mut connection = match timeout_at(plan.head_until, taken).await {
+            Err(_) => return Err(AttemptFailure::NotSent("no connection in time".to_owned())),
+            Ok(Err(error)) => return Err(AttemptFailure::NotSent(error.detail().to_owned())),
+            Ok(Ok(connection)) => connection,
+        };
+        let Some(sender) = connection.sender.as_mut() else {
+            return Err(AttemptFailure::NotSent("no connection".to_owned()));
+        };
+        let sent = sender.try_send_request(build_request(names, parts, plan));
+        match timeout_at(plan.head_until, sent).await {
+            Err(_) => return Err(AttemptFailure::TimedOut),
+            Ok(Ok(response)) => return judge(names, parts, plan, connection, guard, response),
+            Ok(Err(mut error)) => {
+                if error.take_message().is_none() {
+                    return Err(AttemptFailure::Broken(error.into_error().to_string()));
+                }
+                if !connection.is_reused {
+                    return Err(AttemptFailure::NotSent(error.into_error().to_string()));
+                }
+                // The upstream closed the idle connection before the request was written.
+                is_fresh = true;
+            }
+        }
+    }
+}
+
+fn build_request(
+    names: &HeaderNames,
+    parts: &RequestParts,
+    plan: &AttemptPlan,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(parts.body.clone()));
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = parts.uri.clone();
+    let mut headers = parts.headers.clone();
+    let left = plan.deadline.saturating_duration_since(Instant::now());
+    headers.insert(names.deadline_ms.clone(), millis_value(left));
+    if let Ok(id) = HeaderValue::from_str(plan.entry.id.as_str()) {
+        headers.insert(names.expect_upstream.clone(), id);
+    }
+    if plan.version > 0 {
+        headers.insert(names.expect_version.clone(), plan.version.into());
+    }
+    if let Some(id) = &plan.last_event
+        && let Ok(id) = HeaderValue::from_str(id)
+    {
+        headers.insert(names.last_event.clone(), id);
+    }
+    *request.headers_mut() = headers;
+    request
+}
+
+fn judge(
+    names: &HeaderNames,
+    parts: &RequestParts,
+    plan: &AttemptPlan,
+    connection: PooledConnection,
+    guard: FlightGuard,
+    response: http::Response<hyper::body::Incoming>,
+) -> Result<UpstreamAnswer, AttemptFailure> {
+    let (head, body) = response.into_parts();
+    let mut headers = head.headers;
+    let idle = stated_idle(&headers);
+    let is_closing = headers
+        .get(CONNECTION)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+    let echoed = headers.get(&names.attempt).map(HeaderValue::as_bytes);
+    if echoed.is_some_and(|echoed| echoed != parts.attempt.as_bytes()) {
+        return Err(AttemptFailure::Mismatch(
+            "the answer names another attempt".to_owned(),
+        ));
+    }
+    let is_signed = headers.contains_key(&names.signature);
+    let is_refused = matches!(
+        head.status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::BAD_REQUEST
+    ) && headers.contains_key(&names.not_run);
+    strip_hop_headers(&mut headers);
+    let mut body = ConnectionBody::new(body, connection, idle, guard, plan.deadline);
+    if is_closing {
+        body.close_after_use();
+    }
+    if is_refused || head.status == StatusCode::MISDIRECTED_REQUEST {
+        drain(body);
+        return Err(AttemptFailure::NotRun(head.status));
+    }
+    if head.status.is_success() && (!is_signed || echoed_is_missing(&headers, names)) {
+        return Err(AttemptFailure::Mismatch(
+            "the answer carries no signature".to_owned(),
+        ));
+    }
+    Ok(UpstreamAnswer {
+        status: head.status,
+        headers,
+        body,
+        is_signed,
+    })
+}
+
+fn echoed_is_missing(headers: &HeaderMap, names: &HeaderNames) -> bool {
+    !headers.contains_key(&names.attempt)
+}
+
+/// Reads the rest of a refusal, so that its connection can be used again.
+pub(super) fn drain(mut body: ConnectionBody) {
+    use http_body_util::BodyExt;
+    tokio::spawn(async move {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Reads the idle limit of a `Keep-Alive` header.
+fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(HeaderName::from_static("keep-alive"))?;
+    let seconds = value
+        .to_str()
+        .ok()?
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+impl From<&AttemptFailure> for RunState {
+    fn from(failure: &AttemptFailure) -> Self {
+        if failure.is_not_run() {
+            Self::NotRun
+        } else {
+            Self::Unknown
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/upstream_pool.rs
@@ -0,0 +1,216 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+use crate::error::{Error, ErrorKind, Result, RunState};
+use crate::id::UpstreamId;
+
+/// Keeps connections to upstreams for reuse.
+#[derive(Debug, Default)]
+pub struct UpstreamPool {
+    state: Mutex<BTreeMap<UpstreamId, PoolState>>,
+}
+
+#[derive(Debug, Default)]
+struct PoolState {
+    idle: Vec<IdleConnection>,
+    open: usize,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    usable_until: Instant,
+}
+
+/// A connection that is in use; dropping it closes it.
+#[derive(Debug)]
+pub(super) struct PooledConnection {
+    pub(super) sender: Option<SendRequest<Full<Bytes>>>,
+    pub(super) is_reused: bool,
+    upstream: UpstreamId,
+    pool: Arc<UpstreamPool>,
+}
+
+/// Time allowed for a new connection; a failure domain away takes a few milliseconds, and one lost
+/// opening packet is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1300);
+
+/// Idle time after which a connection is not reused if the upstream does not state its own limit.
+const DEFAULT_IDLE: Duration = Duration::from_secs(2);
+
+/// Interval of TCP keep-alive probes, the shortest that the kernel takes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after which unacknowledged bytes end a connection that has gone silent.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
+
+impl UpstreamPool {
+    /// Creates an empty pool.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an idle connection or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as "not run" if no connection is established or `max_open` are open.
+    pub(super) async fn take(
+        self: &Arc<Self>,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        max_open: usize,
+        is_fresh: bool,
+    ) -> Result<PooledConnection> {
+        if !is_fresh && let Some(sender) = self.take_idle(upstream) {
+            return Ok(self.lend(upstream, Some(sender), true));
+        }
+        if !self.count_open(upstream, max_open) {
+            let detail = format!("{upstream}: {max_open} connections are open; raise its limit");
+            return Err(not_run(ErrorKind::Overloaded, detail));
+        }
+        let mut connection = self.lend(upstream, None, false);
+        let fail = |error: &dyn std::fmt::Display| {
+            not_run(
+                ErrorKind::Unavailable,
+                format!("{upstream} at {address}: {error}"),
+            )
+        };
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|error| fail(&error))?
+            .map_err(|error| fail(&error))?;
+        tune(&stream).map_err(|error| fail(&error))?;
+        let (sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| fail(&error))?;
+        tokio::spawn(async move {
+            // The user of the connection gets the error too; here it only ends the task.
+            if let Err(error) = driver.await {
+                log::debug!("connection to an upstream ended: {error}");
+            }
+        });
+        connection.sender = Some(sender);
+        Ok(connection)
+    }
+
+    /// Forgets upstreams that `is_listed` does not name.
+    pub fn retain(&self, is_listed: impl Fn(&UpstreamId) -> bool) {
+        for (upstream, pool) in self.lock().iter_mut() {
+            if !is_listed(upstream) {
+                pool.open -= pool.idle.len();
+                pool.idle.clear();
+            }
+        }
+        self.lock().retain(|_, pool| pool.open > 0);
+    }
+
+    /// Counts one more open connection if `max_open` allows it.
+    fn count_open(&self, upstream: &UpstreamId, max_open: usize) -> bool {
+        let mut state = self.lock();
+        let pool = state.entry(upstream.clone()).or_default();
+        let is_allowed = pool.open < max_open;
+        if is_allowed {
+            pool.open += 1;
+        }
+        is_allowed
+    }
+
+    fn lend(
+        self: &Arc<Self>,
+        upstream: &UpstreamId,
+        sender: Option<SendRequest<Full<Bytes>>>,
+        is_reused: bool,
+    ) -> PooledConnection {
+        PooledConnection {
+            sender,
+            is_reused,
+            upstream: upstream.clone(),
+            pool: Arc::clone(self),
+        }
+    }
+
+    fn take_idle(&self, upstream: &UpstreamId) -> Option<SendRequest<Full<Bytes>>> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let pool = state.get_mut(upstream)?;
+        while let Some(idle) = pool.idle.pop() {
+            if idle.usable_until > now && idle.sender.is_ready() {
+                return Some(idle.sender);
+            }
+            pool.open -= 1;
+        }
+        None
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<UpstreamId, PoolState>> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PooledConnection {
+    /// Returns the connection to the pool; `idle` is the limit that the upstream stated.
+    pub(super) fn give_back(mut self, idle: Option<Duration>) {
+        let Some(sender) = self.sender.take() else {
+            return;
+        };
+        let Some(limit) = idle_limit(idle) else {
+            self.sender = Some(sender);
+            return;
+        };
+        let mut state = self.pool.lock();
+        if let Some(pool) = state.get_mut(&self.upstream) {
+            pool.idle.push(IdleConnection {
+                sender,
+                usable_until: Instant::now() + limit,
+            });
+            // The connection stays open; only its user is done.
+            pool.open += 1;
+        }
+    }
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        if let Some(pool) = self.pool.lock().get_mut(&self.upstream) {
+            pool.open = pool.open.saturating_sub(1);
+        }
+    }
+}
+
+/// Keeps a margin, so that no request meets a connection that the upstream is closing.
+fn idle_limit(stated: Option<Duration>) -> Option<Duration> {
+    match stated {
+        None => Some(DEFAULT_IDLE),
+        Some(limit) => limit
+            .checked_sub(Duration::from_millis(700))
+            .filter(|limit| !limit.is_zero()),
+    }
+}
+
+pub(super) fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL)
+            .with_retries(2),
+    )?;
+    socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))
+}
+
+fn not_run(kind: ErrorKind, detail: String) -> Error {
+    Error::new(kind, detail).with_run_state(RunState::NotRun)
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -304,13 +304,13 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerAsk {
     /// The content.
-    #[prost(oneof = "ask::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "ask::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: Option<ask::Body>,
 }
 
 /// The contents of a question.
 pub mod ask {
-    use super::{ConfigPull, Oneof, OwnerHandover, PermitBid, PermitDone};
+    use super::{AdapterWant, ConfigPull, LoadShare, Oneof, OwnerHandover, PermitBid, PermitDone};
 
     /// The content of a question.
     #[derive(Clone, PartialEq, Oneof)]
@@ -327,6 +327,12 @@
         /// Hands upstreams over.
         #[prost(message, tag = "4")]
         Handover(OwnerHandover),
+        /// Asks for an adapter to be made resident.
+        #[prost(message, tag = "5")]
+        Want(AdapterWant),
+        /// Tells the sender's share of the load.
+        #[prost(message, tag = "6")]
+        Share(LoadShare),
     }
 }
 
@@ -334,13 +340,13 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerReply {
     /// The content.
-    #[prost(oneof = "reply::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "reply::Body", tags = "1, 2, 3, 4, 5")]
     pub body: Option<reply::Body>,
 }
 
 /// The contents of a reply.
 pub mod reply {
-    use super::{ConfigDelta, Oneof, PermitGrant, RefusalBody};
+    use super::{AdapterGrant, ConfigDelta, Oneof, PermitGrant, RefusalBody};
 
     /// The content of a reply.
     #[derive(Clone, PartialEq, Oneof)]
@@ -357,6 +363,9 @@
         /// Refused.
         #[prost(message, tag = "4")]
         Refused(RefusalBody),
+        /// The adapter is resident.
+        #[prost(message, tag = "5")]
+        Resident(AdapterGrant),
     }
 }
 
@@ -451,3 +460,108 @@
     #[prost(bool, tag = "3")]
     pub is_released: bool,
 }
+
+/// Asks the owner of an upstream to make an adapter resident there.
+#[derive(Clone, PartialEq, Message)]
+pub struct AdapterWant {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// The base model.
+    #[prost(string, tag = "2")]
+    pub model: String,
+    /// The adapter; empty for the base model itself.
+    #[prost(string, tag = "3")]
+    pub adapter: String,
+    /// The lowest version that is acceptable; zero if any is.
+    #[prost(uint64, tag = "4")]
+    pub min_version: u64,
+    /// Milliseconds after which the adapter is of no use to the sender any more.
+    #[prost(uint32, tag = "5")]
+    pub useful_ms: u32,
+    /// Value of serving the waiting request on time, in thousandths.
+    #[prost(uint32, tag = "6")]
+    pub value: u32,
+}
+
+/// Tells that an adapter is resident.
+#[derive(Clone, PartialEq, Message)]
+pub struct AdapterGrant {
+    /// The version that is loaded; zero if it is not known.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+}
+
+/// One instance's share of the load of all upstreams, and what it knows as an owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadShare {
+    /// The requests that the sender has in flight, by upstream.
+    #[prost(message, repeated, tag = "1")]
+    pub in_flight: Vec<FlightItem>,
+    /// The upstreams that the sender owns, with their resident adapters.
+    #[prost(message, repeated, tag = "2")]
+    pub owned: Vec<OwnedItem>,
+    /// Fingerprints of requests that were in flight at an upstream crash, with the crash count.
+    #[prost(btree_map = "uint64, uint32", tag = "3")]
+    pub suspects: std::collections::BTreeMap<u64, u32>,
+    /// The failure domains that the sender owns.
+    #[prost(string, repeated, tag = "4")]
+    pub owned_domains: Vec<String>,
+    /// Adapters that the sender has used since its previous share.
+    #[prost(message, repeated, tag = "5")]
+    pub used: Vec<UseItem>,
+    /// Whether the sender is shutting down.
+    #[prost(bool, tag = "6")]
+    pub is_draining: bool,
+}
+
+/// Requests in flight at one upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct FlightItem {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Requests that were sent and have not ended.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Prompt tokens of requests whose first event has not arrived.
+    #[prost(uint32, tag = "3")]
+    pub prompt_tokens: u32,
+    /// Tokens of memory that the requests take at their end.
+    #[prost(uint32, tag = "4")]
+    pub memory_tokens: u32,
+}
+
+/// An upstream as its owner knows it.
+#[derive(Clone, PartialEq, Message)]
+pub struct OwnedItem {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// The time at which the upstream started, as the upstream states it.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Base models that are resident.
+    #[prost(string, repeated, tag = "3")]
+    pub models: Vec<String>,
+    /// Resident adapters, as `model/adapter@version`.
+    #[prost(string, repeated, tag = "4")]
+    pub adapters: Vec<String>,
+    /// Milliseconds of loads that wait or run at the upstream.
+    #[prost(uint32, tag = "5")]
+    pub backlog_ms: u32,
+}
+
+/// Uses of one adapter at one upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct UseItem {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// The adapter, as `model/adapter`.
+    #[prost(string, tag = "2")]
+    pub adapter: String,
+    /// Number of requests.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -39,9 +39,10 @@
 pub use mesh_config::MeshConfig;
 pub use mesh_hooks::{HeartbeatHook, MeshHooks, ReplyFuture};
 pub use message::{
-    CallChunk, CallOpen, ConfigDelta, ConfigPull, HandoverItem, HeartbeatBody, OwnerHandover,
-    PeerAsk, PeerFrame, PeerHello, PeerReply, PermitBid, PermitDone, PermitGrant, RefusalBody,
-    ResidencyItem, ask, chunk, frame, reply,
+    AdapterGrant, AdapterWant, CallChunk, CallOpen, ConfigDelta, ConfigPull, FlightItem,
+    HandoverItem, HeartbeatBody, LoadShare, OwnedItem, OwnerHandover, PeerAsk, PeerFrame,
+    PeerHello, PeerReply, PermitBid, PermitDone, PermitGrant, RefusalBody, ResidencyItem, UseItem,
+    ask, chunk, frame, reply,
 };
 pub use peer_change::PeerChange;
 pub use peer_identity::PeerIdentity;
--- /dev/null
+++ b/src/residency/domain_lease.rs
@@ -0,0 +1,243 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::LeaseRecord;
+use crate::id::{DomainId, InstanceId};
+
+/// Decides whether this instance may order at the upstreams of a failure domain.
+///
+/// The holder may order while, within [`VALIDITY`](Self::VALIDITY), either every other instance has
+/// acknowledged its share of the load, or its record in the store was renewed. Another instance
+/// takes over after it has heard nothing of a holder and seen no renewal for
+/// [`TAKEOVER_AGE`](Self::TAKEOVER_AGE), during which it ran without a pause. Orders of two holders
+/// are therefore at least [`QUIET_TIME`](Self::QUIET_TIME) apart, although a quiet holder needs no
+/// call to the store.
+#[derive(Debug)]
+pub struct DomainLease {
+    domain: DomainId,
+    instance: InstanceId,
+    held: Option<HeldLease>,
+    seen: Option<SeenRecord>,
+    heard_at: Duration,
+    rank: u32,
+}
+
+#[derive(Debug)]
+struct HeldLease {
+    record: LeaseRecord,
+    revision: u64,
+    renewed_at: Duration,
+    order_from: Duration,
+}
+
+#[derive(Debug)]
+struct SeenRecord {
+    record: LeaseRecord,
+    revision: u64,
+    unchanged_since: Duration,
+}
+
+/// What the loop has to do for a lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Nothing now.
+    Rest,
+    /// Read the record.
+    Read,
+    /// Write the record if its revision is still the given one; none creates it.
+    Write(LeaseRecord, Option<u64>),
+}
+
+impl DomainLease {
+    /// Time after a renewal or acknowledgement in which the holder may order.
+    pub const VALIDITY: Duration = Duration::from_secs(1);
+
+    /// The least time between orders of two holders; engines that take orders without checking
+    /// who sends them could otherwise carry out both.
+    pub const QUIET_TIME: Duration = Duration::from_secs(3);
+
+    /// Silence of a holder after which another instance takes over: validity, quiet time, and a
+    /// margin for timers and the way of the last order.
+    pub const TAKEOVER_AGE: Duration = Duration::from_millis(4300);
+
+    /// Age of the last proof of life from which the holder renews its record.
+    const RENEW_AGE: Duration = Duration::from_millis(450);
+
+    /// Time that each later candidate waits in addition, so that they do not collide.
+    const RANK_STEP: Duration = Duration::from_millis(600);
+
+    /// Time without a holder after the start of the process, in which a present holder is heard.
+    const START_PAUSE: Duration = Duration::from_millis(700);
+
+    /// Creates a lease that is not held; `rank` is this instance's place among the candidates.
+    #[must_use]
+    pub const fn new(domain: DomainId, instance: InstanceId, rank: u32, now: Duration) -> Self {
+        Self {
+            domain,
+            instance,
+            held: None,
+            seen: None,
+            heard_at: now,
+            rank,
+        }
+    }
+
+    /// Changes this instance's place among the candidates.
+    pub const fn set_rank(&mut self, rank: u32) {
+        self.rank = rank;
+    }
+
+    /// Takes news that another instance holds the domain.
+    pub const fn hear_holder(&mut self, now: Duration) {
+        self.heard_at = now;
+    }
+
+    /// Starts all waits anew; this process was paused and may have missed news.
+    pub fn resume_after_pause(&mut self, now: Duration) {
+        self.heard_at = now;
+        if let Some(seen) = &mut self.seen {
+            seen.unchanged_since = now;
+        }
+    }
+
+    /// Returns what to do next; `acked_at` is the oldest of the newest acknowledgements of the
+    /// other instances, none if one of them has never acknowledged.
+    #[must_use]
+    pub fn next_step(&self, now: Duration, acked_at: Option<Duration>) -> LeaseStep {
+        if let Some(held) = &self.held {
+            let proof = held.renewed_at.max(acked_at.unwrap_or_default());
+            if now.saturating_sub(proof) < Self::RENEW_AGE {
+                return LeaseStep::Rest;
+            }
+            let mut record = held.record.clone();
+            record.renewals += 1;
+            return LeaseStep::Write(record, Some(held.revision));
+        }
+        let wait = Self::START_PAUSE + Self::RANK_STEP * self.rank;
+        if now.saturating_sub(self.heard_at) < wait {
+            return LeaseStep::Rest;
+        }
+        let Some(seen) = &self.seen else {
+            return LeaseStep::Read;
+        };
+        let is_own = seen.record.holder == self.instance;
+        let is_stale = now.saturating_sub(seen.unchanged_since) >= Self::TAKEOVER_AGE
+            && now.saturating_sub(self.heard_at) >= Self::TAKEOVER_AGE;
+        if is_own || seen.record.is_released || is_stale {
+            return LeaseStep::Write(self.taken(seen.record.epoch + 1), Some(seen.revision));
+        }
+        // The conditional write shows whether the record has changed; no more reads are needed.
+        LeaseStep::Rest
+    }
+
+    /// Takes the record that was read; none if there is no record.
+    #[must_use]
+    pub fn record_read(&mut self, found: Option<(LeaseRecord, u64)>, now: Duration) -> LeaseStep {
+        let Some((record, revision)) = found else {
+            self.seen = None;
+            return LeaseStep::Write(self.taken(1), None);
+        };
+        let is_known = self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.revision == revision);
+        if !is_known {
+            self.seen = Some(SeenRecord {
+                record,
+                revision,
+                unchanged_since: now,
+            });
+        }
+        LeaseStep::Rest
+    }
+
+    /// Takes a successful write that was sent at `sent_at`.
+    pub fn record_written(&mut self, record: LeaseRecord, revision: u64, sent_at: Duration) {
+        if record.is_released {
+            self.held = None;
+            self.seen = None;
+            self.heard_at = sent_at;
+            return;
+        }
+        let order_from = match (&self.held, &self.seen) {
+            (Some(held), _) => held.order_from,
+            (None, Some(seen))
+                if seen.record.is_released && seen.record.holder != self.instance =>
+            {
+                sent_at + Self::QUIET_TIME
+            }
+            // No other instance has ordered yet, or this machine was the last to, or the takeover
+            // age covers the validity and the quiet time.
+            (None, _) => sent_at,
+        };
+        self.held = Some(HeldLease {
+            record,
+            revision,
+            renewed_at: sent_at,
+            order_from,
+        });
+        self.seen = None;
+    }
+
+    /// Takes a write that another one came before.
+    pub fn record_conflicted(&mut self, now: Duration) {
+        self.held = None;
+        self.seen = None;
+        self.heard_at = now;
+    }
+
+    /// Returns whether an order may be sent now.
+    #[must_use]
+    pub fn may_order(&self, now: Duration, acked_at: Option<Duration>) -> bool {
+        self.held.as_ref().is_some_and(|held| {
+            let proof = held.renewed_at.max(acked_at.unwrap_or_default());
+            now >= held.order_from && now.saturating_sub(proof) < Self::VALIDITY
+        })
+    }
+
+    /// Returns the epoch if the lease is held.
+    #[must_use]
+    pub fn epoch(&self) -> Option<u64> {
+        self.held.as_ref().map(|held| held.record.epoch)
+    }
+
+    /// Returns the record that gives the lease up, with the revision to write it at.
+    #[must_use]
+    pub fn release(&self) -> Option<(LeaseRecord, u64)> {
+        self.held.as_ref().map(|held| {
+            let mut record = held.record.clone();
+            record.is_released = true;
+            (record, held.revision)
+        })
+    }
+
+    /// Gives the lease up locally.
+    pub fn drop_held(&mut self, now: Duration) {
+        self.held = None;
+        self.seen = None;
+        self.heard_at = now;
+    }
+
+    fn taken(&self, epoch: u64) -> LeaseRecord {
+        LeaseRecord {
+            domain: self.domain.clone(),
+            holder: self.instance.clone(),
+            epoch,
+            renewals: 0,
+            is_released: false,
+        }
+    }
+}
+
+/// Returns the oldest of the newest acknowledgements; none if an instance is missing.
+#[must_use]
+pub(super) fn oldest_ack(
+    others: &BTreeSet<InstanceId>,
+    acks: &BTreeMap<InstanceId, Duration>,
+) -> Option<Duration> {
+    let mut oldest = Duration::MAX;
+    for other in others {
+        oldest = oldest.min(*acks.get(other)?);
+    }
+    Some(oldest)
+}
--- /dev/null
+++ b/src/residency/load_client.rs
@@ -0,0 +1,102 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{LoadOwner, ResidencyView};
+use crate::error::{Error, ErrorKind, Result, RunState};
+use crate::forward::ModelRef;
+use crate::id::{InstanceId, UpstreamId};
+use crate::peer::{
+    AdapterGrant, AdapterWant, PeerAsk, PeerMesh, PeerReply, RefusalBody, ask, reply,
+};
+use crate::time::ClockSource;
+
+/// Asks the owner of an upstream to make an adapter resident.
+#[derive(Debug, Clone)]
+pub struct LoadClient {
+    /// This instance.
+    pub instance: InstanceId,
+    /// The owner part of this instance.
+    pub owner: Arc<LoadOwner>,
+    /// Tells who owns an upstream.
+    pub view: Arc<ResidencyView>,
+    /// The links to the other instances.
+    pub mesh: PeerMesh,
+    /// The time.
+    pub clock: ClockSource,
+}
+
+impl LoadClient {
+    /// Asks for an adapter and waits until it is resident; returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Unavailable`] if no owner is known or reached, and
+    /// [`ErrorKind::Overloaded`] if the load would not be done within `useful_for`.
+    pub async fn want(
+        &self,
+        upstream: &UpstreamId,
+        model: &ModelRef,
+        min_version: u64,
+        useful_for: Duration,
+        value: u32,
+    ) -> Result<u64> {
+        let Some(owner) = self.view.owner_of(upstream, self.clock.now()) else {
+            return Err(refusal(
+                ErrorKind::Unavailable,
+                "no owner of the upstream is known",
+            ));
+        };
+        let version = if owner == self.instance {
+            self.owner
+                .want(upstream, model, min_version, useful_for, value)
+                .await
+                .map_err(|cause| refusal(ErrorKind::Overloaded, &format!("{cause:?}")))?
+        } else {
+            let want = AdapterWant {
+                upstream: upstream.as_str().to_owned(),
+                model: model.model.clone(),
+                adapter: model.adapter.clone(),
+                min_version,
+                useful_ms: u32::try_from(useful_for.as_millis()).unwrap_or(u32::MAX),
+                value,
+            };
+            let ask = PeerAsk {
+                body: Some(ask::Body::Want(want)),
+            };
+            match self.mesh.ask(&owner, ask).await?.body {
+                Some(reply::Body::Resident(grant)) => grant.version,
+                Some(reply::Body::Refused(body)) => return Err(body.to_error()),
+                _ => {
+                    return Err(refusal(
+                        ErrorKind::Protocol,
+                        "the owner's reply is of another kind",
+                    ));
+                }
+            }
+        };
+        self.view.note_resident(upstream, model, version);
+        Ok(version)
+    }
+
+    /// Replies to a peer's question for an adapter.
+    pub async fn reply(owner: Arc<LoadOwner>, want: AdapterWant) -> PeerReply {
+        let upstream = UpstreamId::from_name(&want.upstream);
+        let model = ModelRef::new(&want.model, &want.adapter);
+        let useful_for = Duration::from_millis(u64::from(want.useful_ms));
+        let answer = owner
+            .want(&upstream, &model, want.min_version, useful_for, want.value)
+            .await;
+        let body = match answer {
+            Ok(version) => reply::Body::Resident(AdapterGrant { version }),
+            Err(cause) => {
+                let error = refusal(ErrorKind::Overloaded, &format!("{cause:?}"));
+                reply::Body::Refused(RefusalBody::from_error(&error))
+            }
+        };
+        PeerReply { body: Some(body) }
+    }
+}
+
+fn refusal(kind: ErrorKind, detail: &str) -> Error {
+    Error::new(kind, detail).with_run_state(RunState::NotRun)
+}
--- /dev/null
+++ b/src/residency/load_owner.rs
@@ -0,0 +1,477 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
+
+use super::domain_lease::oldest_ack;
+use super::{
+    DomainLease, EngineOrder, LeaseRecord, LedgerAction, LedgerLimits, LoadRefusal, LoadWaiter,
+    OrderKind, OrderPort, ResidencyLedger,
+};
+use crate::forward::{FleetState, ModelRef, UpstreamEntry};
+use crate::id::{DomainId, InstanceId, UpstreamId};
+use crate::peer::{OwnedItem, UseItem};
+use crate::telemetry::{LogEvent, LogName};
+use crate::time::ClockSource;
+
+/// Orders loads and evictions at the upstreams of the failure domains that this instance holds.
+#[derive(Debug)]
+pub struct LoadOwner {
+    instance: InstanceId,
+    clock: ClockSource,
+    fleet: Arc<FleetState>,
+    port: OrderPort,
+    state: Mutex<OwnerState>,
+}
+
+#[derive(Debug, Default)]
+struct OwnerState {
+    leases: BTreeMap<DomainId, DomainLease>,
+    others: BTreeSet<InstanceId>,
+    acks: BTreeMap<InstanceId, Duration>,
+    loaders: BTreeMap<UpstreamId, UpstreamLoader>,
+    model_loads: Vec<Duration>,
+}
+
+#[derive(Debug)]
+struct UpstreamLoader {
+    entry: Arc<UpstreamEntry>,
+    ledger: ResidencyLedger,
+    wake: Arc<Notify>,
+}
+
+/// Loads from the weight store that one failure domain has on their way. Beyond the store's own
+/// limit all loads slow down in proportion, so that a few more cost no throughput, while too few
+/// would leave the store idle.
+const DOMAIN_FETCHES: usize = 4;
+
+/// Time after which an order or report counts as lost.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Pause before an upstream's loader looks again for permission to order.
+const LEASE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Window in which base-model loads are counted against the store's rate.
+const MODEL_LOAD_WINDOW: Duration = Duration::from_secs(5);
+
+impl LoadOwner {
+    /// Creates an owner that holds nothing yet.
+    #[must_use]
+    pub fn new(
+        instance: InstanceId,
+        clock: ClockSource,
+        fleet: Arc<FleetState>,
+        port: OrderPort,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            instance,
+            clock,
+            fleet,
+            port,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Asks for an adapter at an upstream of an owned domain.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if this instance does not own the upstream or the load would be late.
+    pub async fn want(
+        &self,
+        upstream: &UpstreamId,
+        model: &ModelRef,
+        min_version: u64,
+        useful_for: Duration,
+        value: u32,
+    ) -> Result<u64, LoadRefusal> {
+        let now = self.clock.now();
+        let (reply, answer) = oneshot::channel();
+        let waiter = LoadWaiter {
+            value,
+            expires_at: now + useful_for,
+            reply,
+        };
+        self.add_waiter(upstream, model, min_version, waiter, now)?;
+        answer.await.unwrap_or(Err(LoadRefusal::NotOwner))
+    }
+
+    fn add_waiter(
+        &self,
+        upstream: &UpstreamId,
+        model: &ModelRef,
+        min_version: u64,
+        waiter: LoadWaiter,
+        now: Duration,
+    ) -> Result<(), LoadRefusal> {
+        let mut state = self.lock();
+        let loader = state
+            .loaders
+            .get_mut(upstream)
+            .ok_or(LoadRefusal::NotOwner)?;
+        loader.ledger.want(model, min_version, waiter, now);
+        loader.wake.notify_one();
+        Ok(())
+    }
+
+    /// Counts uses of adapters that instances have told.
+    pub fn note_uses(&self, uses: &[UseItem]) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for item in uses {
+            let upstream = UpstreamId::from_name(&item.upstream);
+            if let Some(loader) = state.loaders.get_mut(&upstream) {
+                let model = ModelRef::from_text(&item.adapter);
+                loader.ledger.note_uses(&model, item.count, now);
+            }
+        }
+    }
+
+    /// Lists the owned upstreams for the instances.
+    #[must_use]
+    pub fn owned_items(&self) -> Vec<OwnedItem> {
+        let state = self.lock();
+        let to_item = |(upstream, loader): (&UpstreamId, &UpstreamLoader)| OwnedItem {
+            upstream: upstream.as_str().to_owned(),
+            incarnation: loader.entry.incarnation,
+            models: loader.ledger.models().iter().cloned().collect(),
+            adapters: loader
+                .ledger
+                .residents()
+                .map(|(model, version)| format!("{model}@{version}"))
+                .collect(),
+            backlog_ms: u32::try_from(loader.ledger.backlog().as_millis()).unwrap_or(u32::MAX),
+        };
+        state
+            .loaders
+            .iter()
+            .filter(|(_, loader)| loader.ledger.is_known())
+            .map(to_item)
+            .collect()
+    }
+
+    /// Lists the domains that this instance holds.
+    #[must_use]
+    pub fn owned_domains(&self) -> Vec<DomainId> {
+        let state = self.lock();
+        let is_held = |(_, lease): &(&DomainId, &DomainLease)| lease.epoch().is_some();
+        state
+            .leases
+            .iter()
+            .filter(is_held)
+            .map(|(domain, _)| domain.clone())
+            .collect()
+    }
+
+    /// Replaces the other instances; a lease is proved without the store only if all acknowledge.
+    pub fn set_others(&self, others: BTreeSet<InstanceId>) {
+        self.lock().others = others;
+    }
+
+    /// Takes an acknowledgement of a share that was sent at `sent_at`.
+    pub fn note_ack(&self, peer: &InstanceId, sent_at: Duration) {
+        self.lock().acks.insert(peer.clone(), sent_at);
+    }
+
+    /// Takes news that another instance holds domains.
+    pub fn hear_holders(&self, domains: impl Iterator<Item = DomainId>, now: Duration) {
+        let mut state = self.lock();
+        for domain in domains {
+            if let Some(lease) = state.leases.get_mut(&domain) {
+                lease.hear_holder(now);
+            }
+        }
+    }
+
+    /// Works on a lease under the lock, with the oldest acknowledgement of the other instances.
+    pub(super) fn with_lease<T>(
+        &self,
+        domain: &DomainId,
+        rank: u32,
+        work: impl FnOnce(&mut DomainLease, Option<Duration>) -> T,
+    ) -> T {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let acked_at = oldest_ack(&state.others, &state.acks);
+        let lease = state
+            .leases
+            .entry(domain.clone())
+            .or_insert_with(|| DomainLease::new(domain.clone(), self.instance.clone(), rank, now));
+        lease.set_rank(rank);
+        work(lease, acked_at)
+    }
+
+    /// Starts loaders for the upstreams of held domains and ends those of others.
+    pub fn follow_upstreams(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let upstreams = self.fleet.upstreams();
+        let Some(routes) = self.fleet.routes() else {
+            return;
+        };
+        let mut state = self.lock();
+        let held: BTreeSet<DomainId> = state
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.epoch().is_some())
+            .map(|(domain, _)| domain.clone())
+            .collect();
+        let is_owned = |entry: &UpstreamEntry| {
+            held.contains(&entry.domain)
+                && routes
+                    .service(&entry.service)
+                    .is_some_and(|service| service.engine.is_some())
+        };
+        state.loaders.retain(|upstream, loader| {
+            let is_kept = upstreams.get(upstream).is_some_and(|entry| is_owned(entry));
+            if !is_kept {
+                loader.ledger.release();
+                loader.wake.notify_one();
+            }
+            is_kept
+        });
+        for (upstream, entry) in upstreams.iter().filter(|(_, entry)| is_owned(entry)) {
+            let limits = routes
+                .service(&entry.service)
+                .and_then(|service| service.engine.as_ref())
+                .map_or_else(LedgerLimits::default, |engine| LedgerLimits {
+                    adapter_slots: engine.adapter_slots,
+                    ..LedgerLimits::default()
+                });
+            if let Some(loader) = state.loaders.get_mut(upstream) {
+                loader.ledger.set_limits(limits);
+                if loader.entry.incarnation != entry.incarnation {
+                    loader.ledger.restarted(now);
+                    loader.wake.notify_one();
+                }
+                loader.entry = Arc::clone(entry);
+                continue;
+            }
+            let wake = Arc::new(Notify::new());
+            let loader = UpstreamLoader {
+                entry: Arc::clone(entry),
+                ledger: ResidencyLedger::new(limits, now),
+                wake: Arc::clone(&wake),
+            };
+            state.loaders.insert(upstream.clone(), loader);
+            tokio::spawn(Arc::clone(self).run_loader(upstream.clone(), wake));
+        }
+    }
+
+    /// Returns the records that give all held leases up.
+    #[must_use]
+    pub fn releases(&self) -> Vec<(LeaseRecord, u64)> {
+        self.lock()
+            .leases
+            .values()
+            .filter_map(DomainLease::release)
+            .collect()
+    }
+
+    /// Stops ordering at once; the records are written afterwards.
+    pub fn drop_leases(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for lease in state.leases.values_mut() {
+            lease.drop_held(now);
+        }
+        for loader in state.loaders.values_mut() {
+            loader.ledger.release();
+            loader.wake.notify_one();
+        }
+        state.loaders.clear();
+    }
+
+    async fn run_loader(self: Arc<Self>, upstream: UpstreamId, wake: Arc<Notify>) {
+        loop {
+            let now = self.clock.now();
+            let Some((entry, step)) = self.next_step(&upstream, &wake, now) else {
+                return;
+            };
+            match step {
+                LoaderStep::Wait(until) => {
+                    let pause = until.saturating_sub(now);
+                    // A wake-up and the end of the pause mean the same: look again.
+                    let _woken = timeout(pause, wake.notified()).await;
+                }
+                LoaderStep::Report => self.read_report(&upstream, entry).await,
+                LoaderStep::Order(order) => self.send_order(&upstream, entry, order).await,
+            }
+        }
+    }
+
+    fn next_step(
+        &self,
+        upstream: &UpstreamId,
+        wake: &Arc<Notify>,
+        now: Duration,
+    ) -> Option<(Arc<UpstreamEntry>, LoaderStep)> {
+        let mut state = self.lock();
+        let acked_at = oldest_ack(&state.others, &state.acks);
+        let entry = Arc::clone(&state.loaders.get(upstream)?.entry);
+        let epoch = state.leases.get(&entry.domain).and_then(|lease| {
+            let epoch = lease.epoch()?;
+            lease.may_order(now, acked_at).then_some(epoch)
+        });
+        let fetches: usize = state
+            .loaders
+            .values()
+            .filter(|loader| loader.entry.domain == entry.domain)
+            .map(|loader| loader.ledger.fetches())
+            .sum();
+        let missing = self.missing_model(&state, upstream, &entry, now);
+        let loader = state.loaders.get_mut(upstream)?;
+        if !Arc::ptr_eq(&loader.wake, wake) {
+            return None;
+        }
+        let Some(epoch) = epoch else {
+            return Some((entry, LoaderStep::Wait(now + LEASE_PAUSE)));
+        };
+        let order = |kind, model, version, expected| EngineOrder {
+            kind,
+            model,
+            version,
+            expected,
+            holder: self.instance.clone(),
+            fencing_token: epoch,
+        };
+        if let Some(model) = missing {
+            let expected = loader.ledger.sequence();
+            state
+                .model_loads
+                .retain(|at| now.saturating_sub(*at) < MODEL_LOAD_WINDOW);
+            state.model_loads.push(now);
+            let order = order(OrderKind::Load, ModelRef::new(&model, ""), 0, expected);
+            return Some((entry, LoaderStep::Order(order)));
+        }
+        let step = match loader.ledger.next_action(now, fetches < DOMAIN_FETCHES) {
+            LedgerAction::Wait(until) => LoaderStep::Wait(until),
+            LedgerAction::Report => LoaderStep::Report,
+            LedgerAction::Order {
+                kind,
+                model,
+                version,
+                expected,
+            } => LoaderStep::Order(order(kind, model, version, expected)),
+        };
+        Some((entry, step))
+    }
+
+    /// Names a base model that the upstream lacks and that fits the rate of the weight store.
+    fn missing_model(
+        &self,
+        state: &OwnerState,
+        upstream: &UpstreamId,
+        entry: &UpstreamEntry,
+        now: Duration,
+    ) -> Option<String> {
+        let loader = state.loaders.get(upstream)?;
+        if entry.is_draining {
+            return None;
+        }
+        let routes = self.fleet.routes()?;
+        let engine = routes.service(&entry.service)?.engine.as_ref()?;
+        let model = engine
+            .models
+            .iter()
+            .find(|model| loader.ledger.lacks_model(&model.name))?;
+        let held: f64 = engine
+            .models
+            .iter()
+            .filter(|known| loader.ledger.models().contains(&known.name))
+            .map(|known| known.weights_mb)
+            .sum();
+        if held + model.weights_mb > engine.weights_mb {
+            return None;
+        }
+        let domains = self.domain_count();
+        let window = MODEL_LOAD_WINDOW.as_secs_f64();
+        let recent = state
+            .model_loads
+            .iter()
+            .filter(|at| now.saturating_sub(**at) < MODEL_LOAD_WINDOW)
+            .count();
+        let allowed = (engine.loads_per_s * window / f64::from(domains)).max(1.0);
+        let is_allowed = f64::from(u32::try_from(recent).unwrap_or(u32::MAX)) < allowed;
+        is_allowed.then(|| model.name.clone())
+    }
+
+    fn domain_count(&self) -> u32 {
+        let upstreams = self.fleet.upstreams();
+        let domains: BTreeSet<&DomainId> = upstreams.values().map(|entry| &entry.domain).collect();
+        u32::try_from(domains.len()).unwrap_or(u32::MAX).max(1)
+    }
+
+    async fn read_report(&self, upstream: &UpstreamId, entry: Arc<UpstreamEntry>) {
+        let read = timeout(ORDER_TIMEOUT, (self.port.report)(Arc::clone(&entry))).await;
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(loader) = state.loaders.get_mut(upstream) else {
+            return;
+        };
+        match read {
+            Ok(Ok(report)) => loader.ledger.report_read(&report, now),
+            Ok(Err(error)) => {
+                loader.ledger.report_lost(now);
+                log_lost(upstream, "report", error.detail());
+            }
+            Err(_) => {
+                loader.ledger.report_lost(now);
+                log_lost(upstream, "report", "no answer in time");
+            }
+        }
+    }
+
+    async fn send_order(
+        &self,
+        upstream: &UpstreamId,
+        entry: Arc<UpstreamEntry>,
+        order: EngineOrder,
+    ) {
+        let (kind, model, version) = (order.kind, order.model.clone(), order.version);
+        let expected = order.expected.unwrap_or(0);
+        let sent = timeout(ORDER_TIMEOUT, (self.port.order)(entry, order)).await;
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(loader) = state.loaders.get_mut(upstream) else {
+            return;
+        };
+        match sent {
+            Ok(Ok(outcome)) => {
+                log::debug!(
+                    "order {kind:?} {model} version {version} at {upstream} after {expected}: {outcome:?}"
+                );
+                loader
+                    .ledger
+                    .order_answered(kind, &model, version, outcome, now);
+            }
+            Ok(Err(error)) => {
+                loader.ledger.order_lost(kind, &model, now);
+                log_lost(upstream, "order", error.detail());
+            }
+            Err(_) => {
+                loader.ledger.order_lost(kind, &model, now);
+                log_lost(upstream, "order", "no answer in time");
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, OwnerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+enum LoaderStep {
+    Wait(Duration),
+    Report,
+    Order(EngineOrder),
+}
+
+fn log_lost(upstream: &UpstreamId, call: &str, reason: &str) {
+    LogEvent::new(LogName::LoadFailed)
+        .with("upstream", upstream)
+        .with("call", call)
+        .with("reason", reason)
+        .send();
+}
--- /dev/null
+++ b/src/residency/mod.rs
@@ -0,0 +1,28 @@
+//! Which adapters are resident where, who may change that, and which loads come next.
+//!
+//! Each failure domain has one owner instance that alone orders loads and evictions at its
+//! upstreams. [`DomainLease`] decides whether this instance may order, [`ResidencyLedger`] what an
+//! upstream holds and what to order next, [`LoadOwner`] sends the orders, and [`ResidencyView`]
+//! tells the entry where an adapter is resident. [`LoadClient`] asks the owner of an upstream.
+
+mod domain_lease;
+mod lease_record;
+mod load_client;
+mod load_owner;
+mod order_port;
+mod ownership_loop;
+mod residency_ledger;
+mod residency_view;
+mod store_port;
+mod waiting_load;
+
+pub use domain_lease::{DomainLease, LeaseStep};
+pub use lease_record::LeaseRecord;
+pub use load_client::LoadClient;
+pub use load_owner::LoadOwner;
+pub use order_port::{EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderPort, PortFuture};
+pub use ownership_loop::{OwnershipLoop, share_load};
+pub use residency_ledger::{LedgerAction, LedgerLimits, ResidencyLedger};
+pub use residency_view::ResidencyView;
+pub use store_port::{LeaseWrite, StorePort};
+pub use waiting_load::{LoadRefusal, LoadWaiter};
--- /dev/null
+++ b/src/residency/ownership_loop.rs
@@ -0,0 +1,251 @@
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use super::{LeaseStep, LeaseWrite, LoadOwner, ResidencyView, StorePort};
+use crate::forward::{FleetState, LoadBoard};
+use crate::id::{DomainId, InstanceId};
+use crate::member::rendezvous_score;
+use crate::peer::{LoadShare, PeerAsk, PeerMesh, ask};
+use crate::platform::ListedInstance;
+use crate::policy::SuspectList;
+use crate::telemetry::{LogEvent, LogName};
+use crate::time::{ClockSource, TimerService};
+
+/// Keeps the leases of failure domains and tells the peers this instance's share of the load.
+pub struct OwnershipLoop {
+    /// This instance.
+    pub instance: InstanceId,
+    /// The failure domain of this instance.
+    pub domain: DomainId,
+    /// The time.
+    pub clock: ClockSource,
+    /// The upstreams.
+    pub fleet: Arc<FleetState>,
+    /// The owner part.
+    pub owner: Arc<LoadOwner>,
+    /// Requests in flight.
+    pub board: Arc<LoadBoard>,
+    /// Where adapters are resident.
+    pub view: Arc<ResidencyView>,
+    /// Requests that crashed upstreams.
+    pub suspects: Arc<Mutex<SuspectList>>,
+    /// The links to the other instances.
+    pub mesh: PeerMesh,
+    /// The store.
+    pub store: StorePort,
+    /// The instances that the store lists.
+    pub instances: Arc<Mutex<Vec<ListedInstance>>>,
+}
+
+impl fmt::Debug for OwnershipLoop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OwnershipLoop")
+            .field("instance", &self.instance)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Time between two looks at the leases.
+const LEASE_PERIOD: Duration = Duration::from_millis(100);
+
+/// A longer gap between two looks means that this process was paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(700);
+
+/// Time between two shares of the load with few instances.
+const SHARE_PERIOD: Duration = Duration::from_millis(250);
+
+impl OwnershipLoop {
+    /// Runs until the process ends.
+    pub async fn run(self: Arc<Self>, timers: TimerService) {
+        tokio::spawn(Arc::clone(&self).run_shares(timers.clone()));
+        let mut ticks = timers.subscribe(LEASE_PERIOD);
+        let mut last = self.clock.now();
+        loop {
+            ticks.next().await;
+            let now = self.clock.now();
+            let was_paused = now.saturating_sub(last) > PAUSE_LIMIT;
+            last = now;
+            self.follow_instances();
+            for (domain, rank) in self.candidacies() {
+                if was_paused {
+                    self.owner
+                        .with_lease(&domain, rank, |lease, _| lease.resume_after_pause(now));
+                }
+                self.advance(&domain, rank).await;
+            }
+            self.owner.follow_upstreams();
+        }
+    }
+
+    /// Does what a lease needs next.
+    async fn advance(&self, domain: &DomainId, rank: u32) {
+        let now = self.clock.now();
+        let step = self.owner.with_lease(domain, rank, |lease, acked_at| {
+            lease.next_step(now, acked_at)
+        });
+        let step = match step {
+            LeaseStep::Read => match (self.store.read)(domain).await {
+                Ok(found) => {
+                    let now = self.clock.now();
+                    self.owner
+                        .with_lease(domain, rank, |lease, _| lease.record_read(found, now))
+                }
+                Err(error) => {
+                    log::debug!("ownership of {domain} was not read: {error}");
+                    return;
+                }
+            },
+            step => step,
+        };
+        let LeaseStep::Write(record, expected) = step else {
+            return;
+        };
+        let sent_at = self.clock.now();
+        let epoch = record.epoch;
+        let was_held = self
+            .owner
+            .with_lease(domain, rank, |lease, _| lease.epoch());
+        match (self.store.write)(record.clone(), expected).await {
+            Ok(LeaseWrite::Written(revision)) => {
+                self.owner.with_lease(domain, rank, |lease, _| {
+                    lease.record_written(record, revision, sent_at);
+                });
+                if was_held.is_none() {
+                    LogEvent::new(LogName::OwnershipTaken)
+                        .with("domain", domain)
+                        .with_count("epoch", epoch)
+                        .send();
+                }
+            }
+            Ok(LeaseWrite::Conflict) => {
+                let now = self.clock.now();
+                self.owner
+                    .with_lease(domain, rank, |lease, _| lease.record_conflicted(now));
+                if was_held.is_some() {
+                    LogEvent::new(LogName::OwnershipReleased)
+                        .with("domain", domain)
+                        .with("reason", "another instance wrote the record")
+                        .send();
+                }
+            }
+            Err(error) => log::debug!("ownership of {domain} was not written: {error}"),
+        }
+    }
+
+    /// Lists the domains with this instance's place among the candidates for each.
+    ///
+    /// Instances of the domain come first, since a cut between domains leaves them connected.
+    fn candidacies(&self) -> Vec<(DomainId, u32)> {
+        let upstreams = self.fleet.upstreams();
+        let domains: BTreeSet<&DomainId> = upstreams.values().map(|entry| &entry.domain).collect();
+        let instances = self
+            .instances
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let rank_in = |domain: &DomainId| {
+            let key = |id: &InstanceId, home: &DomainId| {
+                let score = rendezvous_score(domain.as_str(), id.as_str());
+                (home == domain, score)
+            };
+            let own = key(&self.instance, &self.domain);
+            let ahead = instances
+                .iter()
+                .filter(|other| other.id != self.instance)
+                .filter(|other| key(&other.id, &other.domain) > own)
+                .count();
+            u32::try_from(ahead).unwrap_or(u32::MAX)
+        };
+        domains
+            .into_iter()
+            .map(|domain| (domain.clone(), rank_in(domain)))
+            .collect()
+    }
+
+    fn follow_instances(&self) {
+        let instances = self
+            .instances
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let others: BTreeSet<InstanceId> = instances
+            .iter()
+            .filter(|other| other.id != self.instance)
+            .map(|other| other.id.clone())
+            .collect();
+        self.owner.set_others(others);
+        self.mesh.dial(&instances);
+    }
+
+    async fn run_shares(self: Arc<Self>, timers: TimerService) {
+        let mut ticks = timers.subscribe(SHARE_PERIOD);
+        let in_flight = Arc::new(Mutex::new(BTreeSet::new()));
+        loop {
+            ticks.next().await;
+            let share = self.own_share();
+            let now = self.clock.now();
+            self.view.merge(&self.instance, &share.owned, now);
+            self.owner.note_uses(&share.used);
+            for peer in self.mesh.live_peers() {
+                let peer = peer.id;
+                // One share at a time goes to each peer, so that a slow one gets no backlog.
+                if !lock(&in_flight).insert(peer.clone()) {
+                    continue;
+                }
+                let (this, share) = (Arc::clone(&self), share.clone());
+                let in_flight = Arc::clone(&in_flight);
+                tokio::spawn(async move {
+                    let body = Some(ask::Body::Share(share));
+                    let sent_at = this.clock.now();
+                    match this.mesh.ask(&peer, PeerAsk { body }).await {
+                        Ok(_) => this.owner.note_ack(&peer, sent_at),
+                        Err(error) => log::debug!("the share did not reach {peer}: {error}"),
+                    }
+                    lock(&in_flight).remove(&peer);
+                });
+            }
+        }
+    }
+
+    fn own_share(&self) -> LoadShare {
+        let now = self.clock.now();
+        let suspects = lock(&self.suspects).own_counts(now);
+        let to_name = |domain: DomainId| domain.as_str().to_owned();
+        LoadShare {
+            in_flight: self.board.own_share(),
+            owned: self.owner.owned_items(),
+            suspects,
+            owned_domains: self
+                .owner
+                .owned_domains()
+                .into_iter()
+                .map(to_name)
+                .collect(),
+            used: self.board.take_uses(),
+            is_draining: false,
+        }
+    }
+}
+
+/// Takes a peer's share of the load.
+pub fn share_load(
+    owner: &LoadOwner,
+    board: &LoadBoard,
+    view: &ResidencyView,
+    suspects: &Mutex<SuspectList>,
+    peer: &InstanceId,
+    share: &LoadShare,
+    now: Duration,
+) {
+    board.merge(peer, share, now);
+    view.merge(peer, &share.owned, now);
+    owner.note_uses(&share.used);
+    lock(suspects).merge(peer, &share.suspects, now);
+    let domains = share.owned_domains.iter();
+    owner.hear_holders(domains.map(|name| DomainId::from_name(name)), now);
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/residency/residency_ledger.rs
@@ -0,0 +1,611 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::waiting_load::WaitingLoad;
+use super::{EngineReport, LoadRefusal, LoadWaiter, OrderKind, OrderOutcome};
+use crate::forward::ModelRef;
+
+/// What one engine holds, and which order comes next.
+///
+/// The ledger is a state machine without I/O. Each order names the number of orders that the
+/// engine has accepted, so that an order whose answer was lost either shows in that number or can
+/// never take effect after a later one; the ledger therefore never overfills an engine.
+#[derive(Debug)]
+pub struct ResidencyLedger {
+    limits: LedgerLimits,
+    sequence: Option<u64>,
+    report_at: Duration,
+    models: BTreeSet<String>,
+    residents: BTreeMap<ModelRef, Resident>,
+    pending: BTreeMap<ModelRef, PendingLoad>,
+    evicting: Option<EvictingAdapter>,
+    recent: BTreeMap<ModelRef, Duration>,
+    waiting: BTreeMap<ModelRef, WaitingLoad>,
+    cold_time: Duration,
+}
+
+/// The limits of one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LedgerLimits {
+    /// The most adapters, those on their way included.
+    pub adapter_slots: usize,
+    /// The most adapters on their way; an engine refuses every order beyond.
+    pub max_pending: usize,
+}
+
+impl Default for LedgerLimits {
+    fn default() -> Self {
+        Self {
+            adapter_slots: 1,
+            max_pending: 4,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Resident {
+    version: u64,
+    uses: f64,
+    used_at: Duration,
+}
+
+#[derive(Debug)]
+struct PendingLoad {
+    version: u64,
+    ordered_at: Duration,
+    check_at: Duration,
+    is_fetch: bool,
+    waiters: Vec<LoadWaiter>,
+}
+
+#[derive(Debug)]
+struct EvictingAdapter {
+    model: ModelRef,
+    check_at: Duration,
+}
+
+/// What the owner has to do next for an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LedgerAction {
+    /// Read a report.
+    Report,
+    /// Send an order.
+    Order {
+        /// What it does.
+        kind: OrderKind,
+        /// The model or adapter.
+        model: ModelRef,
+        /// The version to load.
+        version: u64,
+        /// The number of accepted orders to name.
+        expected: Option<u64>,
+    },
+    /// Nothing until then.
+    Wait(Duration),
+}
+
+/// The first estimate of a load from the weight store, before one was seen.
+const FIRST_COLD_TIME: Duration = Duration::from_millis(250);
+
+/// A load that the engine holds in host memory is about ten times as fast.
+const WARM_SHARE: u32 = 10;
+
+/// Time between two checks of a load that took longer than expected.
+const CHECK_STEP: Duration = Duration::from_millis(25);
+
+/// Reports lag; one read sooner after an order may not show it.
+const REPORT_LAG: Duration = Duration::from_millis(450);
+
+/// Time after its last use from which an adapter is likely to have no run left.
+const IDLE_AGE: Duration = Duration::from_millis(2500);
+
+/// Time in which half of an adapter's uses are forgotten, so that popularity can shift.
+const USE_HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// Adapters that an engine keeps in host memory, as far as the ledger believes.
+const RECENT_ADAPTERS: usize = 100;
+
+/// The longest pause without work, which bounds how late an expired request is refused.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+
+impl ResidencyLedger {
+    /// Creates a ledger that knows nothing of the engine; `now` plus the lag of reports is the time
+    /// of the first one.
+    #[must_use]
+    pub fn new(limits: LedgerLimits, now: Duration) -> Self {
+        Self {
+            limits,
+            sequence: None,
+            report_at: now,
+            models: BTreeSet::new(),
+            residents: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            evicting: None,
+            recent: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            cold_time: FIRST_COLD_TIME,
+        }
+    }
+
+    /// Changes the limits.
+    pub const fn set_limits(&mut self, limits: LedgerLimits) {
+        self.limits = limits;
+    }
+
+    /// Adds a request that waits for an adapter; answers at once if it is resident.
+    pub fn want(&mut self, model: &ModelRef, min_version: u64, waiter: LoadWaiter, now: Duration) {
+        if let Some(resident) = self.residents.get_mut(model)
+            && resident.version >= min_version
+            && self
+                .evicting
+                .as_ref()
+                .is_none_or(|evicting| evicting.model != *model)
+        {
+            resident.note_use(1, now);
+            let _gone = waiter.reply.send(Ok(resident.version));
+            return;
+        }
+        if let Some(pending) = self.pending.get_mut(model)
+            && pending.version >= min_version
+        {
+            pending.waiters.push(waiter);
+            return;
+        }
+        let waiting = self
+            .waiting
+            .entry(model.clone())
+            .or_insert_with(|| WaitingLoad {
+                min_version,
+                waiters: Vec::new(),
+                since: now,
+            });
+        waiting.min_version = waiting.min_version.max(min_version);
+        waiting.waiters.push(waiter);
+    }
+
+    /// Counts uses of a resident adapter.
+    pub fn note_uses(&mut self, model: &ModelRef, count: u32, now: Duration) {
+        if let Some(resident) = self.residents.get_mut(model) {
+            resident.note_use(count, now);
+        }
+    }
+
+    /// Returns what to do next; `may_fetch` tells whether one more load from the weight store fits.
+    pub fn next_action(&mut self, now: Duration, may_fetch: bool) -> LedgerAction {
+        let Some(sequence) = self.sequence else {
+            return if self.report_at <= now {
+                LedgerAction::Report
+            } else {
+                LedgerAction::Wait(self.report_at)
+            };
+        };
+        let expected = Some(sequence);
+        let due = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.check_at <= now)
+            .min_by_key(|(_, pending)| pending.check_at);
+        if let Some((model, pending)) = due {
+            return LedgerAction::Order {
+                kind: OrderKind::Load,
+                model: model.clone(),
+                version: pending.version,
+                expected,
+            };
+        }
+        if let Some(evicting) = &self.evicting
+            && evicting.check_at <= now
+        {
+            return LedgerAction::Order {
+                kind: OrderKind::Unload,
+                model: evicting.model.clone(),
+                version: 0,
+                expected,
+            };
+        }
+        if let Some(action) = self.next_load(now, may_fetch, expected) {
+            return action;
+        }
+        LedgerAction::Wait(self.next_due(now))
+    }
+
+    fn next_load(
+        &mut self,
+        now: Duration,
+        may_fetch: bool,
+        expected: Option<u64>,
+    ) -> Option<LedgerAction> {
+        self.expire(now);
+        if self.pending.len() >= self.limits.max_pending {
+            return None;
+        }
+        let recent = &self.recent;
+        let best = self
+            .waiting
+            .iter_mut()
+            .filter(|(model, _)| may_fetch || recent.contains_key(model))
+            .map(|(model, waiting)| {
+                let value: u32 = waiting.waiters.iter().map(|waiter| waiter.value).sum();
+                (
+                    value,
+                    std::cmp::Reverse(waiting.since),
+                    model.clone(),
+                    waiting.min_version,
+                )
+            })
+            .max()?;
+        let (_, _, model, version) = best;
+        let order = |kind, model, version| LedgerAction::Order {
+            kind,
+            model,
+            version,
+            expected,
+        };
+        let is_replacement = self.residents.contains_key(&model);
+        if is_replacement || self.used_slots() < self.limits.adapter_slots {
+            return Some(order(OrderKind::Load, model, version));
+        }
+        if self.evicting.is_some() {
+            return None;
+        }
+        let victim = self.victim(now)?;
+        Some(order(OrderKind::Unload, victim, 0))
+    }
+
+    /// Refuses waiting requests that can't be served in time any more.
+    fn expire(&mut self, now: Duration) {
+        let (cold, recent) = (self.cold_time, &self.recent);
+        self.waiting.retain(|model, waiting| {
+            let time = if recent.contains_key(model) {
+                cold / WARM_SHARE
+            } else {
+                cold
+            };
+            waiting.prune(now + time);
+            !waiting.waiters.is_empty()
+        });
+    }
+
+    /// Chooses the least used adapter, one without recent use first.
+    fn victim(&self, now: Duration) -> Option<ModelRef> {
+        self.residents
+            .iter()
+            .map(|(model, resident)| {
+                let is_busy = now.saturating_sub(resident.used_at) < IDLE_AGE;
+                (is_busy, resident.faded_uses(now), model)
+            })
+            .min_by(|left, right| {
+                left.0
+                    .cmp(&right.0)
+                    .then(left.1.total_cmp(&right.1))
+                    .then(left.2.cmp(right.2))
+            })
+            .map(|(_, _, model)| model.clone())
+    }
+
+    /// Returns the next time at which something is due.
+    fn next_due(&self, now: Duration) -> Duration {
+        let pending = self.pending.values().map(|pending| pending.check_at);
+        let evicting = self.evicting.iter().map(|evicting| evicting.check_at);
+        pending
+            .chain(evicting)
+            .min()
+            .unwrap_or(now + IDLE_PAUSE)
+            .min(now + IDLE_PAUSE)
+    }
+
+    /// Takes the engine's answer to an order.
+    pub fn order_answered(
+        &mut self,
+        kind: OrderKind,
+        model: &ModelRef,
+        version: u64,
+        outcome: OrderOutcome,
+        now: Duration,
+    ) {
+        if !model.has_adapter() {
+            self.forget(now);
+            return;
+        }
+        match (kind, outcome) {
+            (OrderKind::Load, OrderOutcome::Accepted) => {
+                self.count_order();
+                self.load_accepted(model, version, now);
+            }
+            (OrderKind::Load, OrderOutcome::Holds) => self.load_done(model, version, now),
+            (OrderKind::Unload, OrderOutcome::Accepted) => {
+                self.count_order();
+                self.evicting = Some(EvictingAdapter {
+                    model: model.clone(),
+                    check_at: now + CHECK_STEP * 4,
+                });
+            }
+            (OrderKind::Unload, OrderOutcome::Holds) => {
+                self.count_order();
+                self.evicted(model, now);
+            }
+            (_, OrderOutcome::Conflict) if self.is_check(kind, model) => {
+                self.delay_check(model, now);
+            }
+            (_, OrderOutcome::Conflict | OrderOutcome::Refused | OrderOutcome::Misdirected) => {
+                self.forget(now);
+            }
+        }
+    }
+
+    /// Takes an order without an answer, which may take effect now or later.
+    ///
+    /// The next order names the same number of accepted orders. If the engine accepts it, the lost
+    /// one is void; otherwise the conflict leads to a report.
+    pub fn order_lost(&mut self, kind: OrderKind, model: &ModelRef, now: Duration) {
+        if self.is_check(kind, model) {
+            self.delay_check(model, now);
+        }
+    }
+
+    /// Takes a report; it is ignored if it is of before the last order.
+    pub fn report_read(&mut self, report: &EngineReport, now: Duration) {
+        self.sequence = Some(report.sequence);
+        self.models.clone_from(&report.models);
+        self.evicting = None;
+        let residents = std::mem::take(&mut self.residents);
+        for (model, version) in &report.adapters {
+            let known = residents.get(model);
+            self.residents.insert(
+                model.clone(),
+                Resident {
+                    version: *version,
+                    uses: known.map_or(0.0, |known| known.uses),
+                    used_at: known.map_or(Duration::ZERO, |known| known.used_at),
+                },
+            );
+            self.note_recent(model, now);
+        }
+        let mut pending = std::mem::take(&mut self.pending);
+        for (model, version) in &report.pending {
+            let known = pending.remove(model);
+            self.pending.insert(
+                model.clone(),
+                PendingLoad {
+                    version: *version,
+                    ordered_at: known.as_ref().map_or(now, |known| known.ordered_at),
+                    check_at: now + CHECK_STEP,
+                    is_fetch: true,
+                    waiters: known.map(|known| known.waiters).unwrap_or_default(),
+                },
+            );
+        }
+        for (model, lost) in pending {
+            for waiter in lost.waiters {
+                self.want(&model, lost.version, waiter, now);
+            }
+        }
+    }
+
+    /// Takes an unanswered or failed read of a report.
+    pub fn report_lost(&mut self, now: Duration) {
+        self.report_at = now + REPORT_LAG;
+    }
+
+    /// Forgets what the engine holds until the next report, and keeps who waits.
+    pub fn forget(&mut self, now: Duration) {
+        self.sequence = None;
+        self.report_at = now + REPORT_LAG;
+    }
+
+    /// Forgets everything; the engine has started anew and holds nothing.
+    pub fn restarted(&mut self, now: Duration) {
+        let pending = std::mem::take(&mut self.pending);
+        self.residents.clear();
+        self.models.clear();
+        self.recent.clear();
+        self.evicting = None;
+        self.sequence = None;
+        self.report_at = now;
+        for (model, lost) in pending {
+            for waiter in lost.waiters {
+                self.want(&model, lost.version, waiter, now);
+            }
+        }
+    }
+
+    /// Refuses everyone who waits; this instance orders no more.
+    pub fn release(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting).into_values();
+        let pending = std::mem::take(&mut self.pending).into_values();
+        let waiters = waiting
+            .flat_map(|waiting| waiting.waiters)
+            .chain(pending.flat_map(|pending| pending.waiters));
+        for waiter in waiters {
+            let _gone = waiter.reply.send(Err(LoadRefusal::NotOwner));
+        }
+    }
+
+    /// Returns whether the base model is known to be missing.
+    #[must_use]
+    pub fn lacks_model(&self, model: &str) -> bool {
+        self.sequence.is_some() && !self.models.contains(model)
+    }
+
+    /// Returns whether a report has been read.
+    #[must_use]
+    pub const fn is_known(&self) -> bool {
+        self.sequence.is_some()
+    }
+
+    /// Returns the number of accepted orders.
+    #[must_use]
+    pub const fn sequence(&self) -> Option<u64> {
+        self.sequence
+    }
+
+    /// Returns the resident base models.
+    #[must_use]
+    pub const fn models(&self) -> &BTreeSet<String> {
+        &self.models
+    }
+
+    /// Iterates over the resident adapters that may be used, with their versions.
+    pub fn residents(&self) -> impl Iterator<Item = (&ModelRef, u64)> {
+        self.residents
+            .iter()
+            .filter(|(model, _)| {
+                self.evicting
+                    .as_ref()
+                    .is_none_or(|evicting| evicting.model != **model)
+            })
+            .map(|(model, resident)| (model, resident.version))
+    }
+
+    /// Counts the loads from the weight store that are on their way.
+    #[must_use]
+    pub fn fetches(&self) -> usize {
+        self.pending
+            .values()
+            .filter(|pending| pending.is_fetch)
+            .count()
+    }
+
+    /// Counts the loads that wait.
+    #[must_use]
+    pub fn waiting_loads(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the time that a load from the weight store takes at present.
+    #[must_use]
+    pub const fn cold_time(&self) -> Duration {
+        self.cold_time
+    }
+
+    /// Estimates the time until a load that is asked for now would be done.
+    #[must_use]
+    pub fn backlog(&self) -> Duration {
+        let waves = self.waiting.len() / self.limits.max_pending.max(1);
+        self.cold_time * u32::try_from(waves).unwrap_or(u32::MAX)
+    }
+
+    fn used_slots(&self) -> usize {
+        let replacing = self
+            .pending
+            .keys()
+            .filter(|model| self.residents.contains_key(model))
+            .count();
+        self.residents.len() + self.pending.len() - replacing
+    }
+
+    fn is_check(&self, kind: OrderKind, model: &ModelRef) -> bool {
+        match kind {
+            OrderKind::Load => self.pending.contains_key(model),
+            OrderKind::Unload => self
+                .evicting
+                .as_ref()
+                .is_some_and(|evicting| evicting.model == *model),
+        }
+    }
+
+    fn delay_check(&mut self, model: &ModelRef, now: Duration) {
+        if let Some(pending) = self.pending.get_mut(model) {
+            pending.check_at = now + CHECK_STEP;
+            // A load that never ends was dropped by the engine; a report tells.
+            if now.saturating_sub(pending.ordered_at) > self.cold_time * 8 {
+                self.forget(now);
+            }
+        } else if let Some(evicting) = &mut self.evicting {
+            evicting.check_at = now + CHECK_STEP * 4;
+        }
+    }
+
+    fn count_order(&mut self) {
+        if let Some(sequence) = &mut self.sequence {
+            *sequence += 1;
+        }
+    }
+
+    fn load_accepted(&mut self, model: &ModelRef, version: u64, now: Duration) {
+        if let Some(pending) = self.pending.get_mut(model) {
+            pending.check_at = now + CHECK_STEP;
+            return;
+        }
+        let is_fetch = !self.recent.contains_key(model);
+        let time = if is_fetch {
+            self.cold_time
+        } else {
+            self.cold_time / WARM_SHARE
+        };
+        let waiters = self
+            .waiting
+            .remove(model)
+            .map(|waiting| waiting.waiters)
+            .unwrap_or_default();
+        self.pending.insert(
+            model.clone(),
+            PendingLoad {
+                version,
+                ordered_at: now,
+                check_at: now + time,
+                is_fetch,
+                waiters,
+            },
+        );
+    }
+
+    fn load_done(&mut self, model: &ModelRef, version: u64, now: Duration) {
+        let mut waiters = self
+            .waiting
+            .remove(model)
+            .map(|waiting| waiting.waiters)
+            .unwrap_or_default();
+        if let Some(pending) = self.pending.remove(model) {
+            waiters.extend(pending.waiters);
+            if pending.is_fetch {
+                let time = now.saturating_sub(pending.ordered_at);
+                self.cold_time = (self.cold_time * 3 + time) / 4;
+            }
+        }
+        let mut resident = Resident {
+            version,
+            uses: 0.0,
+            used_at: now,
+        };
+        resident.note_use(u32::try_from(waiters.len()).unwrap_or(u32::MAX), now);
+        self.residents.insert(model.clone(), resident);
+        self.note_recent(model, now);
+        for waiter in waiters {
+            let _gone = waiter.reply.send(Ok(version));
+        }
+    }
+
+    fn evicted(&mut self, model: &ModelRef, now: Duration) {
+        self.residents.remove(model);
+        self.evicting = None;
+        self.note_recent(model, now);
+    }
+
+    fn note_recent(&mut self, model: &ModelRef, now: Duration) {
+        self.recent.insert(model.clone(), now);
+        if self.recent.len() > RECENT_ADAPTERS {
+            let oldest = self
+                .recent
+                .iter()
+                .filter(|(model, _)| !self.residents.contains_key(model))
+                .min_by_key(|(_, held_at)| **held_at)
+                .map(|(model, _)| model.clone());
+            if let Some(oldest) = oldest {
+                self.recent.remove(&oldest);
+            }
+        }
+    }
+}
+
+impl Resident {
+    fn faded_uses(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.used_at).as_secs_f64();
+        self.uses * (-age / USE_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    fn note_use(&mut self, count: u32, now: Duration) {
+        self.uses = self.faded_uses(now) + f64::from(count);
+        self.used_at = now;
+    }
+}
--- /dev/null
+++ b/src/residency/store_port.rs
@@ -0,0 +1,34 @@
+use std::fmt;
+
+use super::{LeaseRecord, PortFuture};
+use crate::error::Result;
+use crate::id::DomainId;
+
+/// The outcome of a conditional write of a [`LeaseRecord`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseWrite {
+    /// Written; the revision of the record.
+    Written(u64),
+    /// Another write came first.
+    Conflict,
+}
+
+/// A record with its revision; none if there is no record.
+type FoundLease = Option<(LeaseRecord, u64)>;
+
+type ReadLease = dyn Fn(&DomainId) -> PortFuture<Result<FoundLease>> + Send + Sync;
+type WriteLease = dyn Fn(LeaseRecord, Option<u64>) -> PortFuture<Result<LeaseWrite>> + Send + Sync;
+
+/// The store as the owners of failure domains use it.
+pub struct StorePort {
+    /// Reads the record of a domain with its revision.
+    pub read: Box<ReadLease>,
+    /// Writes a record if its revision is still the given one; none creates it.
+    pub write: Box<WriteLease>,
+}
+
+impl fmt::Debug for StorePort {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StorePort").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/residency/waiting_load.rs
@@ -0,0 +1,56 @@
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+/// Why an adapter is not made resident for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadRefusal {
+    /// The load would not be done in time.
+    TooLate,
+    /// This instance does not own the upstream any more.
+    NotOwner,
+}
+
+/// A request that waits for a load.
+#[derive(Debug)]
+pub struct LoadWaiter {
+    /// Value of serving the request on time, in thousandths.
+    pub value: u32,
+    /// The time from which the load is of no use to it.
+    pub expires_at: Duration,
+    /// Takes the version that became resident.
+    pub reply: oneshot::Sender<Result<u64, LoadRefusal>>,
+}
+
+/// A load that has not been ordered yet.
+#[derive(Debug)]
+pub(super) struct WaitingLoad {
+    /// The lowest version that will do.
+    pub(super) min_version: u64,
+    /// The requests.
+    pub(super) waiters: Vec<LoadWaiter>,
+    /// Since when the load waits.
+    pub(super) since: Duration,
+}
+
+impl WaitingLoad {
+    /// Refuses waiters that can't be served in time and returns the value of the others.
+    pub(super) fn prune(&mut self, ready_at: Duration) -> u32 {
+        let mut value = 0_u32;
+        let mut kept = Vec::with_capacity(self.waiters.len());
+        for waiter in self.waiters.drain(..) {
+            if waiter.reply.is_closed() {
+                continue;
+            }
+            if waiter.expires_at < ready_at {
+                // The receiver may have gone in the meantime.
+                let _gone = waiter.reply.send(Err(LoadRefusal::TooLate));
+                continue;
+            }
+            value = value.saturating_add(waiter.value);
+            kept.push(waiter);
+        }
+        self.waiters = kept;
+        value
+    }
+}
--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -18,9 +18,15 @@
 /// connection that is being closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time between TCP keep-alive probes; one second is the shortest that the kernel takes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which a connection is lost; two bound the detection to about 3 s.
+const PROBE_COUNT: u32 = 2;
+
 /// Sends requests to one address over pooled connections.
 #[derive(Debug, Clone)]
-pub(crate) struct HttpTransport {
+pub struct HttpTransport {
     address: SocketAddr,
     timeout: Duration,
     kind: ErrorKind,
@@ -29,7 +35,8 @@
 
 impl HttpTransport {
     /// Creates a transport whose failures have the kind `kind`.
-    pub(crate) fn new(address: SocketAddr, timeout: Duration, kind: ErrorKind) -> Self {
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration, kind: ErrorKind) -> Self {
         Self {
             address,
             timeout,
@@ -39,12 +46,17 @@
     }
 
     /// Returns the longest wait for an answer.
-    pub(crate) const fn timeout(&self) -> Duration {
+    #[must_use]
+    pub const fn timeout(&self) -> Duration {
         self.timeout
     }
 
     /// Joins the address and a path with its query.
-    pub(crate) fn uri(&self, path: &str) -> Result<Uri> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::BadRequest`] if the path does not start with a slash or is malformed.
+    pub fn uri(&self, path: &str) -> Result<Uri> {
         // Anything else, such as "@host/", could continue the address and name another host.
         if !path.starts_with('/') {
             return Err(Error::new(
@@ -61,7 +73,11 @@
     ///
     /// The error is "not run" only if no connection was established, so that no byte of the
     /// request was written.
-    pub(crate) async fn send(
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection is established or no head arrives in time.
+    pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
         wait: Duration,
@@ -90,11 +106,11 @@
     }
 
     /// Reads the rest of an answer, up to `limit` bytes.
-    pub(crate) async fn read_body(
-        &self,
-        response: Response<Incoming>,
-        limit: usize,
-    ) -> Result<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is cut off, too long or too late.
+    pub async fn read_body(&self, response: Response<Incoming>, limit: usize) -> Result<Bytes> {
         let body = Limited::new(response.into_body(), limit).collect();
         match tokio::time::timeout(self.timeout, body).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
@@ -112,12 +128,13 @@
     }
 
     /// Abandons all pooled connections; the next request opens a new one.
-    pub(crate) fn renew(&self) {
+    pub fn renew(&self) {
         *self.client.lock().unwrap_or_else(PoisonError::into_inner) = build_client(self.timeout);
     }
 
     /// Creates an error that names the address.
-    pub(crate) fn fail(&self, detail: &str, run_state: RunState) -> Error {
+    #[must_use]
+    pub fn fail(&self, detail: &str, run_state: RunState) -> Error {
         Error::new(self.kind, format!("{}: {detail}", self.address)).with_run_state(run_state)
     }
 }
@@ -128,6 +145,11 @@
     // Shorter than the wait for the answer, so that a connection that was never established is
     // told apart from a request without an answer.
     connector.set_connect_timeout(Some(timeout / 2));
+    // A connection may go silent while a long poll waits on it; probes find that out.
+    connector.set_keepalive(Some(PROBE_INTERVAL));
+    connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+    connector.set_keepalive_retries(Some(PROBE_COUNT));
+    connector.set_tcp_user_timeout(Some(PROBE_INTERVAL * PROBE_COUNT));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_LIMIT)
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,4 +2,4 @@
 
 mod http_transport;
 
-pub(crate) use http_transport::HttpTransport;
+pub use http_transport::HttpTransport;
