--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -95,7 +95,7 @@
 
 /// Time beyond the expected end of a load at which it is checked. A check is the same order again,
 /// which an engine that is still loading takes for a second load, so it must not come early.
-const CHECK_MARGIN: Duration = Duration::from_millis(3);
+const CHECK_MARGIN: Duration = Duration::from_millis(10);
 
 /// Growth of the expected load time after a load that was not done by then.
 const SLOWER: f64 = 1.2;
@@ -104,7 +104,7 @@
 const FASTER: f64 = 0.99;
 
 /// Reports lag; one read sooner after an order may not show it.
-const REPORT_LAG: Duration = Duration::from_millis(450);
+const REPORT_LAG: Duration = Duration::from_millis(280);
 
 /// Time after its last use from which an adapter is likely to have no run left.
 const IDLE_AGE: Duration = Duration::from_millis(2500);
@@ -337,9 +337,6 @@
                 self.count_order();
                 self.evicted(model, now);
             }
-            (_, OrderOutcome::Conflict) if self.is_check(kind, model) => {
-                self.delay_check(model, now);
-            }
             (_, OrderOutcome::Conflict | OrderOutcome::Refused | OrderOutcome::Misdirected) => {
                 self.forget(now);
             }
@@ -529,11 +526,12 @@
     }
 
     fn load_accepted(&mut self, model: &ModelRef, version: u64, now: Duration) {
-        if let Some(pending) = self.pending.get_mut(model) {
+        if let Some(pending) = self.pending.get(model) {
             if pending.is_fetch {
                 self.cold_time = self.cold_time.mul_f64(SLOWER);
             }
-            pending.check_at = now + self.cold_time / 3;
+            // The engine may have taken the check for another order; a report tells.
+            self.forget(now);
             return;
         }
         let is_fetch = !self.recent.contains_key(model);
