Log where the time of a late answer went

A request that is answered after its target now has one line with the wait for its load, the attempts and the upstream.

--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -85,6 +85,11 @@
         this
     }
 
+    /// Returns the upstream that answers.
+    pub(super) const fn upstream(&self) -> &UpstreamId {
+        &self.guard.upstream
+    }
+
     /// Keeps the connection from being used again.
     pub(super) fn close_after_use(&mut self) {
         self.idle = Some(Duration::ZERO);
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -71,6 +71,7 @@
     arrived: Instant,
     tried: Vec<UpstreamId>,
     attempts: u32,
+    load_wait: Duration,
 }
 
 /// An upstream that was chosen, and whether its adapter is resident.
@@ -177,6 +178,7 @@
             arrived,
             tried: Vec::new(),
             attempts: 0,
+            load_wait: Duration::ZERO,
         })
     }
 
@@ -221,7 +223,7 @@
         self.budget(&run.service.name, |budget| budget.earn(now));
         let mut may_have_run = false;
         loop {
-            let chosen = match self.place(&run).await {
+            let chosen = match self.place(&mut run).await {
                 Ok(chosen) => chosen,
                 Err(answer) if may_have_run => {
                     let failed = own(StatusCode::BAD_GATEWAY, answer.reason);
@@ -276,7 +278,7 @@
     }
 
     /// Chooses an upstream and has the adapter loaded there if needed.
-    async fn place(&self, run: &ForwardRun) -> Result<ChosenUpstream, OwnAnswer> {
+    async fn place(&self, run: &mut ForwardRun) -> Result<ChosenUpstream, OwnAnswer> {
         loop {
             if Instant::now() >= run.deadline {
                 return Err(unavailable("no time is left", RETRY_AFTER_LOAD));
@@ -304,7 +306,10 @@
                     useful_for: useful,
                 },
             );
-            match timeout_at(until, want).await {
+            let asked = Instant::now();
+            let loaded = timeout_at(until, want).await;
+            run.load_wait += asked.elapsed();
+            match loaded {
                 Ok(Ok(_)) => return Ok(chosen),
                 Ok(Err(error)) if error.kind() == ErrorKind::Overloaded => {
                     return Err(unavailable("the load would be late", RETRY_AFTER_LOAD));
@@ -570,6 +575,9 @@
 
     /// Passes an upstream's answer on.
     fn reply(self: &Arc<Self>, run: ForwardRun, answer: UpstreamAnswer) -> Response<ReplyBody> {
+        if run.arrived.elapsed() > run.route.target_latency {
+            run.log_late(&answer.body);
+        }
         let is_stream = run.route.kind == RouteKind::Stream && answer.status.is_success();
         let mut headers = answer.headers;
         headers.remove(&self.names.upstream_load);
@@ -640,6 +648,22 @@
 const MAX_UNSENT: u32 = 4;
 
 impl ForwardRun {
+    /// Logs where the time of an answer after the target went.
+    fn log_late(&self, body: &super::ConnectionBody) {
+        let model = self.model.as_ref().map(ModelRef::to_string);
+        LogEvent::new(LogName::RequestLate)
+            .with("attempt", &self.parts.attempt)
+            .with("route", &self.route.name)
+            .with("model", model.unwrap_or_default())
+            .with("upstream", body.upstream())
+            .with_count("target_ms", millis(self.route.target_latency))
+            .with_count("head_ms", millis(self.arrived.elapsed()))
+            .with_count("load_wait_ms", millis(self.load_wait))
+            .with_count("attempts", u64::from(self.attempts))
+            .with_count("prompt_tokens", u64::from(self.parts.load.prompt_tokens))
+            .send();
+    }
+
     /// Returns the time left for a load if the answer is to be on time.
     fn on_time_left(&self) -> Duration {
         let prompt = Duration::from_millis(u64::from(self.parts.load.prompt_tokens) / 20);
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -67,6 +67,8 @@
     PermitHolderTaken,
     /// a request was refused before it ran
     RequestRefused,
+    /// a request was answered later than its target; the fields tell where the time went
+    RequestLate,
     /// a request failed
     RequestFailed,
     /// a request finished
@@ -93,7 +95,7 @@
 
 impl LogName {
     /// All names, for documentation and tests.
-    pub const ALL: [Self; 42] = [
+    pub const ALL: [Self; 43] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -125,6 +127,7 @@
         Self::EvictFailed,
         Self::PermitHolderTaken,
         Self::RequestRefused,
+        Self::RequestLate,
         Self::RequestFailed,
         Self::RequestFinished,
         Self::RequestRetried,
@@ -173,6 +176,7 @@
             Self::EvictFailed => "evict_failed",
             Self::PermitHolderTaken => "permit_holder_taken",
             Self::RequestRefused => "request_refused",
+            Self::RequestLate => "request_late",
             Self::RequestFailed => "request_failed",
             Self::RequestFinished => "request_finished",
             Self::RequestRetried => "request_retried",
@@ -213,12 +217,9 @@
             | Self::ClaimFailed
             | Self::AuditLost
             | Self::AuditWriteFailed => Level::Warn,
-            Self::RequestFinished
-            | Self::RequestRefused
-            | Self::RequestRetried
-            | Self::LoadOrdered
-            | Self::EvictOrdered
-            | Self::ConfigStale => Level::Debug,
+            Self::RequestFinished | Self::LoadOrdered | Self::EvictOrdered | Self::ConfigStale => {
+                Level::Debug
+            }
             _ => Level::Info,
         }
     }
