Grant loads from the weight store from one pool over all failure domains

The owner of the first domain by name now grants permits to the others, the most valuable bid first; without a pool in reach a domain uses its own share. Ruled out: larger fixed shares, which slow all loads down.

--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -1,18 +1,21 @@
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::{Notify, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::domain_lease::oldest_ack;
+use super::fetch_permits::{FetchPermits, PermitStep};
 use super::{
-    DomainLease, EngineOrder, LeaseRecord, LedgerAction, LedgerLimits, LoadRefusal, LoadWaiter,
-    LoadWorth, OrderKind, OrderPort, ResidencyLedger,
+    DomainLease, EngineOrder, FetchPool, LeaseRecord, LedgerAction, LedgerLimits, LoadRefusal,
+    LoadWaiter, LoadWorth, OrderKind, OrderPort, ResidencyLedger,
 };
 use crate::forward::{FleetState, ModelRef, UpstreamEntry};
 use crate::id::{DomainId, InstanceId, UpstreamId};
-use crate::peer::{OwnedItem, UseItem};
+use crate::peer::{
+    OwnedItem, PeerAsk, PeerMesh, PermitBid, PermitDone, PermitGrant, UseItem, ask, reply,
+};
 use crate::telemetry::{LogEvent, LogName};
 use crate::time::ClockSource;
 
@@ -23,6 +26,7 @@
     clock: ClockSource,
     fleet: Arc<FleetState>,
     port: OrderPort,
+    mesh: OnceLock<PeerMesh>,
     state: Mutex<OwnerState>,
 }
 
@@ -33,6 +37,18 @@
     acks: BTreeMap<InstanceId, Duration>,
     loaders: BTreeMap<UpstreamId, UpstreamLoader>,
     model_loads: Vec<Duration>,
+    permits: FetchPermits,
+    /// Loads from the weight store whose orders are unanswered.
+    ordering: usize,
+    pool: FetchPool,
+    holders: BTreeMap<DomainId, HeardHolder>,
+}
+
+/// The owner of a domain, as it told itself.
+#[derive(Debug)]
+struct HeardHolder {
+    instance: InstanceId,
+    heard_at: Duration,
 }
 
 #[derive(Debug)]
@@ -50,6 +66,18 @@
 /// Time after which an order or report counts as lost.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Stands for a permit of the domain's own share, which is used when no pool is in reach.
+const OWN_SHARE: u64 = u64::MAX;
+
+/// Replied to a bid that lapsed at the pool.
+const LAPSED_BID: u64 = 0;
+
+/// Time that an answer to a bid is waited for; bids lapse at the pool before that.
+const PERMIT_PATIENCE: Duration = Duration::from_secs(4);
+
+/// Age after which an owner's news no longer shows that it is there.
+const HOLDER_EXPIRY: Duration = Duration::from_millis(1500);
+
 /// Pause before an upstream's loader looks again for permission to order.
 const LEASE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -70,6 +98,7 @@
             clock,
             fleet,
             port,
+            mesh: OnceLock::new(),
             state: Mutex::default(),
         })
     }
@@ -142,8 +171,11 @@
                 .residents()
                 .map(|(model, version)| format!("{model}@{version}"))
                 .collect(),
-            backlog_ms: u32::try_from(backlog(&state, &loader.entry.domain).as_millis())
-                .unwrap_or(u32::MAX),
+            backlog_ms: {
+                let domain = &loader.entry.domain;
+                let time = backlog(&state, domain, self.fetch_limit(Some(domain)));
+                u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+            },
         };
         state
             .loaders
@@ -177,12 +209,147 @@
     }
 
     /// Takes news that another instance holds domains.
-    pub fn hear_holders(&self, domains: impl Iterator<Item = DomainId>, now: Duration) {
+    pub fn hear_holders(
+        &self,
+        holder: &InstanceId,
+        domains: impl Iterator<Item = DomainId>,
+        now: Duration,
+    ) {
         let mut state = self.lock();
         for domain in domains {
-            if let Some(lease) = state.leases.get_mut(&domain) {
+            if let Some(lease) = state.leases.get_mut(&domain)
+                && *holder != self.instance
+            {
                 lease.hear_holder(now);
             }
+            let heard = HeardHolder {
+                instance: holder.clone(),
+                heard_at: now,
+            };
+            state.holders.insert(domain, heard);
+        }
+    }
+
+    /// Sets the links through which permits are asked for.
+    pub fn connect(&self, mesh: PeerMesh) {
+        // A second call would bring the same links.
+        let _set_before = self.mesh.set(mesh);
+    }
+
+    /// Grants a permit for a load to an instance when one is free.
+    pub async fn grant_permit(&self, instance: &InstanceId, value: f64) -> u64 {
+        let answer = {
+            let mut state = self.lock();
+            let now = self.clock.now();
+            let answer = state.pool.bid(instance, value, now);
+            state.pool.grant(self.fetch_limit(None), now);
+            answer
+        };
+        answer.await.unwrap_or(LAPSED_BID)
+    }
+
+    /// Takes a permit back and grants it to the next bid.
+    pub fn return_permit(&self, instance: &InstanceId, permit: u64) {
+        let limit = self.fetch_limit(None);
+        let mut state = self.lock();
+        state.pool.give_back(instance, permit);
+        state.pool.grant(limit, self.clock.now());
+    }
+
+    /// Returns how many loads may be on their way, over all domains or for one of them.
+    fn fetch_limit(&self, domain: Option<&DomainId>) -> usize {
+        let Some(routes) = self.fleet.routes() else {
+            return 1;
+        };
+        let is_engine = |entry: &&Arc<UpstreamEntry>| {
+            domain.is_none_or(|domain| entry.domain == *domain)
+                && routes
+                    .service(&entry.service)
+                    .is_some_and(|service| service.engine.is_some())
+        };
+        let engines = self.fleet.upstreams().values().filter(is_engine).count();
+        (engines * FETCHES_PER_100_ENGINES / 100).max(1)
+    }
+
+    /// Sends bids and returned permits to the pool.
+    fn send_permits(self: &Arc<Self>, step: PermitStep, value: f64) {
+        if step.bids == 0 && step.returns.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let holder = self.lock().pool_holder(now);
+        for permit in step.returns {
+            if permit == OWN_SHARE {
+                continue;
+            }
+            match &holder {
+                Some(holder) if *holder != self.instance => {
+                    let (this, holder) = (Arc::clone(self), holder.clone());
+                    tokio::spawn(async move { this.send_return(&holder, permit).await });
+                }
+                _ => self.return_permit(&self.instance, permit),
+            }
+        }
+        for _ in 0..step.bids {
+            let (this, holder) = (Arc::clone(self), holder.clone());
+            tokio::spawn(async move {
+                let permit = this.ask_permit(holder, value).await;
+                let mut state = this.lock();
+                state.permits.bid_answered(permit);
+                for loader in state.loaders.values() {
+                    loader.wake.notify_one();
+                }
+            });
+        }
+    }
+
+    async fn send_return(&self, holder: &InstanceId, permit: u64) {
+        let done = PermitDone {
+            store: String::new(),
+            permit,
+            is_used: true,
+        };
+        let Some(mesh) = self.mesh.get() else {
+            return;
+        };
+        let body = Some(ask::Body::Done(done));
+        if let Err(error) = mesh.ask(holder, PeerAsk { body }).await {
+            log::debug!("a permit was not returned to {holder} and expires there: {error}");
+        }
+    }
+
+    /// Asks for a permit; without a pool in reach, the domain's own share applies.
+    async fn ask_permit(&self, holder: Option<InstanceId>, value: f64) -> Option<u64> {
+        let asked = async {
+            let holder = holder?;
+            if holder == self.instance {
+                return Some(self.grant_permit(&holder, value).await);
+            }
+            let bid = PermitBid {
+                store: String::new(),
+                upstream: String::new(),
+                adapter: String::new(),
+                value,
+            };
+            let body = Some(ask::Body::Bid(bid));
+            match self.mesh.get()?.ask(&holder, PeerAsk { body }).await {
+                Ok(answer) => match answer.body {
+                    Some(reply::Body::Grant(PermitGrant { permit, .. })) => Some(permit),
+                    _ => None,
+                },
+                Err(error) => {
+                    log::debug!("no permit from {holder}: {error}");
+                    None
+                }
+            }
+        };
+        match timeout(PERMIT_PATIENCE, asked).await {
+            Ok(Some(permit)) if permit != LAPSED_BID => Some(permit),
+            Ok(None) => {
+                sleep(LEASE_PAUSE).await;
+                Some(OWN_SHARE)
+            }
+            Ok(Some(_)) | Err(_) => None,
         }
     }
 
@@ -284,9 +451,23 @@
         state.loaders.clear();
     }
 
+    /// Asks for permits that are missing and returns those that are not needed.
+    fn balance_permits(self: &Arc<Self>, now: Duration) {
+        let mut state = self.lock();
+        let ledgers = || state.loaders.values().map(|loader| &loader.ledger);
+        let fetches: usize = ledgers().map(ResidencyLedger::fetches).sum();
+        let fetches = fetches + state.ordering;
+        let waiting = ledgers().map(ResidencyLedger::waiting_fetches).sum();
+        let value = ledgers().map(|ledger| ledger.best_value(now)).max();
+        let step = state.permits.reconcile(fetches, waiting);
+        drop(state);
+        self.send_permits(step, f64::from(value.unwrap_or(0)));
+    }
+
     async fn run_loader(self: Arc<Self>, upstream: UpstreamId, wake: Arc<Notify>) {
         loop {
             let now = self.clock.now();
+            self.balance_permits(now);
             let Some((entry, step)) = self.next_step(&upstream, &wake, now) else {
                 return;
             };
@@ -297,7 +478,12 @@
                     let _woken = timeout(pause, wake.notified()).await;
                 }
                 LoaderStep::Report => self.read_report(&upstream, entry).await,
-                LoaderStep::Order(order) => self.send_order(&upstream, entry, order).await,
+                LoaderStep::Order(order, is_fetch) => {
+                    self.send_order(&upstream, entry, order).await;
+                    if is_fetch {
+                        self.lock().ordering -= 1;
+                    }
+                }
             }
         }
     }
@@ -315,13 +501,6 @@
             let epoch = lease.epoch()?;
             lease.may_order(now, acked_at).then_some(epoch)
         });
-        let fetches: usize = state
-            .loaders
-            .values()
-            .filter(|loader| loader.entry.domain == entry.domain)
-            .map(|loader| loader.ledger.fetches())
-            .sum();
-        let fetch_limit = fetch_limit(&state, &entry.domain);
         let missing = self.missing_model(&state, upstream, &entry, now);
         let loader = state.loaders.get_mut(upstream)?;
         if !Arc::ptr_eq(&loader.wake, wake) {
@@ -345,9 +524,11 @@
                 .retain(|at| now.saturating_sub(*at) < MODEL_LOAD_WINDOW);
             state.model_loads.push(now);
             let order = order(OrderKind::Load, ModelRef::new(&model, ""), 0, expected);
-            return Some((entry, LoaderStep::Order(order)));
+            return Some((entry, LoaderStep::Order(order, false)));
         }
-        let step = match loader.ledger.next_action(now, fetches < fetch_limit) {
+        let is_free = state.permits.is_free();
+        let loader = state.loaders.get_mut(upstream)?;
+        let step = match loader.ledger.next_action(now, is_free) {
             LedgerAction::Wait(until) => LoaderStep::Wait(until),
             LedgerAction::Report => LoaderStep::Report,
             LedgerAction::Order {
@@ -355,7 +536,14 @@
                 model,
                 version,
                 expected,
-            } => LoaderStep::Order(order(kind, model, version, expected)),
+                is_fetch,
+            } => {
+                if is_fetch {
+                    state.permits.take();
+                    state.ordering += 1;
+                }
+                LoaderStep::Order(order(kind, model, version, expected), is_fetch)
+            }
         };
         Some((entry, step))
     }
@@ -464,32 +652,36 @@
     }
 }
 
-/// Returns the loads that a failure domain may have on their way from the weight store.
-fn fetch_limit(state: &OwnerState, domain: &DomainId) -> usize {
-    let is_there = |loader: &&UpstreamLoader| loader.entry.domain == *domain;
-    let engines = state.loaders.values().filter(is_there).count();
-    (engines * FETCHES_PER_100_ENGINES / 100).max(1)
-}
-
 /// Estimates the time until a load that is asked for now at an upstream of a domain is done.
-fn backlog(state: &OwnerState, domain: &DomainId) -> Duration {
+fn backlog(state: &OwnerState, domain: &DomainId, limit: usize) -> Duration {
     let there = state
         .loaders
         .values()
         .filter(|loader| loader.entry.domain == *domain);
     let (mut waiting, mut time) = (0, Duration::ZERO);
     for loader in there {
-        waiting += loader.ledger.waiting_loads();
+        waiting += loader.ledger.waiting_fetches();
         time = time.max(loader.ledger.cold_time());
     }
-    let waves = waiting / fetch_limit(state, domain);
+    let waves = waiting / limit;
     time * u32::try_from(waves).unwrap_or(u32::MAX)
 }
 
+impl OwnerState {
+    /// Chooses the instance whose pool grants permits: the owner of the first domain by name.
+    fn pool_holder(&self, now: Duration) -> Option<InstanceId> {
+        self.holders
+            .values()
+            .find(|holder| now.saturating_sub(holder.heard_at) < HOLDER_EXPIRY)
+            .map(|holder| holder.instance.clone())
+    }
+}
+
 enum LoaderStep {
     Wait(Duration),
     Report,
-    Order(EngineOrder),
+    /// An order, and whether it starts a load from the weight store.
+    Order(EngineOrder, bool),
 }
 
 fn log_lost(upstream: &UpstreamId, call: &str, reason: &str) {
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -6,6 +6,8 @@
 //! tells the entry where an adapter is resident. [`LoadClient`] asks the owner of an upstream.
 
 mod domain_lease;
+mod fetch_permits;
+mod fetch_pool;
 mod lease_record;
 mod load_client;
 mod load_owner;
@@ -18,6 +20,7 @@
 mod waiting_load;
 
 pub use domain_lease::{DomainLease, LeaseStep};
+pub use fetch_pool::FetchPool;
 pub use lease_record::LeaseRecord;
 pub use load_client::LoadClient;
 pub use load_owner::LoadOwner;
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -187,6 +187,12 @@
             let now = self.clock.now();
             self.view.merge(&self.instance, &share.owned, now);
             self.owner.note_uses(&share.used);
+            let domains = share.owned_domains.iter();
+            self.owner.hear_holders(
+                &self.instance,
+                domains.map(|name| DomainId::from_name(name)),
+                now,
+            );
             for peer in self.mesh.live_peers() {
                 let peer = peer.id;
                 // One share at a time goes to each peer, so that a slow one gets no backlog.
@@ -243,7 +249,7 @@
     owner.note_uses(&share.used);
     lock(suspects).merge(peer, &share.suspects, now);
     let domains = share.owned_domains.iter();
-    owner.hear_holders(domains.map(|name| DomainId::from_name(name)), now);
+    owner.hear_holders(peer, domains.map(|name| DomainId::from_name(name)), now);
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -79,6 +79,8 @@
         version: u64,
         /// The number of accepted orders to name.
         expected: Option<u64>,
+        /// Whether it starts a load from the weight store.
+        is_fetch: bool,
     },
     /// Nothing until then.
     Wait(Duration),
@@ -201,6 +203,7 @@
                 model: model.clone(),
                 version: pending.version,
                 expected,
+                is_fetch: false,
             };
         }
         if let Some(evicting) = &self.evicting
@@ -211,6 +214,7 @@
                 model: evicting.model.clone(),
                 version: 0,
                 expected,
+                is_fetch: false,
             };
         }
         if let Some(action) = self.next_load(now, may_fetch, expected) {
@@ -250,6 +254,7 @@
         let (_, _, _, model, version) = best;
         let order = |kind, model, version| LedgerAction::Order {
             kind,
+            is_fetch: kind == OrderKind::Load && !self.recent.contains_key(&model),
             model,
             version,
             expected,
@@ -476,10 +481,21 @@
             .count()
     }
 
-    /// Counts the loads that wait.
+    /// Counts the waiting loads that need the weight store.
     #[must_use]
-    pub fn waiting_loads(&self) -> usize {
-        self.waiting.len()
+    pub fn waiting_fetches(&self) -> usize {
+        let is_fetch = |model: &&ModelRef| !self.recent.contains_key(*model);
+        self.waiting.keys().filter(is_fetch).count()
+    }
+
+    /// Returns the value of the most valuable waiting load.
+    #[must_use]
+    pub fn best_value(&self, now: Duration) -> u32 {
+        self.waiting
+            .values()
+            .map(|waiting| waiting.value(now + self.cold_time))
+            .max()
+            .unwrap_or(0)
     }
 
     /// Returns the time that a load from the weight store takes at present.
