Contest stale claims of ownership, notice lost watch answers, recheck leaving upstreams

Peers that own the domain or are taking it over now contest the claim, which ends the old ownership. The upstream is checked again after the load.

--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -1,9 +1,12 @@
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::timeout;
 
-use super::{ModelRef, RouteSet, UpstreamEntry};
+use super::{FeedKind, ModelRef, RouteSet, UpstreamEntry};
 use crate::id::UpstreamId;
 
 type UpstreamMap = BTreeMap<UpstreamId, Arc<UpstreamEntry>>;
@@ -17,8 +20,34 @@
     upstreams: Mutex<Option<Arc<UpstreamMap>>>,
     versions: Mutex<Arc<BTreeMap<ModelRef, u64>>>,
     changes: watch::Sender<u64>,
+    marks: [FeedMark; 3],
 }
 
+/// How far this instance and its peers have followed one kind of objects.
+#[derive(Debug)]
+struct FeedMark {
+    /// The revision of the newest change that this instance has read.
+    seen: AtomicU64,
+    /// The revision up to which this instance has read everything.
+    covered: watch::Sender<u64>,
+    /// The revision of the newest change that a peer has read.
+    peers: watch::Sender<u64>,
+}
+
+impl FeedMark {
+    fn new() -> Self {
+        Self {
+            seen: AtomicU64::new(0),
+            covered: watch::channel(0).0,
+            peers: watch::channel(0).0,
+        }
+    }
+}
+
+/// Time that an instance may be behind its peers before it reads anew; a change reaches all within
+/// some milliseconds.
+const LAG_LIMIT: Duration = Duration::from_millis(300);
+
 impl FleetState {
     /// Creates a state that knows nothing.
     #[must_use]
@@ -28,6 +57,7 @@
             upstreams: Mutex::new(None),
             versions: Mutex::default(),
             changes: watch::channel(0).0,
+            marks: [FeedMark::new(), FeedMark::new(), FeedMark::new()],
         }
     }
 
@@ -107,6 +137,51 @@
                 .is_some()
     }
 
+    /// Notes that the newest change of a kind has the revision `seen`, and that everything up to the
+    /// revision `covered` was read.
+    pub fn note_own_revision(&self, kind: FeedKind, seen: u64, covered: u64) {
+        let mark = self.mark(kind);
+        mark.seen.fetch_max(seen, Ordering::AcqRel);
+        raise(&mark.covered, covered);
+    }
+
+    /// Returns the revision of the newest change of a kind that was read.
+    #[must_use]
+    pub fn own_revision(&self, kind: FeedKind) -> u64 {
+        self.mark(kind).seen.load(Ordering::Acquire)
+    }
+
+    /// Notes that a peer has read objects of a kind up to a revision.
+    pub fn note_peer_revision(&self, kind: FeedKind, revision: u64) {
+        raise(&self.mark(kind).peers, revision);
+    }
+
+    /// Waits until a peer has been ahead for so long that an answer of the store must be lost.
+    pub async fn lag(&self, kind: FeedKind) {
+        let mark = self.mark(kind);
+        let (mut covered, mut peers) = (mark.covered.subscribe(), mark.peers.subscribe());
+        loop {
+            let ahead = *peers.borrow_and_update();
+            if ahead > *covered.borrow_and_update() {
+                // Both senders live as long as this state.
+                let caught_up = covered.wait_for(|revision| *revision >= ahead);
+                if timeout(LAG_LIMIT, caught_up).await.is_err() {
+                    return;
+                }
+            } else {
+                let _changed = peers.changed().await;
+            }
+        }
+    }
+
+    const fn mark(&self, kind: FeedKind) -> &FeedMark {
+        match kind {
+            FeedKind::Config => &self.marks[0],
+            FeedKind::Upstreams => &self.marks[1],
+            FeedKind::Versions => &self.marks[2],
+        }
+    }
+
     /// Subscribes to changes.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<u64> {
@@ -118,6 +193,16 @@
     }
 }
 
+fn raise(mark: &watch::Sender<u64>, revision: u64) {
+    mark.send_if_modified(|known| {
+        let is_newer = revision > *known;
+        if is_newer {
+            *known = revision;
+        }
+        is_newer
+    });
+}
+
 impl Default for FleetState {
     fn default() -> Self {
         Self::new()
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -310,7 +310,9 @@
             let loaded = timeout_at(until, want).await;
             run.load_wait += asked.elapsed();
             match loaded {
-                Ok(Ok(_)) => return Ok(chosen),
+                // The upstream may have begun to leave in the meantime.
+                Ok(Ok(_)) if self.takes_requests(&chosen.entry) => return Ok(chosen),
+                Ok(Ok(_)) => {}
                 Ok(Err(error)) if error.kind() == ErrorKind::Overloaded => {
                     return Err(unavailable("the load would be late", RETRY_AFTER_LOAD));
                 }
@@ -320,6 +322,14 @@
         }
     }
 
+    /// Returns whether an upstream is still listed and not leaving.
+    fn takes_requests(&self, entry: &UpstreamEntry) -> bool {
+        self.fleet
+            .upstreams()
+            .get(&entry.id)
+            .is_some_and(|known| !known.is_draining && known.address == entry.address)
+    }
+
     fn choose(&self, run: &ForwardRun) -> Option<ChosenUpstream> {
         let now = self.clock.now();
         let upstreams = self.fleet.upstreams();
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -340,13 +340,13 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerReply {
     /// The content.
-    #[prost(oneof = "reply::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "reply::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: Option<reply::Body>,
 }
 
 /// The contents of a reply.
 pub mod reply {
-    use super::{AdapterGrant, ConfigDelta, Oneof, PermitGrant, RefusalBody};
+    use super::{AdapterGrant, ConfigDelta, Oneof, PermitGrant, RefusalBody, ShareReply};
 
     /// The content of a reply.
     #[derive(Clone, PartialEq, Oneof)]
@@ -366,6 +366,9 @@
         /// The adapter is resident.
         #[prost(message, tag = "5")]
         Resident(AdapterGrant),
+        /// The share was taken.
+        #[prost(message, tag = "6")]
+        Shared(ShareReply),
     }
 }
 
@@ -508,14 +511,40 @@
     #[prost(btree_map = "uint64, uint32", tag = "3")]
     pub suspects: std::collections::BTreeMap<u64, u32>,
     /// The failure domains that the sender owns.
-    #[prost(string, repeated, tag = "4")]
-    pub owned_domains: Vec<String>,
+    #[prost(message, repeated, tag = "4")]
+    pub owned_domains: Vec<OwnedDomain>,
     /// Adapters that the sender has used since its previous share.
     #[prost(message, repeated, tag = "5")]
     pub used: Vec<UseItem>,
-    /// Whether the sender is shutting down.
-    #[prost(bool, tag = "6")]
-    pub is_draining: bool,
+    /// The newest revision of the configuration that the sender has seen.
+    #[prost(uint64, tag = "7")]
+    pub config_revision: u64,
+    /// The newest revision among the upstreams that the sender has seen.
+    #[prost(uint64, tag = "8")]
+    pub upstream_revision: u64,
+    /// The newest revision among the adapter versions that the sender has seen.
+    #[prost(uint64, tag = "9")]
+    pub version_revision: u64,
+}
+
+/// A failure domain that an instance owns.
+#[derive(Clone, PartialEq, Message)]
+pub struct OwnedDomain {
+    /// The failure domain.
+    #[prost(string, tag = "1")]
+    pub domain: String,
+    /// The epoch of the ownership.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+}
+
+/// Replies to a share.
+#[derive(Clone, PartialEq, Message)]
+pub struct ShareReply {
+    /// Failure domains whose ownership by the sender of the share is not acknowledged, because the
+    /// replying instance owns them or is taking them over.
+    #[prost(string, repeated, tag = "1")]
+    pub contested: Vec<String>,
 }
 
 /// Requests in flight at one upstream.
--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -20,6 +20,7 @@
     seen: Option<SeenRecord>,
     heard_at: Duration,
     rank: u32,
+    is_taking: bool,
 }
 
 #[derive(Debug)]
@@ -56,9 +57,12 @@
     /// who sends them could otherwise carry out both.
     pub const QUIET_TIME: Duration = Duration::from_secs(3);
 
-    /// Silence of a holder after which another instance takes over: validity, quiet time, and a
-    /// margin for timers and the way of the last order.
-    pub const TAKEOVER_AGE: Duration = Duration::from_millis(4300);
+    /// The longest time that an order is on its way before it is given up.
+    pub const ORDER_TIME: Duration = Duration::from_millis(700);
+
+    /// Silence of a holder after which another instance takes over: validity, the way of the last
+    /// order, quiet time, and a margin for timers.
+    pub const TAKEOVER_AGE: Duration = Duration::from_millis(4900);
 
     /// Age of the last proof of life from which the holder renews its record.
     const RENEW_AGE: Duration = Duration::from_millis(450);
@@ -79,6 +83,7 @@
             seen: None,
             heard_at: now,
             rank,
+            is_taking: false,
         }
     }
 
@@ -100,10 +105,31 @@
         }
     }
 
+    /// Answers another instance's claim to the domain; returns whether it is acknowledged.
+    ///
+    /// A claim is contested while this instance holds the domain or its own write is under way,
+    /// since the claimant may have been paused while its ownership passed on. An acknowledgement
+    /// promises that this instance takes over only after the takeover age.
+    pub fn answer_claim(&mut self, epoch: u64, now: Duration) -> bool {
+        let is_contested = self.is_taking
+            || self
+                .held
+                .as_ref()
+                .is_some_and(|held| held.record.epoch >= epoch);
+        if is_contested {
+            return false;
+        }
+        if self.held.is_some() {
+            self.drop_held(now);
+        }
+        self.hear_holder(now);
+        true
+    }
+
     /// Returns what to do next; `acked_at` is the oldest of the newest acknowledgements of the
     /// other instances, none if one of them has never acknowledged.
     #[must_use]
-    pub fn next_step(&self, now: Duration, acked_at: Option<Duration>) -> LeaseStep {
+    pub fn next_step(&mut self, now: Duration, acked_at: Option<Duration>) -> LeaseStep {
         if let Some(held) = &self.held {
             let proof = held.renewed_at.max(acked_at.unwrap_or_default());
             if now.saturating_sub(proof) < Self::RENEW_AGE {
@@ -124,6 +150,7 @@
         let is_stale = now.saturating_sub(seen.unchanged_since) >= Self::TAKEOVER_AGE
             && now.saturating_sub(self.heard_at) >= Self::TAKEOVER_AGE;
         if is_own || seen.record.is_released || is_stale {
+            self.is_taking = true;
             return LeaseStep::Write(self.taken(seen.record.epoch + 1), Some(seen.revision));
         }
         // The conditional write shows whether the record has changed; no more reads are needed.
@@ -135,6 +162,7 @@
     pub fn record_read(&mut self, found: Option<(LeaseRecord, u64)>, now: Duration) -> LeaseStep {
         let Some((record, revision)) = found else {
             self.seen = None;
+            self.is_taking = true;
             return LeaseStep::Write(self.taken(1), None);
         };
         let is_known = self
@@ -153,6 +181,7 @@
 
     /// Takes a successful write that was sent at `sent_at`.
     pub fn record_written(&mut self, record: LeaseRecord, revision: u64, sent_at: Duration) {
+        self.is_taking = false;
         if record.is_released {
             self.held = None;
             self.seen = None;
@@ -164,7 +193,7 @@
             (None, Some(seen))
                 if seen.record.is_released && seen.record.holder != self.instance =>
             {
-                sent_at + Self::QUIET_TIME
+                sent_at + Self::ORDER_TIME + Self::QUIET_TIME
             }
             // No other instance has ordered yet, or this machine was the last to, or the takeover
             // age covers the validity and the quiet time.
@@ -181,11 +210,18 @@
 
     /// Takes a write that another one came before.
     pub fn record_conflicted(&mut self, now: Duration) {
+        self.is_taking = false;
         self.held = None;
         self.seen = None;
         self.heard_at = now;
     }
 
+    /// Takes a write without an answer; the record may have changed or may change later.
+    pub fn record_lost(&mut self) {
+        self.is_taking = false;
+        self.seen = None;
+    }
+
     /// Returns whether an order may be sent now.
     #[must_use]
     pub fn may_order(&self, now: Duration, acked_at: Option<Duration>) -> bool {
@@ -235,9 +271,11 @@
     others: &BTreeSet<InstanceId>,
     acks: &BTreeMap<InstanceId, Duration>,
 ) -> Option<Duration> {
-    let mut oldest = Duration::MAX;
+    // Without others nobody vouches for the holder, only the store does.
+    let mut oldest = None;
     for other in others {
-        oldest = oldest.min(*acks.get(other)?);
+        let acked_at = *acks.get(other)?;
+        oldest = Some(oldest.map_or(acked_at, |oldest: Duration| oldest.min(acked_at)));
     }
-    Some(oldest)
+    oldest
 }
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -14,7 +14,8 @@
 use crate::forward::{FleetState, ModelRef, UpstreamEntry};
 use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::peer::{
-    OwnedItem, PeerAsk, PeerMesh, PermitBid, PermitDone, PermitGrant, UseItem, ask, reply,
+    OwnedDomain, OwnedItem, PeerAsk, PeerMesh, PermitBid, PermitDone, PermitGrant, UseItem, ask,
+    reply,
 };
 use crate::telemetry::{LogEvent, LogName};
 use crate::time::ClockSource;
@@ -34,7 +35,8 @@
 struct OwnerState {
     leases: BTreeMap<DomainId, DomainLease>,
     others: BTreeSet<InstanceId>,
-    acks: BTreeMap<InstanceId, Duration>,
+    /// The newest acknowledgement of each other instance, by failure domain.
+    acks: BTreeMap<DomainId, BTreeMap<InstanceId, Duration>>,
     loaders: BTreeMap<UpstreamId, UpstreamLoader>,
     model_loads: Vec<Duration>,
     permits: FetchPermits,
@@ -64,7 +66,7 @@
 const FETCHES_PER_100_ENGINES: usize = 67;
 
 /// Time after which an order or report counts as lost.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+const ORDER_TIMEOUT: Duration = DomainLease::ORDER_TIME;
 
 /// Stands for a permit of the domain's own share, which is used when no pool is in reach.
 const OWN_SHARE: u64 = u64::MAX;
@@ -187,15 +189,14 @@
 
     /// Lists the domains that this instance holds.
     #[must_use]
-    pub fn owned_domains(&self) -> Vec<DomainId> {
+    pub fn owned_domains(&self) -> Vec<OwnedDomain> {
         let state = self.lock();
-        let is_held = |(_, lease): &(&DomainId, &DomainLease)| lease.epoch().is_some();
-        state
-            .leases
-            .iter()
-            .filter(is_held)
-            .map(|(domain, _)| domain.clone())
-            .collect()
+        let to_claim = |(domain, lease): (&DomainId, &DomainLease)| {
+            let epoch = lease.epoch()?;
+            let domain = domain.as_str().to_owned();
+            Some(OwnedDomain { domain, epoch })
+        };
+        state.leases.iter().filter_map(to_claim).collect()
     }
 
     /// Replaces the other instances; a lease is proved without the store only if all acknowledge.
@@ -203,9 +204,51 @@
         self.lock().others = others;
     }
 
-    /// Takes an acknowledgement of a share that was sent at `sent_at`.
-    pub fn note_ack(&self, peer: &InstanceId, sent_at: Duration) {
-        self.lock().acks.insert(peer.clone(), sent_at);
+    /// Takes the reply to a share that was sent at `sent_at` and claimed `domains`.
+    pub fn note_reply(
+        &self,
+        peer: &InstanceId,
+        domains: &[OwnedDomain],
+        contested: &[String],
+        sent_at: Duration,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for claim in domains {
+            let domain = DomainId::from_name(&claim.domain);
+            if contested.contains(&claim.domain) {
+                if let Some(lease) = state.leases.get_mut(&domain)
+                    && lease.epoch() == Some(claim.epoch)
+                {
+                    lease.drop_held(now);
+                    LogEvent::new(LogName::OwnershipReleased)
+                        .with("domain", &domain)
+                        .with("reason", "contested")
+                        .with("by", peer)
+                        .with_count("epoch", claim.epoch)
+                        .send();
+                }
+                continue;
+            }
+            let acks = state.acks.entry(domain).or_default();
+            acks.insert(peer.clone(), sent_at);
+        }
+    }
+
+    /// Answers the claims of another instance; returns those that are contested.
+    pub fn answer_claims(&self, claims: &[OwnedDomain]) -> Vec<String> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let mut contested = Vec::new();
+        for claim in claims {
+            let domain = DomainId::from_name(&claim.domain);
+            if let Some(lease) = state.leases.get_mut(&domain)
+                && !lease.answer_claim(claim.epoch, now)
+            {
+                contested.push(claim.domain.clone());
+            }
+        }
+        contested
     }
 
     /// Takes news that another instance holds domains.
@@ -217,11 +260,6 @@
     ) {
         let mut state = self.lock();
         for domain in domains {
-            if let Some(lease) = state.leases.get_mut(&domain)
-                && *holder != self.instance
-            {
-                lease.hear_holder(now);
-            }
             let heard = HeardHolder {
                 instance: holder.clone(),
                 heard_at: now,
@@ -362,7 +400,7 @@
     ) -> T {
         let now = self.clock.now();
         let mut state = self.lock();
-        let acked_at = oldest_ack(&state.others, &state.acks);
+        let acked_at = state.acked_at(domain);
         let lease = state
             .leases
             .entry(domain.clone())
@@ -495,8 +533,8 @@
         now: Duration,
     ) -> Option<(Arc<UpstreamEntry>, LoaderStep)> {
         let mut state = self.lock();
-        let acked_at = oldest_ack(&state.others, &state.acks);
         let entry = Arc::clone(&state.loaders.get(upstream)?.entry);
+        let acked_at = state.acked_at(&entry.domain);
         let epoch = state.leases.get(&entry.domain).and_then(|lease| {
             let epoch = lease.epoch()?;
             lease.may_order(now, acked_at).then_some(epoch)
@@ -668,6 +706,11 @@
 }
 
 impl OwnerState {
+    /// Returns the oldest of the newest acknowledgements of all other instances.
+    fn acked_at(&self, domain: &DomainId) -> Option<Duration> {
+        oldest_ack(&self.others, self.acks.get(domain)?)
+    }
+
     /// Chooses the instance whose pool grants permits: the owner of the first domain by name.
     fn pool_holder(&self, now: Duration) -> Option<InstanceId> {
         self.holders
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -26,7 +26,7 @@
 pub use load_owner::LoadOwner;
 pub use load_worth::LoadWorth;
 pub use order_port::{EngineOrder, EngineReport, OrderKind, OrderOutcome, OrderPort, PortFuture};
-pub use ownership_loop::{OwnershipLoop, share_load};
+pub use ownership_loop::OwnershipLoop;
 pub use residency_ledger::{LedgerAction, LedgerLimits, ResidencyLedger};
 pub use residency_view::ResidencyView;
 pub use store_port::{LeaseWrite, StorePort};
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use super::{LeaseStep, LeaseWrite, LoadOwner, ResidencyView, StorePort};
-use crate::forward::{FleetState, LoadBoard};
+use crate::forward::{FeedKind, FleetState, LoadBoard};
 use crate::id::{DomainId, InstanceId};
 use crate::member::rendezvous_score;
-use crate::peer::{LoadShare, PeerAsk, PeerMesh, ask};
+use crate::peer::{LoadShare, OwnedDomain, PeerAsk, PeerMesh, PeerReply, ShareReply, ask, reply};
 use crate::platform::ListedInstance;
 use crate::policy::SuspectList;
 use crate::telemetry::{LogEvent, LogName};
@@ -130,7 +130,11 @@
                         .send();
                 }
             }
-            Err(error) => log::debug!("ownership of {domain} was not written: {error}"),
+            Err(error) => {
+                self.owner
+                    .with_lease(domain, rank, |lease, _| lease.record_lost());
+                log::debug!("ownership of {domain} was not written: {error}");
+            }
         }
     }
 
@@ -187,12 +191,8 @@
             let now = self.clock.now();
             self.view.merge(&self.instance, &share.owned, now);
             self.owner.note_uses(&share.used);
-            let domains = share.owned_domains.iter();
-            self.owner.hear_holders(
-                &self.instance,
-                domains.map(|name| DomainId::from_name(name)),
-                now,
-            );
+            self.owner
+                .hear_holders(&self.instance, to_domains(&share.owned_domains), now);
             for peer in self.mesh.live_peers() {
                 let peer = peer.id;
                 // One share at a time goes to each peer, so that a slow one gets no backlog.
@@ -202,10 +202,16 @@
                 let (this, share) = (Arc::clone(&self), share.clone());
                 let in_flight = Arc::clone(&in_flight);
                 tokio::spawn(async move {
+                    let claims = share.owned_domains.clone();
                     let body = Some(ask::Body::Share(share));
                     let sent_at = this.clock.now();
                     match this.mesh.ask(&peer, PeerAsk { body }).await {
-                        Ok(_) => this.owner.note_ack(&peer, sent_at),
+                        Ok(answer) => {
+                            if let Some(reply::Body::Shared(reply)) = answer.body {
+                                let contested = &reply.contested;
+                                this.owner.note_reply(&peer, &claims, contested, sent_at);
+                            }
+                        }
                         Err(error) => log::debug!("the share did not reach {peer}: {error}"),
                     }
                     lock(&in_flight).remove(&peer);
@@ -217,39 +223,53 @@
     fn own_share(&self) -> LoadShare {
         let now = self.clock.now();
         let suspects = lock(&self.suspects).own_counts(now);
-        let to_name = |domain: DomainId| domain.as_str().to_owned();
         LoadShare {
             in_flight: self.board.own_share(),
             owned: self.owner.owned_items(),
             suspects,
-            owned_domains: self
-                .owner
-                .owned_domains()
-                .into_iter()
-                .map(to_name)
-                .collect(),
+            owned_domains: self.owner.owned_domains(),
             used: self.board.take_uses(),
-            is_draining: false,
+            config_revision: self.fleet.own_revision(FeedKind::Config),
+            upstream_revision: self.fleet.own_revision(FeedKind::Upstreams),
+            version_revision: self.fleet.own_revision(FeedKind::Versions),
+        }
+    }
+}
+
+impl OwnershipLoop {
+    /// Takes a peer's share of the load and replies to it.
+    #[must_use]
+    pub fn take_share(&self, peer: &InstanceId, share: &LoadShare) -> PeerReply {
+        let now = self.clock.now();
+        self.board.merge(peer, share, now);
+        self.view.merge(peer, &share.owned, now);
+        self.owner.note_uses(&share.used);
+        lock(&self.suspects).merge(peer, &share.suspects, now);
+        let revisions = [
+            (FeedKind::Config, share.config_revision),
+            (FeedKind::Upstreams, share.upstream_revision),
+            (FeedKind::Versions, share.version_revision),
+        ];
+        for (kind, revision) in revisions {
+            self.fleet.note_peer_revision(kind, revision);
         }
+        let contested = self.owner.answer_claims(&share.owned_domains);
+        let is_accepted = |claim: &&OwnedDomain| !contested.contains(&claim.domain);
+        let accepted = share.owned_domains.iter().filter(is_accepted);
+        self.owner.hear_holders(
+            peer,
+            accepted.map(|claim| DomainId::from_name(&claim.domain)),
+            now,
+        );
+        let body = Some(reply::Body::Shared(ShareReply { contested }));
+        PeerReply { body }
     }
 }
 
-/// Takes a peer's share of the load.
-pub fn share_load(
-    owner: &LoadOwner,
-    board: &LoadBoard,
-    view: &ResidencyView,
-    suspects: &Mutex<SuspectList>,
-    peer: &InstanceId,
-    share: &LoadShare,
-    now: Duration,
-) {
-    board.merge(peer, share, now);
-    view.merge(peer, &share.owned, now);
-    owner.note_uses(&share.used);
-    lock(suspects).merge(peer, &share.suspects, now);
-    let domains = share.owned_domains.iter();
-    owner.hear_holders(peer, domains.map(|name| DomainId::from_name(name)), now);
+fn to_domains(claims: &[OwnedDomain]) -> impl Iterator<Item = DomainId> {
+    claims
+        .iter()
+        .map(|claim| DomainId::from_name(&claim.domain))
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -22,6 +22,7 @@
     recent: BTreeMap<ModelRef, Duration>,
     waiting: BTreeMap<ModelRef, WaitingLoad>,
     cold_time: Duration,
+    pause_until: Duration,
 }
 
 /// The limits of one engine.
@@ -108,6 +109,9 @@
 /// Reports lag; one read sooner after an order may not show it.
 const REPORT_LAG: Duration = Duration::from_millis(280);
 
+/// Pause after an order without an answer; an engine that is down refuses connections at once.
+const LOST_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time after its last use from which an adapter is likely to have no run left.
 const IDLE_AGE: Duration = Duration::from_millis(2500);
 
@@ -136,6 +140,7 @@
             recent: BTreeMap::new(),
             waiting: BTreeMap::new(),
             cold_time: FIRST_COLD_TIME,
+            pause_until: now,
         }
     }
 
@@ -191,6 +196,9 @@
                 LedgerAction::Wait(self.report_at)
             };
         };
+        if self.pause_until > now {
+            return LedgerAction::Wait(self.pause_until);
+        }
         let expected = Some(sequence);
         let due = self
             .pending
@@ -356,6 +364,7 @@
         if self.is_check(kind, model) {
             self.delay_check(model, now);
         }
+        self.pause_until = now + LOST_PAUSE;
     }
 
     /// Takes a report; it is ignored if it is of before the last order.
--- a/src/time/clock_source.rs
+++ b/src/time/clock_source.rs
@@ -1,11 +1,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
 
 /// Tells the time since a fixed start; virtual in measurements and tests of decisions.
 ///
-/// The real clock is the operating system's monotonic clock. It goes on while the process is
-/// stopped, so that a lease held by a paused process lapses.
+/// The real clock is the operating system's clock of the time since its start. It never jumps and
+/// goes on while the process is stopped or the machine is suspended, so that a lease held by a
+/// paused process lapses; the ordinary monotonic clock stands still in a suspended machine.
 #[derive(Debug, Clone)]
 pub struct ClockSource {
     kind: ClockKind,
@@ -13,7 +16,8 @@
 
 #[derive(Debug, Clone)]
 enum ClockKind {
-    Monotonic(Instant),
+    /// The reading at the start.
+    Boot(Duration),
     Virtual(Arc<AtomicU64>),
 }
 
@@ -22,7 +26,7 @@
     #[must_use]
     pub fn monotonic() -> Self {
         Self {
-            kind: ClockKind::Monotonic(Instant::now()),
+            kind: ClockKind::Boot(boot_time()),
         }
     }
 
@@ -38,7 +42,7 @@
     #[must_use]
     pub fn now(&self) -> Duration {
         match &self.kind {
-            ClockKind::Monotonic(start) => start.elapsed(),
+            ClockKind::Boot(start) => boot_time().saturating_sub(*start),
             ClockKind::Virtual(nanos) => Duration::from_nanos(nanos.load(Ordering::Acquire)),
         }
     }
@@ -53,3 +57,12 @@
         }
     }
 }
+
+fn boot_time() -> Duration {
+    let reading = clock_gettime(ClockId::Boottime);
+    // The reading is never negative and its nanoseconds are below a second.
+    Duration::new(
+        u64::try_from(reading.tv_sec).unwrap_or_default(),
+        u32::try_from(reading.tv_nsec).unwrap_or_default(),
+    )
+}
