Test an instance against stand-ins of the store and upstreams; bound slow heads

Two of them failed first: a head that never ends was kept for the idle time (4 s in place of 1 s), since hyper has one limit for both; a guarded stream now counts from the first byte of the head.

--- a/src/forward/forward_server.rs
+++ b/src/forward/forward_server.rs
@@ -10,8 +10,9 @@
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
-use super::RequestRunner;
+use super::guarded_stream::{GuardedStream, HeadPhase};
 use super::upstream_pool::tune;
+use super::{RequestRunner, TrackedBody};
 use crate::error::{Error, ErrorKind, Result};
 
 /// Accepts the connections of callers.
@@ -31,6 +32,9 @@
 /// Idle time of a connection before the first configuration.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 
+/// Time for a head before the first configuration.
+const DEFAULT_HEAD_TIME: Duration = Duration::from_secs(3);
+
 /// hyper takes no smaller buffer.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -98,9 +102,16 @@
     }
     let routes = runner.fleet.routes();
     let limits = routes.as_ref().map(|routes| *routes.limits());
+    let phase = HeadPhase::new();
+    let head_time = limits.map_or(DEFAULT_HEAD_TIME, |limits| limits.head_time);
+    let stream = GuardedStream::new(stream, Arc::clone(&phase), head_time);
     let service = service_fn(move |request| {
+        let token = phase.begin_request();
         let runner = Arc::clone(&runner);
-        async move { Ok::<_, Infallible>(runner.run(request).await) }
+        async move {
+            let response = runner.run(request).await;
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, token)))
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
--- /dev/null
+++ b/src/forward/guarded_stream.rs
@@ -0,0 +1,127 @@
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// A caller's connection that ends if the head of a request takes too long.
+///
+/// The time counts from the first byte of the head, so that an idle connection may wait longer
+/// than a head may take; hyper has one limit for both.
+#[derive(Debug)]
+pub(super) struct GuardedStream {
+    stream: TcpStream,
+    phase: Arc<HeadPhase>,
+    head_time: Duration,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+/// Whether the next bytes of a connection belong to the head of a request.
+#[derive(Debug)]
+pub(super) struct HeadPhase {
+    is_head: AtomicBool,
+}
+
+/// Marks a request as in progress until it is dropped with the answer's body.
+#[derive(Debug)]
+pub(super) struct RequestToken {
+    phase: Arc<HeadPhase>,
+}
+
+impl HeadPhase {
+    pub(super) fn new() -> Arc<Self> {
+        Arc::new(Self {
+            is_head: AtomicBool::new(true),
+        })
+    }
+
+    /// Begins a request whose head is complete.
+    pub(super) fn begin_request(self: &Arc<Self>) -> RequestToken {
+        self.is_head.store(false, Ordering::Release);
+        RequestToken {
+            phase: Arc::clone(self),
+        }
+    }
+}
+
+impl Drop for RequestToken {
+    fn drop(&mut self) {
+        self.phase.is_head.store(true, Ordering::Release);
+    }
+}
+
+impl GuardedStream {
+    pub(super) const fn new(stream: TcpStream, phase: Arc<HeadPhase>, head_time: Duration) -> Self {
+        Self {
+            stream,
+            phase,
+            head_time,
+            timer: None,
+        }
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if !this.phase.is_head.load(Ordering::Acquire) {
+            this.timer = None;
+            return Pin::new(&mut this.stream).poll_read(cx, buf);
+        }
+        let before = buf.filled().len();
+        match Pin::new(&mut this.stream).poll_read(cx, buf) {
+            Poll::Ready(Ok(())) if buf.filled().len() > before => {
+                let limit = this.head_time;
+                this.timer.get_or_insert_with(|| Box::pin(sleep(limit)));
+                Poll::Ready(Ok(()))
+            }
+            Poll::Pending => {
+                let Some(timer) = &mut this.timer else {
+                    return Poll::Pending;
+                };
+                ready!(timer.as_mut().poll(cx));
+                Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+            }
+            ended @ Poll::Ready(_) => ended,
+        }
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/tests/forward/choice.rs
@@ -0,0 +1,114 @@
+//! The choice among upstreams, played against heavy loads.
+
+use std::time::Duration;
+
+use comfreychute::policy::{UpstreamOption, choose_upstream};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn engine() -> UpstreamOption {
+    UpstreamOption {
+        requests: 10,
+        slots: 64,
+        prompt_tokens: 0,
+        memory_tokens: 20_000,
+        memory_limit: 140_000,
+        failures: 0.0,
+        load_time: Duration::ZERO,
+        is_remote: false,
+    }
+}
+
+/// Guards against a choice by number of requests, which differ by a factor of ten in prompts.
+#[test]
+fn engine_with_fewer_prompt_tokens_to_read_is_chosen() {
+    let long = UpstreamOption {
+        requests: 3,
+        prompt_tokens: 9_000,
+        ..engine()
+    };
+    let short = UpstreamOption {
+        requests: 12,
+        prompt_tokens: 1_000,
+        ..engine()
+    };
+
+    assert_eq!(choose_upstream(&[long, short], 0.5), Some(1));
+}
+
+/// Guards against an engine that has to put requests back because its memory is full.
+#[test]
+fn engine_with_full_memory_is_avoided() {
+    let full = UpstreamOption {
+        memory_tokens: 139_000,
+        ..engine()
+    };
+    let busy = UpstreamOption {
+        prompt_tokens: 5_000,
+        ..engine()
+    };
+
+    assert_eq!(choose_upstream(&[full, busy], 0.5), Some(1));
+}
+
+/// Guards against a plain service whose failing copy takes as many requests as the others.
+#[test]
+fn failing_copy_of_a_plain_service_is_avoided() {
+    let plain = UpstreamOption {
+        requests: 2,
+        slots: 6,
+        memory_limit: 0,
+        ..engine()
+    };
+    let failing = UpstreamOption {
+        failures: 3.0,
+        ..plain
+    };
+
+    assert_eq!(choose_upstream(&[failing, plain], 0.0), Some(1));
+}
+
+/// Guards against instances that all choose the same among equal upstreams.
+#[test]
+fn equal_upstreams_are_chosen_by_the_draw() {
+    let options = [engine(), engine(), engine()];
+
+    let chosen: Vec<_> = [0.0, 0.5, 1.0]
+        .iter()
+        .map(|draw| choose_upstream(&options, *draw))
+        .collect();
+
+    assert_eq!(chosen, [Some(0), Some(1), Some(2)]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a choice whose prediction is far from the best one.
+    #[test]
+    fn choice_is_close_to_the_best_prediction(
+        loads in prop::collection::vec((0..80_u32, 0..20_000_u32, 0..150_000_u32), 1..20),
+        draw in 0.0..1.0_f64,
+    ) {
+        let options: Vec<UpstreamOption> = loads
+            .iter()
+            .map(|(requests, prompt_tokens, memory_tokens)| UpstreamOption {
+                requests: *requests,
+                prompt_tokens: *prompt_tokens,
+                memory_tokens: *memory_tokens,
+                ..engine()
+            })
+            .collect();
+        let chosen = choose_upstream(&options, draw).expect("there is an upstream");
+        let best = options
+            .iter()
+            .map(UpstreamOption::predicted_ms)
+            .fold(f64::INFINITY, f64::min);
+        prop_assert!(options[chosen].predicted_ms() <= best + 3.0);
+    }
+}
--- /dev/null
+++ b/tests/forward/marks.rs
@@ -0,0 +1,31 @@
+//! An instance that is behind its peers notices it.
+
+use std::time::Duration;
+
+use comfreychute::forward::{FeedKind, FleetState};
+use tokio::time::timeout;
+
+/// Guards against a configuration that is missed because the answer of a watch was lost.
+#[tokio::test(start_paused = true)]
+async fn peer_ahead_for_long_means_a_lost_answer() {
+    let fleet = FleetState::new();
+    fleet.note_own_revision(FeedKind::Config, 5, 7);
+
+    fleet.note_peer_revision(FeedKind::Config, 8);
+
+    let lag = timeout(Duration::from_secs(1), fleet.lag(FeedKind::Config)).await;
+    lag.expect("the lag is noticed");
+}
+
+/// Guards against lists that are read anew although nothing is missing.
+#[tokio::test(start_paused = true)]
+async fn peer_within_the_covered_revisions_is_not_ahead() {
+    let fleet = FleetState::new();
+    fleet.note_own_revision(FeedKind::Config, 5, 7);
+
+    fleet.note_peer_revision(FeedKind::Config, 6);
+    fleet.note_peer_revision(FeedKind::Upstreams, 90);
+
+    let lag = timeout(Duration::from_secs(5), fleet.lag(FeedKind::Config)).await;
+    lag.expect_err("nothing is missing");
+}
--- /dev/null
+++ b/tests/forward/routes.rs
@@ -0,0 +1,78 @@
+//! Routes are found by host and longest prefix.
+
+use std::time::Duration;
+
+use comfreychute::forward::{
+    CallerLimits, FleetState, ForwardRoute, RouteKind, RouteSet, ServiceShare,
+};
+
+fn route(name: &str, prefix: &str) -> ForwardRoute {
+    ForwardRoute {
+        name: name.to_owned(),
+        host: "Shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        max_attempts: 2,
+        rank: 1,
+        is_resumable: false,
+        shares: vec![share("one", 90), share("two", 10)],
+    }
+}
+
+fn share(service: &str, weight: u32) -> ServiceShare {
+    ServiceShare {
+        service: service.to_owned(),
+        weight,
+    }
+}
+
+fn set(version: u64) -> RouteSet {
+    let limits = CallerLimits {
+        head_bytes: 1024,
+        body_bytes: 1024,
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    let routes = vec![route("short", "/a/"), route("long", "/a/b/")];
+    RouteSet::new(version, routes, Vec::new(), limits)
+}
+
+fn found(host: &str, path: &str) -> Option<String> {
+    set(1).find(host, path).map(|route| route.name.clone())
+}
+
+/// Guards against a request on a route that only shares its beginning.
+#[test]
+fn longest_prefix_wins() {
+    assert_eq!(found("shop.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(found("shop.example:80", "/a/c").as_deref(), Some("short"));
+    assert_eq!(found("SHOP.example", "/a/").as_deref(), Some("short"));
+    assert_eq!(found("shop.example", "/a"), None);
+    assert_eq!(found("other.example", "/a/b/c"), None);
+}
+
+/// Guards against shares that do not follow the weights.
+#[test]
+fn services_are_picked_by_weight() {
+    let route = route("r", "/a/");
+
+    assert_eq!(route.pick_service(0.0), Some("one"));
+    assert_eq!(route.pick_service(0.89), Some("one"));
+    assert_eq!(route.pick_service(0.91), Some("two"));
+    assert_eq!(route.pick_service(1.0), Some("one"));
+}
+
+/// Guards against a configuration that goes back to an older version.
+#[test]
+fn only_newer_configurations_are_adopted() {
+    let fleet = FleetState::new();
+
+    assert!(fleet.adopt_routes(set(5)));
+    assert!(!fleet.adopt_routes(set(5)));
+    assert!(!fleet.adopt_routes(set(4)));
+    assert!(fleet.adopt_routes(set(9)));
+
+    assert_eq!(fleet.routes().map(|routes| routes.version()), Some(9));
+}
--- /dev/null
+++ b/tests/forward/splitter.rs
@@ -0,0 +1,75 @@
+//! Streams are cut at event ends.
+
+use bytes::Bytes;
+use comfreychute::forward::StreamSplitter;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Guards against half an event before a resumed stream.
+#[test]
+fn incomplete_event_is_held_back() {
+    let mut splitter = StreamSplitter::new();
+
+    let first = splitter.push(Bytes::from_static(b"id: 1\ndata: x\n\nid: 2\nda"));
+    splitter.discard_partial();
+    let second = splitter.push(Bytes::from_static(b"id: 2\ndata: y\n\n"));
+
+    assert_eq!(first, "id: 1\ndata: x\n\n");
+    assert_eq!(second, "id: 2\ndata: y\n\n");
+    assert_eq!(splitter.last_id(), Some("2"));
+}
+
+/// Guards against a resume after an event that was not passed on.
+#[test]
+fn id_of_an_incomplete_event_is_not_the_last() {
+    let mut splitter = StreamSplitter::new();
+
+    let _events = splitter.push(Bytes::from_static(b"id: 1\ndata: x\n\nid: 2\n"));
+
+    assert_eq!(splitter.last_id(), Some("1"));
+}
+
+/// Guards against an event end that arrives in two pieces.
+#[test]
+fn event_end_split_between_reads_is_found() {
+    let mut splitter = StreamSplitter::new();
+
+    let first = splitter.push(Bytes::from_static(b"id: 7\r\ndata: x\r\n"));
+    let second = splitter.push(Bytes::from_static(b"\r\n"));
+
+    assert!(first.is_empty());
+    assert_eq!(second, "id: 7\r\ndata: x\r\n\r\n");
+    assert_eq!(splitter.last_id(), Some("7"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against bytes that are lost, repeated or reordered, wherever reads are cut.
+    #[test]
+    fn whole_stream_passes_unchanged(
+        events in prop::collection::vec("[a-z ]{0,12}", 1..12),
+        cuts in prop::collection::vec(1..9_usize, 1..60),
+    ) {
+        let mut whole = Vec::new();
+        for (index, event) in events.iter().enumerate() {
+            whole.extend_from_slice(format!("id: {index}\ndata: {event}\n\n").as_bytes());
+        }
+        let mut splitter = StreamSplitter::new();
+        let (mut passed, mut rest) = (Vec::new(), whole.as_slice());
+        for cut in cuts {
+            let (piece, tail) = rest.split_at(cut.min(rest.len()));
+            passed.extend_from_slice(&splitter.push(Bytes::copy_from_slice(piece)));
+            prop_assert!(passed.is_empty() || passed.ends_with(b"\n\n"));
+            rest = tail;
+        }
+        passed.extend_from_slice(&splitter.push(Bytes::copy_from_slice(rest)));
+        passed.extend_from_slice(&splitter.finish());
+        prop_assert_eq!(passed, whole);
+    }
+}
--- /dev/null
+++ b/tests/residency/lease.rs
@@ -0,0 +1,276 @@
+//! The lease of a failure domain, also between instances that are paused, cut off or lose answers.
+
+use std::time::Duration;
+
+use comfreychute::id::{DomainId, InstanceId};
+use comfreychute::residency::{DomainLease, LeaseRecord, LeaseStep};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn domain() -> DomainId {
+    DomainId::from_name("north")
+}
+
+fn lease(name: &str, rank: u32) -> DomainLease {
+    DomainLease::new(domain(), InstanceId::from_name(name), rank, at(0))
+}
+
+fn record(holder: &str, epoch: u64) -> LeaseRecord {
+    LeaseRecord {
+        domain: domain(),
+        holder: InstanceId::from_name(holder),
+        epoch,
+        renewals: 0,
+        is_released: false,
+    }
+}
+
+/// Takes the lease over from a record of another holder that is read at `read_at`.
+fn take_over(lease: &mut DomainLease, found: LeaseRecord, read_at: Duration) -> Duration {
+    let step = lease.record_read(Some((found, 1)), read_at);
+    assert_eq!(step, LeaseStep::Rest);
+    let mut now = read_at;
+    loop {
+        now += at(100);
+        if let LeaseStep::Write(record, expected) = lease.next_step(now, None) {
+            assert_eq!(expected, Some(1));
+            lease.record_written(record, 2, now);
+            return now;
+        }
+    }
+}
+
+/// Guards against an instance that orders for ever because it knows no peers.
+#[test]
+fn holder_without_any_proof_stops_ordering() {
+    let mut lease = lease("a", 0);
+    let LeaseStep::Write(record, None) = lease.record_read(None, at(1000)) else {
+        panic!("a domain without a record is taken at once");
+    };
+
+    lease.record_written(record, 1, at(1000));
+
+    assert!(lease.may_order(at(1500), None));
+    assert!(!lease.may_order(at(2001), None));
+}
+
+/// Guards against a call to the store for each renewal while all peers vouch for the holder.
+#[test]
+fn acknowledgements_of_all_peers_replace_renewals() {
+    let mut lease = lease("a", 0);
+    let LeaseStep::Write(record, None) = lease.record_read(None, at(1000)) else {
+        panic!("a domain without a record is taken at once");
+    };
+    lease.record_written(record, 1, at(1000));
+
+    let step = lease.next_step(at(9000), Some(at(8800)));
+
+    assert_eq!(step, LeaseStep::Rest);
+    assert!(lease.may_order(at(9000), Some(at(8800))));
+    assert!(matches!(
+        lease.next_step(at(9000), Some(at(8000))),
+        LeaseStep::Write(..)
+    ));
+}
+
+/// Guards against orders of two holders within the quiet time after a silent holder.
+#[test]
+fn successor_waits_for_validity_and_quiet_time() {
+    let mut lease = lease("b", 1);
+    lease.hear_holder(at(1000));
+
+    let taken_at = take_over(&mut lease, record("a", 3), at(2000));
+
+    // The former holder was last vouched for when it was last heard.
+    let last_order = at(1000) + DomainLease::VALIDITY + DomainLease::ORDER_TIME;
+    assert!(taken_at >= last_order + DomainLease::QUIET_TIME);
+    assert_eq!(lease.epoch(), Some(4));
+}
+
+/// Guards against orders too soon after a holder that released the domain.
+#[test]
+fn successor_of_a_released_lease_waits_for_the_quiet_time() {
+    let mut lease = lease("b", 0);
+    let mut released = record("a", 3);
+    released.is_released = true;
+
+    let taken_at = take_over(&mut lease, released, at(2000));
+
+    assert!(taken_at < at(3000));
+    assert!(!lease.may_order(taken_at + at(500), Some(taken_at + at(500))));
+    let allowed = taken_at + DomainLease::ORDER_TIME + DomainLease::QUIET_TIME;
+    assert!(lease.may_order(allowed, Some(allowed)));
+}
+
+/// Guards against five seconds without loads after a holder's process was restarted.
+#[test]
+fn restarted_holder_takes_its_own_lease_back_at_once() {
+    let mut lease = lease("a", 0);
+
+    let taken_at = take_over(&mut lease, record("a", 3), at(1000));
+
+    assert!(taken_at <= at(1200));
+    assert!(lease.may_order(taken_at, None));
+    assert_eq!(lease.epoch(), Some(4));
+}
+
+/// Guards against a former holder that was cut off and is vouched for again by its successor.
+#[test]
+fn holder_contests_a_claim_with_an_older_epoch() {
+    let mut successor = lease("b", 0);
+    take_over(&mut successor, record("a", 3), at(1000));
+
+    let is_acknowledged = successor.answer_claim(3, at(8000));
+
+    assert!(!is_acknowledged);
+    assert_eq!(successor.epoch(), Some(4));
+}
+
+/// Guards against a claim that is acknowledged while the own takeover is being written.
+#[test]
+fn claim_is_contested_while_a_takeover_is_under_way() {
+    let mut successor = lease("b", 0);
+    let _step = successor.record_read(Some((record("a", 3), 1)), at(1000));
+    let mut now = at(1000);
+    while successor.next_step(now, None) == LeaseStep::Rest {
+        now += at(100);
+    }
+
+    assert!(!successor.answer_claim(3, now));
+
+    successor.record_lost();
+    assert!(successor.answer_claim(3, now + at(10)));
+}
+
+/// Guards against a paused instance that takes silence during its pause for a dead holder.
+#[test]
+fn pause_starts_the_takeover_age_anew() {
+    let mut lease = lease("b", 0);
+    let _step = lease.record_read(Some((record("a", 3), 1)), at(1000));
+
+    lease.resume_after_pause(at(9000));
+
+    assert_eq!(lease.next_step(at(9800), None), LeaseStep::Rest);
+}
+
+/// One instance of the property test.
+#[derive(Debug)]
+struct TrialInstance {
+    lease: DomainLease,
+    acked_at: Option<Duration>,
+    paused_until: Duration,
+    cut_until: Duration,
+    last_tick: Duration,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against orders of two instances within the quiet time, whatever pauses, cuts between
+    /// the instances and outages of the store come together.
+    #[test]
+    fn orders_of_two_instances_are_a_quiet_time_apart(
+        faults in prop::collection::vec((0..4_u8, 0..3_usize, 0..30_000_u64, 200..9_000_u64), 0..8),
+    ) {
+        let names = ["a", "b", "c"];
+        let mut instances: Vec<TrialInstance> = names
+            .iter()
+            .zip(0..)
+            .map(|(name, rank)| TrialInstance {
+                lease: lease(name, rank),
+                acked_at: None,
+                paused_until: at(0),
+                cut_until: at(0),
+                last_tick: at(0),
+            })
+            .collect();
+        let mut stored: Option<(LeaseRecord, u64)> = None;
+        let mut store_down_until = at(0);
+        let mut last_order: Option<(usize, Duration)> = None;
+        let mut fresh_acks = vec![vec![None; 3]; 3];
+        for tick in 0..400_u64 {
+            let now = at(tick * 100);
+            for (kind, index, start, length) in &faults {
+                if at(*start) > now || at(*start + 100) <= now {
+                    continue;
+                }
+                let until = now + at(*length);
+                match kind {
+                    0 => instances[*index].paused_until = until,
+                    1 => instances[*index].cut_until = until,
+                    2 => store_down_until = until,
+                    _ => {}
+                }
+            }
+            for index in 0..instances.len() {
+                if instances[index].paused_until > now {
+                    continue;
+                }
+                if now.saturating_sub(instances[index].last_tick) > at(700) {
+                    instances[index].lease.resume_after_pause(now);
+                }
+                instances[index].last_tick = now;
+                // The share and the replies to it; a cut instance reaches no other.
+                if let Some(epoch) = instances[index].lease.epoch() {
+                    for other in 0..3 {
+                        let is_reached = other != index
+                            && instances[index].cut_until <= now
+                            && instances[other].cut_until <= now
+                            && instances[other].paused_until <= now;
+                        if !is_reached {
+                            continue;
+                        }
+                        if instances[other].lease.answer_claim(epoch, now) {
+                            fresh_acks[index][other] = Some(now);
+                        } else {
+                            instances[index].lease.drop_held(now);
+                        }
+                    }
+                }
+                let acks: Option<Vec<Duration>> = (0..3)
+                    .filter(|other| *other != index)
+                    .map(|other| fresh_acks[index][other])
+                    .collect();
+                instances[index].acked_at = acks.and_then(|acks| acks.into_iter().min());
+                let acked_at = instances[index].acked_at;
+                let is_up = store_down_until <= now;
+                let instance = &mut instances[index];
+                let mut step = instance.lease.next_step(now, acked_at);
+                if step == LeaseStep::Read && is_up {
+                    step = instance.lease.record_read(stored.clone(), now);
+                }
+                if let LeaseStep::Write(record, expected) = step {
+                    let revision = stored.as_ref().map(|(_, revision)| *revision);
+                    if !is_up {
+                        instance.lease.record_lost();
+                    } else if revision == expected {
+                        let next = revision.unwrap_or(0) + 1;
+                        stored = Some((record.clone(), next));
+                        instance.lease.record_written(record, next, now);
+                    } else {
+                        instance.lease.record_conflicted(now);
+                    }
+                }
+                if instance.lease.may_order(now, acked_at) {
+                    if let Some((holder, ordered_at)) = last_order {
+                        let gap = now.saturating_sub(ordered_at);
+                        prop_assert!(
+                            holder == index || gap >= DomainLease::QUIET_TIME,
+                            "{} orders {gap:?} after {} at {now:?}", names[index], names[holder]
+                        );
+                    }
+                    last_order = Some((index, now));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/residency/ledger.rs
@@ -0,0 +1,278 @@
+//! The ledger of one engine: what is ordered, when, and that the engine is never overfilled.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use comfreychute::forward::ModelRef;
+use comfreychute::residency::{
+    EngineReport, LedgerAction, LedgerLimits, LoadRefusal, LoadWaiter, OrderKind, OrderOutcome,
+    ResidencyLedger,
+};
+use tokio::sync::oneshot::{self, Receiver};
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn adapter(index: usize) -> ModelRef {
+    ModelRef::new("base", &format!("a{index}"))
+}
+
+fn waiter(value: u32, late_at: u64, expires_at: u64) -> (LoadWaiter, Answer) {
+    let (reply, answer) = oneshot::channel();
+    let waiter = LoadWaiter {
+        value,
+        late_at: at(late_at),
+        expires_at: at(expires_at),
+        reply,
+    };
+    (waiter, answer)
+}
+
+type Answer = Receiver<Result<u64, LoadRefusal>>;
+
+fn empty_report() -> EngineReport {
+    EngineReport {
+        incarnation: 1,
+        sequence: 0,
+        models: BTreeSet::from(["base".to_owned()]),
+        ..EngineReport::default()
+    }
+}
+
+fn ledger(adapter_slots: usize) -> ResidencyLedger {
+    let limits = LedgerLimits {
+        adapter_slots,
+        ..LedgerLimits::default()
+    };
+    let mut ledger = ResidencyLedger::new(limits, at(0));
+    ledger.report_read(&empty_report(), at(0));
+    ledger
+}
+
+/// Asks for an adapter and carries its load out.
+fn load(ledger: &mut ResidencyLedger, model: &ModelRef, now: Duration) {
+    let (waiter, _answer) = waiter(1, 100_000, 100_000);
+    ledger.want(model, 0, waiter, now);
+    let action = ledger.next_action(now, true);
+    assert!(is_load(&action, model), "{action:?}");
+    ledger.order_answered(OrderKind::Load, model, 0, OrderOutcome::Accepted, now);
+    ledger.order_answered(OrderKind::Load, model, 0, OrderOutcome::Holds, now);
+}
+
+fn is_load(action: &LedgerAction, wanted: &ModelRef) -> bool {
+    matches!(action, LedgerAction::Order { kind: OrderKind::Load, model, .. } if model == wanted)
+}
+
+/// Guards against a check that the engine takes for a second load: it comes once, at the expected
+/// end of the load.
+#[test]
+fn load_is_checked_once_at_its_expected_end() {
+    let mut ledger = ledger(4);
+    let (waiter, mut answer) = waiter(1, 1000, 2000);
+    ledger.want(&adapter(1), 0, waiter, at(0));
+    assert!(is_load(&ledger.next_action(at(0), true), &adapter(1)));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        0,
+        OrderOutcome::Accepted,
+        at(1),
+    );
+
+    let early = ledger.next_action(at(240), true);
+    let due = ledger.next_action(at(262), true);
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        0,
+        OrderOutcome::Holds,
+        at(263),
+    );
+
+    assert_eq!(early, LedgerAction::Wait(at(261)));
+    assert!(is_load(&due, &adapter(1)));
+    assert_eq!(answer.try_recv(), Ok(Ok(0)));
+}
+
+/// Guards against a count of accepted orders that no longer agrees with the engine after a check was
+/// taken for an order; every later order was refused for seconds.
+#[test]
+fn accepted_check_leads_to_a_report() {
+    let mut ledger = ledger(4);
+    let (waiter, _answer) = waiter(1, 1000, 2000);
+    ledger.want(&adapter(1), 0, waiter, at(0));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        0,
+        OrderOutcome::Accepted,
+        at(0),
+    );
+
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        0,
+        OrderOutcome::Accepted,
+        at(262),
+    );
+
+    assert!(!ledger.is_known());
+    assert!(matches!(
+        ledger.next_action(at(300), true),
+        LedgerAction::Wait(_)
+    ));
+    assert_eq!(ledger.next_action(at(600), true), LedgerAction::Report);
+}
+
+/// Guards against an overfilled engine, which crashes: places on the way count.
+#[test]
+fn full_engine_evicts_before_it_loads() {
+    let mut ledger = ledger(2);
+    load(&mut ledger, &adapter(1), at(0));
+    load(&mut ledger, &adapter(2), at(10));
+    ledger.note_uses(&adapter(2), 5, at(20));
+    let (waiter, _answer) = waiter(1, 10_000, 20_000);
+    ledger.want(&adapter(3), 0, waiter, at(5000));
+
+    let action = ledger.next_action(at(5000), true);
+
+    assert!(
+        matches!(
+            &action,
+            LedgerAction::Order { kind: OrderKind::Unload, model, .. } if *model == adapter(1)
+        ),
+        "{action:?}"
+    );
+}
+
+/// Guards against a load ordered twice after a lost answer: the next order names the same count,
+/// so that the engine takes only one of them.
+#[test]
+fn order_after_a_lost_answer_names_the_same_count() {
+    let mut ledger = ledger(4);
+    let (waiter, _answer) = waiter(1, 10_000, 20_000);
+    ledger.want(&adapter(1), 0, waiter, at(0));
+    let LedgerAction::Order {
+        expected: first, ..
+    } = ledger.next_action(at(0), true)
+    else {
+        panic!("the load is ordered");
+    };
+
+    ledger.order_lost(OrderKind::Load, &adapter(1), at(700));
+
+    assert!(matches!(
+        ledger.next_action(at(710), true),
+        LedgerAction::Wait(_)
+    ));
+    let LedgerAction::Order {
+        expected: second, ..
+    } = ledger.next_action(at(900), true)
+    else {
+        panic!("the load is ordered again");
+    };
+    assert_eq!(first, second);
+}
+
+/// Guards against loads for callers that have left or can't be served in time; each takes a place
+/// from one that can.
+#[test]
+fn hopeless_loads_are_refused_at_once() {
+    let mut ledger = ledger(4);
+    let (hopeless, mut refused) = waiter(1, 100, 200);
+    let (gone, left) = waiter(1, 1000, 2000);
+    drop(left);
+    ledger.want(&adapter(1), 0, hopeless, at(0));
+    ledger.want(&adapter(2), 0, gone, at(0));
+
+    let action = ledger.next_action(at(0), true);
+
+    assert!(matches!(action, LedgerAction::Wait(_)), "{action:?}");
+    assert_eq!(refused.try_recv(), Ok(Err(LoadRefusal::TooLate)));
+}
+
+/// Guards against first-come order in a surge of rare adapters: loads that can still be answered on
+/// time go first.
+#[test]
+fn load_that_can_be_on_time_goes_before_one_that_is_late() {
+    let mut ledger = ledger(4);
+    let (late, _late) = waiter(1500, 100, 5000);
+    let (punctual, _punctual) = waiter(1500, 900, 5000);
+    ledger.want(&adapter(1), 0, late, at(0));
+    ledger.want(&adapter(2), 0, punctual, at(300));
+
+    let action = ledger.next_action(at(300), true);
+
+    assert!(is_load(&action, &adapter(2)), "{action:?}");
+}
+
+/// Guards against a request on an older version than announced: the new one replaces it in place.
+#[test]
+fn announced_version_replaces_the_resident_one() {
+    let mut ledger = ledger(1);
+    load(&mut ledger, &adapter(1), at(0));
+    let (waiter, mut answer) = waiter(1, 10_000, 20_000);
+
+    ledger.want(&adapter(1), 2, waiter, at(100));
+    let action = ledger.next_action(at(100), true);
+
+    assert!(
+        matches!(
+            &action,
+            LedgerAction::Order {
+                kind: OrderKind::Load,
+                version: 2,
+                ..
+            }
+        ),
+        "{action:?}"
+    );
+    answer.try_recv().expect_err("no reply yet");
+}
+
+/// Guards against adapters that are believed resident at an engine that started anew.
+#[test]
+fn restart_forgets_all_adapters() {
+    let mut ledger = ledger(4);
+    load(&mut ledger, &adapter(1), at(0));
+
+    ledger.restarted(at(100));
+    ledger.report_read(&empty_report(), at(200));
+
+    assert_eq!(ledger.residents().count(), 0);
+}
+
+/// Guards against requests that wait for ever at an instance that has lost the domain.
+#[test]
+fn released_ledger_refuses_all_that_wait() {
+    let mut ledger = ledger(4);
+    let (waiter, mut answer) = waiter(1, 1000, 2000);
+    ledger.want(&adapter(1), 0, waiter, at(0));
+
+    ledger.release();
+
+    assert_eq!(answer.try_recv(), Ok(Err(LoadRefusal::NotOwner)));
+}
+
+/// Guards against more orders than the engine takes while adapters are on their way to it.
+#[test]
+fn at_most_four_loads_are_on_their_way() {
+    let mut ledger = ledger(20);
+    let mut answers = Vec::new();
+    for index in 0..6 {
+        let (waiter, answer) = waiter(1, 10_000, 20_000);
+        ledger.want(&adapter(index), 0, waiter, at(0));
+        answers.push(answer);
+    }
+
+    let mut ordered = BTreeMap::new();
+    while let LedgerAction::Order { kind, model, .. } = ledger.next_action(at(1), true) {
+        ledger.order_answered(kind, &model, 0, OrderOutcome::Accepted, at(1));
+        ordered.insert(model, kind);
+    }
+
+    assert_eq!(ordered.len(), 4);
+    assert_eq!(ledger.fetches(), 4);
+}
--- /dev/null
+++ b/tests/residency/main.rs
@@ -0,0 +1,6 @@
+//! Tests of ownership of failure domains, the ledger of one engine, and load permits.
+
+mod fetch_pool;
+mod lease;
+mod ledger;
+mod view;
