Refuse requests that would outlast the end of the process

The balancer goes on sending when too few instances of a domain are in rotation. A request that does not fit into the rest of the grace period is now refused at once with a retry time, and a connection that is opened during the shutdown still gets its one answer. Ruled out: closing the listener, which resets callers that could still be served.

--- a/src/forward/forward_server.rs
+++ b/src/forward/forward_server.rs
@@ -102,6 +102,7 @@
     }
     let routes = runner.fleet.routes();
     let limits = routes.as_ref().map(|routes| *routes.limits());
+    let is_stopping = *stopped.borrow();
     let phase = HeadPhase::new();
     let head_time = limits.map_or(DEFAULT_HEAD_TIME, |limits| limits.head_time);
     let stream = GuardedStream::new(stream, Arc::clone(&phase), head_time);
@@ -115,6 +116,9 @@
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
+        // A connection that is opened during a shutdown still gets its one answer; a graceful
+        // shutdown would close it before its request arrives.
+        .keep_alive(!is_stopping)
         .header_read_timeout(limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time))
         .max_buf_size(limits.map_or(DEFAULT_HEAD_BYTES, |limits| {
             limits.head_bytes.max(MIN_HEAD_BYTES)
@@ -123,7 +127,10 @@
     tokio::pin!(connection);
     let stop = async {
         // The sender lives as long as the server.
-        let _ended = stopped.wait_for(|is_stopping| *is_stopping).await;
+        drop(stopped.wait_for(|is_stopping| *is_stopping).await);
+        if is_stopping {
+            std::future::pending::<()>().await;
+        }
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -49,6 +49,8 @@
     pub suspects: Arc<Mutex<SuspectList>>,
     /// The retries allowed, by service.
     pub budgets: Mutex<BTreeMap<String, RetryBudget>>,
+    /// The time at which this process ends; none while it does not shut down.
+    pub ends_at: Mutex<Option<Instant>>,
 }
 
 impl std::fmt::Debug for RequestRunner {
@@ -107,6 +109,12 @@
 /// Retry time for a request that this instance can't place at all.
 const RETRY_AFTER_START: Duration = Duration::from_millis(400);
 
+/// Retry time for a request that another instance takes at once.
+const RETRY_AFTER_SHUTDOWN: Duration = Duration::from_millis(50);
+
+/// Time that nearly all streams take from the request to the last event.
+const STREAM_TIME: Duration = Duration::from_secs(5);
+
 /// Share of the retry budget that is used; the rest covers what instances count differently.
 const BUDGET_SHARE: f64 = 0.6;
 
@@ -124,6 +132,11 @@
 const RANK_VALUES: [u32; 3] = [2000, 1500, 600];
 
 impl RequestRunner {
+    /// Refuses requests from now on that would outlast the end of this process.
+    pub fn end_at(&self, ends_at: Instant) {
+        *lock(&self.ends_at) = Some(ends_at);
+    }
+
     /// Answers one request.
     pub async fn run(self: &Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
         let arrived = Instant::now();
@@ -147,6 +160,9 @@
         let route = find_route(&routes, &head)?;
         let read = ForwardHead::from_headers(&head.headers, &self.names)
             .map_err(|_error| own(StatusCode::BAD_REQUEST, "a header is malformed"))?;
+        if !self.outlives(&route, arrived) {
+            return Err(unavailable("shutting down", RETRY_AFTER_SHUTDOWN));
+        }
         let limit = routes.limits().body_bytes;
         if stated_length(&head.headers).is_some_and(|length| length > limit) {
             return Err(own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"));
@@ -182,6 +198,18 @@
         })
     }
 
+    /// Returns whether this process lasts long enough for a request that arrives now.
+    ///
+    /// The balancer sends new callers for some seconds after a process has begun to shut down; a
+    /// stream that is cut off at the end costs its caller more than a refusal at once.
+    fn outlives(&self, route: &ForwardRoute, arrived: Instant) -> bool {
+        let need = match route.kind {
+            RouteKind::Stream => route.timeout.min(STREAM_TIME),
+            RouteKind::Idempotent | RouteKind::NonIdempotent => route.timeout,
+        };
+        lock(&self.ends_at).is_none_or(|ends_at| arrived + need < ends_at)
+    }
+
     fn request_parts(
         &self,
         head: http::request::Parts,
