--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -335,7 +335,7 @@
                 },
             );
             let asked = Instant::now();
-            let loaded = timeout_at(until, want).await;
+            let loaded = timeout_at(until - LOAD_MARGIN / 2, want).await;
             run.load_wait += asked.elapsed();
             match loaded {
                 // The upstream may have begun to leave in the meantime.
--- a/src/forward/upstream_pool.rs
+++ b/src/forward/upstream_pool.rs
@@ -41,9 +41,9 @@
     pool: Arc<UpstreamPool>,
 }
 
-/// Time allowed for a new connection; a failure domain away takes a few milliseconds, and one lost
-/// opening packet is sent again after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1300);
+/// Time allowed for a new connection. A failure domain away takes a few milliseconds; a lost opening
+/// packet is sent again only after a second, when another upstream would have answered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Idle time after which a connection is not reused if the upstream does not state its own limit.
 const DEFAULT_IDLE: Duration = Duration::from_secs(2);
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -65,8 +65,9 @@
 /// allow between 0.53 and 1.07 loads for each engine.
 const FETCHES_PER_100_ENGINES: usize = 67;
 
-/// Time after which an order or report counts as lost.
-const ORDER_TIMEOUT: Duration = DomainLease::ORDER_TIME;
+/// Time after which an order or report counts as lost. Engines answer within a few milliseconds; the
+/// next order names the same count, so that giving up early does no harm.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Stands for a permit of the domain's own share, which is used when no pool is in reach.
 const OWN_SHARE: u64 = u64::MAX;
