--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::upstream_pool::PooledConnection;
-use super::{LoadBoard, UpstreamLoad};
+use super::{LoadBoard, ModelRef, UpstreamLoad};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::UpstreamId;
 
@@ -31,15 +31,25 @@
 pub(super) struct FlightGuard {
     board: Arc<LoadBoard>,
     upstream: UpstreamId,
+    model: Option<ModelRef>,
     load: UpstreamLoad,
 }
 
 impl FlightGuard {
-    pub(super) fn new(board: &Arc<LoadBoard>, upstream: &UpstreamId, load: UpstreamLoad) -> Self {
+    pub(super) fn new(
+        board: &Arc<LoadBoard>,
+        upstream: &UpstreamId,
+        model: Option<&ModelRef>,
+        load: UpstreamLoad,
+    ) -> Self {
         board.begin(upstream, &load);
+        if let Some(model) = model {
+            board.begin_use(upstream, model);
+        }
         Self {
             board: Arc::clone(board),
             upstream: upstream.clone(),
+            model: model.cloned(),
             load,
         }
     }
@@ -60,6 +70,9 @@
 impl Drop for FlightGuard {
     fn drop(&mut self) {
         self.board.end(&self.upstream, &self.load);
+        if let Some(model) = &self.model {
+            self.board.end_use(&self.upstream, model);
+        }
     }
 }
 
--- a/src/forward/load_board.rs
+++ b/src/forward/load_board.rs
@@ -41,7 +41,16 @@
 struct BoardState {
     own: BTreeMap<UpstreamId, UpstreamLoad>,
     peers: BTreeMap<InstanceId, PeerShare>,
-    used: BTreeMap<(UpstreamId, ModelRef), u32>,
+    uses: BTreeMap<(UpstreamId, ModelRef), AdapterUse>,
+}
+
+/// The uses of one adapter at one upstream by this instance.
+#[derive(Debug, Default)]
+struct AdapterUse {
+    /// Requests since the last share.
+    count: u32,
+    /// Requests in flight.
+    running: u32,
 }
 
 #[derive(Debug)]
@@ -77,13 +86,21 @@
         }
     }
 
-    /// Counts a use of an adapter for the owner of the upstream.
-    pub fn note_use(&self, upstream: &UpstreamId, model: &ModelRef) {
+    /// Counts a request for an adapter that is sent, for the owner of the upstream.
+    pub fn begin_use(&self, upstream: &UpstreamId, model: &ModelRef) {
         let mut state = self.lock();
-        *state
-            .used
-            .entry((upstream.clone(), model.clone()))
-            .or_default() += 1;
+        let key = (upstream.clone(), model.clone());
+        let entry = state.uses.entry(key).or_default();
+        entry.count += 1;
+        entry.running += 1;
+    }
+
+    /// Counts a request for an adapter that has ended.
+    pub fn end_use(&self, upstream: &UpstreamId, model: &ModelRef) {
+        let key = (upstream.clone(), model.clone());
+        if let Some(entry) = self.lock().uses.get_mut(&key) {
+            entry.running = entry.running.saturating_sub(1);
+        }
     }
 
     /// Returns what this instance alone has in flight.
@@ -147,18 +164,22 @@
         self.lock().own.iter().map(to_item).collect()
     }
 
-    /// Takes the uses of adapters since the last call.
+    /// Lists the adapters in use and those used since the last call.
     #[must_use]
     pub fn take_uses(&self) -> Vec<UseItem> {
-        let to_item = |((upstream, model), count): ((UpstreamId, ModelRef), u32)| UseItem {
-            upstream: upstream.as_str().to_owned(),
-            adapter: model.to_string(),
-            count,
-        };
-        std::mem::take(&mut self.lock().used)
-            .into_iter()
-            .map(to_item)
-            .collect()
+        let mut state = self.lock();
+        let items = state
+            .uses
+            .iter_mut()
+            .map(|((upstream, model), adapter_use)| UseItem {
+                upstream: upstream.as_str().to_owned(),
+                adapter: model.to_string(),
+                count: std::mem::take(&mut adapter_use.count),
+                running: adapter_use.running,
+            })
+            .collect();
+        state.uses.retain(|_, adapter_use| adapter_use.running > 0);
+        items
     }
 
     fn lock(&self) -> MutexGuard<'_, BoardState> {
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -67,7 +67,6 @@
     route: Arc<ForwardRoute>,
     service: Arc<ForwardService>,
     parts: RequestParts,
-    model: Option<ModelRef>,
     fingerprint: u64,
     deadline: Instant,
     arrived: Instant,
@@ -188,7 +187,6 @@
             route,
             service,
             parts,
-            model: read.model,
             fingerprint,
             deadline,
             arrived,
@@ -232,6 +230,7 @@
             headers,
             body,
             attempt: read.attempt.clone(),
+            model: read.model.clone(),
             load: UpstreamLoad {
                 requests: 1,
                 prompt_tokens: read.prompt_tokens,
@@ -314,7 +313,7 @@
             let Some(chosen) = self.choose(run) else {
                 return Err(unavailable("no usable upstream", RETRY_AFTER_START));
             };
-            let Some(model) = run.model.as_ref().filter(|_| !chosen.is_resident) else {
+            let Some(model) = run.parts.model.as_ref().filter(|_| !chosen.is_resident) else {
                 return Ok(chosen);
             };
             let patience = STREAM_PATIENCE.max(run.route.target_latency * 4);
@@ -370,7 +369,7 @@
             })
             .collect();
         let untried = |entry: &&&Arc<UpstreamEntry>| !run.tried.contains(&entry.id);
-        let Some(model) = &run.model else {
+        let Some(model) = &run.parts.model else {
             let fresh: Vec<_> = usable.iter().filter(untried).copied().collect();
             let candidates = if fresh.is_empty() { usable } else { fresh };
             let entry = self.pick(run, &candidates, &[], now)?;
@@ -526,12 +525,10 @@
         run.attempts += 1;
         run.tried.push(chosen.entry.id.clone());
         let version = run
+            .parts
             .model
             .as_ref()
             .map_or(0, |model| self.fleet.min_version(model));
-        if let Some(model) = &run.model {
-            self.board.note_use(&chosen.entry.id, model);
-        }
         let instances = self.board.live_instances(self.clock.now());
         let limit = usize::try_from(run.service.max_connections).unwrap_or(usize::MAX);
         let plan = AttemptPlan {
@@ -553,7 +550,7 @@
                 self.health.lose(upstream, now);
             }
             AttemptFailure::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
-                if let Some(model) = &run.model {
+                if let Some(model) = &run.parts.model {
                     self.view.note_absent(upstream, model);
                 }
             }
@@ -688,7 +685,7 @@
 impl ForwardRun {
     /// Logs where the time of an answer after the target went.
     fn log_late(&self, body: &super::ConnectionBody) {
-        let model = self.model.as_ref().map(ModelRef::to_string);
+        let model = self.parts.model.as_ref().map(ModelRef::to_string);
         LogEvent::new(LogName::RequestLate)
             .with("attempt", &self.parts.attempt)
             .with("route", &self.route.name)
@@ -724,7 +721,7 @@
     } else {
         LogName::RequestFailed
     };
-    let model = run.model.as_ref().map(ModelRef::to_string);
+    let model = run.parts.model.as_ref().map(ModelRef::to_string);
     LogEvent::new(name)
         .with("attempt", &run.parts.attempt)
         .with("route", &run.route.name)
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -10,7 +10,9 @@
 use super::connection_body::FlightGuard;
 use super::forward_head::{millis_value, strip_hop_headers};
 use super::upstream_pool::PooledConnection;
-use super::{ConnectionBody, HeaderNames, LoadBoard, UpstreamEntry, UpstreamLoad, UpstreamPool};
+use super::{
+    ConnectionBody, HeaderNames, LoadBoard, ModelRef, UpstreamEntry, UpstreamLoad, UpstreamPool,
+};
 use crate::error::RunState;
 
 /// The answer of an upstream.
@@ -69,6 +71,7 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) attempt: String,
+    pub(super) model: Option<ModelRef>,
     pub(super) load: UpstreamLoad,
 }
 
@@ -95,7 +98,7 @@
     parts: &RequestParts,
     plan: &AttemptPlan,
 ) -> Result<UpstreamAnswer, AttemptFailure> {
-    let guard = FlightGuard::new(board, &plan.entry.id, parts.load);
+    let guard = FlightGuard::new(board, &plan.entry.id, parts.model.as_ref(), parts.load);
     let mut is_fresh = false;
     loop {
         let taken = pool.take(
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -593,7 +593,10 @@
     /// The adapter, as `model/adapter`.
     #[prost(string, tag = "2")]
     pub adapter: String,
-    /// Number of requests.
+    /// Number of requests that were sent since the previous share.
     #[prost(uint32, tag = "3")]
     pub count: u32,
+    /// Number of requests in flight.
+    #[prost(uint32, tag = "4")]
+    pub running: u32,
 }
--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -21,6 +21,7 @@
     heard_at: Duration,
     rank: u32,
     is_taking: bool,
+    heard_epoch: u64,
 }
 
 #[derive(Debug)]
@@ -84,6 +85,7 @@
             heard_at: now,
             rank,
             is_taking: false,
+            heard_epoch: 0,
         }
     }
 
@@ -108,10 +110,12 @@
     /// Answers another instance's claim to the domain; returns whether it is acknowledged.
     ///
     /// A claim is contested while this instance holds the domain or its own write is under way,
-    /// since the claimant may have been paused while its ownership passed on. An acknowledgement
+    /// or has heard of a later epoch, since the claimant may have been paused or cut off while its
+    /// ownership passed on. An acknowledgement
     /// promises that this instance takes over only after the takeover age.
     pub fn answer_claim(&mut self, epoch: u64, now: Duration) -> bool {
         let is_contested = self.is_taking
+            || epoch < self.heard_epoch
             || self
                 .held
                 .as_ref()
@@ -122,6 +126,7 @@
         if self.held.is_some() {
             self.drop_held(now);
         }
+        self.heard_epoch = epoch;
         self.hear_holder(now);
         true
     }
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -44,6 +44,15 @@
     ordering: usize,
     pool: FetchPool,
     holders: BTreeMap<DomainId, HeardHolder>,
+    /// The adapters in use by each instance.
+    running: BTreeMap<InstanceId, RunningAdapters>,
+}
+
+/// The adapters that one instance has requests in flight for.
+#[derive(Debug)]
+struct RunningAdapters {
+    told_at: Duration,
+    running: BTreeMap<UpstreamId, BTreeSet<ModelRef>>,
 }
 
 /// The owner of a domain, as it told itself.
@@ -81,6 +90,9 @@
 /// Age after which an owner's news no longer shows that it is there.
 const HOLDER_EXPIRY: Duration = Duration::from_millis(1500);
 
+/// Age after which an instance's adapters in use no longer count; it has failed.
+const RUNNING_EXPIRY: Duration = Duration::from_secs(2);
+
 /// Pause before an upstream's loader looks again for permission to order.
 const LEASE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -148,17 +160,24 @@
         Ok(())
     }
 
-    /// Counts uses of adapters that instances have told.
-    pub fn note_uses(&self, uses: &[UseItem]) {
+    /// Takes the uses of adapters that an instance has told.
+    pub fn note_uses(&self, instance: &InstanceId, uses: &[UseItem]) {
         let now = self.clock.now();
         let mut state = self.lock();
+        let mut running: BTreeMap<UpstreamId, BTreeSet<ModelRef>> = BTreeMap::new();
         for item in uses {
             let upstream = UpstreamId::from_name(&item.upstream);
+            let model = ModelRef::from_text(&item.adapter);
             if let Some(loader) = state.loaders.get_mut(&upstream) {
-                let model = ModelRef::from_text(&item.adapter);
                 loader.ledger.note_uses(&model, item.count, now);
             }
+            if item.running > 0 {
+                running.entry(upstream).or_default().insert(model);
+            }
         }
+        let told_at = now;
+        let running = RunningAdapters { told_at, running };
+        state.running.insert(instance.clone(), running);
     }
 
     /// Lists the owned upstreams for the instances.
@@ -566,8 +585,9 @@
             return Some((entry, LoaderStep::Order(order, false)));
         }
         let is_free = state.permits.is_free();
+        let busy = state.running_at(upstream, now);
         let loader = state.loaders.get_mut(upstream)?;
-        let step = match loader.ledger.next_action(now, is_free) {
+        let step = match loader.ledger.next_action(now, is_free, &busy) {
             LedgerAction::Wait(until) => LoaderStep::Wait(until),
             LedgerAction::Report => LoaderStep::Report,
             LedgerAction::Order {
@@ -707,6 +727,17 @@
 }
 
 impl OwnerState {
+    /// Returns the adapters with requests in flight at an upstream.
+    fn running_at(&self, upstream: &UpstreamId, now: Duration) -> BTreeSet<ModelRef> {
+        self.running
+            .values()
+            .filter(|told| now.saturating_sub(told.told_at) < RUNNING_EXPIRY)
+            .filter_map(|told| told.running.get(upstream))
+            .flatten()
+            .cloned()
+            .collect()
+    }
+
     /// Returns the oldest of the newest acknowledgements of all other instances.
     fn acked_at(&self, domain: &DomainId) -> Option<Duration> {
         oldest_ack(&self.others, self.acks.get(domain)?)
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -190,7 +190,7 @@
             let share = self.own_share();
             let now = self.clock.now();
             self.view.merge(&self.instance, &share.owned, now);
-            self.owner.note_uses(&share.used);
+            self.owner.note_uses(&self.instance, &share.used);
             self.owner
                 .hear_holders(&self.instance, to_domains(&share.owned_domains), now);
             for peer in self.mesh.live_peers() {
@@ -243,7 +243,7 @@
         let now = self.clock.now();
         self.board.merge(peer, share, now);
         self.view.merge(peer, &share.owned, now);
-        self.owner.note_uses(&share.used);
+        self.owner.note_uses(peer, &share.used);
         lock(&self.suspects).merge(peer, &share.suspects, now);
         let revisions = [
             (FeedKind::Config, share.config_revision),
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -112,8 +112,9 @@
 /// Pause after an order without an answer; an engine that is down refuses connections at once.
 const LOST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time after its last use from which an adapter is likely to have no run left.
-const IDLE_AGE: Duration = Duration::from_millis(2500);
+/// Time after its last use in which an adapter is not evicted: requests may be on their way that no
+/// instance has told of yet.
+const IDLE_AGE: Duration = Duration::from_millis(600);
 
 /// Time in which half of an adapter's uses are forgotten, so that popularity can shift.
 const USE_HALF_LIFE: Duration = Duration::from_secs(10);
@@ -121,6 +122,9 @@
 /// Adapters that an engine keeps in host memory, as far as the ledger believes.
 const RECENT_ADAPTERS: usize = 100;
 
+/// The longest pause while loads wait, until an adapter may have become idle.
+const WAITING_PAUSE: Duration = Duration::from_millis(50);
+
 /// The longest pause without work, which bounds how late an expired request is refused.
 const IDLE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -187,8 +191,14 @@
         }
     }
 
-    /// Returns what to do next; `may_fetch` tells whether one more load from the weight store fits.
-    pub fn next_action(&mut self, now: Duration, may_fetch: bool) -> LedgerAction {
+    /// Returns what to do next; `may_fetch` tells whether one more load from the weight store fits,
+    /// `busy` names the adapters with requests in flight.
+    pub fn next_action(
+        &mut self,
+        now: Duration,
+        may_fetch: bool,
+        busy: &BTreeSet<ModelRef>,
+    ) -> LedgerAction {
         let Some(sequence) = self.sequence else {
             return if self.report_at <= now {
                 LedgerAction::Report
@@ -225,7 +235,7 @@
                 is_fetch: false,
             };
         }
-        if let Some(action) = self.next_load(now, may_fetch, expected) {
+        if let Some(action) = self.next_load(now, may_fetch, busy, expected) {
             return action;
         }
         LedgerAction::Wait(self.next_due(now))
@@ -235,6 +245,7 @@
         &mut self,
         now: Duration,
         may_fetch: bool,
+        busy: &BTreeSet<ModelRef>,
         expected: Option<u64>,
     ) -> Option<LedgerAction> {
         self.expire(now);
@@ -274,7 +285,7 @@
         if self.evicting.is_some() {
             return None;
         }
-        let victim = self.victim(now)?;
+        let victim = self.victim(now, busy)?;
         Some(order(OrderKind::Unload, victim, 0))
     }
 
@@ -292,32 +303,33 @@
         });
     }
 
-    /// Chooses the least used adapter, one without recent use first.
-    fn victim(&self, now: Duration) -> Option<ModelRef> {
+    /// Chooses the least used adapter without requests in flight.
+    ///
+    /// An engine lets the requests of an evicted adapter end first, for seconds, in which its place
+    /// is of no use; if all adapters are in use, waiting is better than evicting one.
+    fn victim(&self, now: Duration, busy: &BTreeSet<ModelRef>) -> Option<ModelRef> {
         self.residents
             .iter()
-            .map(|(model, resident)| {
-                let is_busy = now.saturating_sub(resident.used_at) < IDLE_AGE;
-                (is_busy, resident.faded_uses(now), model)
-            })
-            .min_by(|left, right| {
-                left.0
-                    .cmp(&right.0)
-                    .then(left.1.total_cmp(&right.1))
-                    .then(left.2.cmp(right.2))
+            .filter(|(model, resident)| {
+                !busy.contains(*model) && now.saturating_sub(resident.used_at) >= IDLE_AGE
             })
-            .map(|(_, _, model)| model.clone())
+            .min_by(|(_, left), (_, right)| left.faded_uses(now).total_cmp(&right.faded_uses(now)))
+            .map(|(model, _)| model.clone())
     }
 
     /// Returns the next time at which something is due.
     fn next_due(&self, now: Duration) -> Duration {
         let pending = self.pending.values().map(|pending| pending.check_at);
         let evicting = self.evicting.iter().map(|evicting| evicting.check_at);
+        let pause = if self.waiting.is_empty() {
+            IDLE_PAUSE
+        } else {
+            WAITING_PAUSE
+        };
         pending
             .chain(evicting)
             .min()
-            .unwrap_or(now + IDLE_PAUSE)
-            .min(now + IDLE_PAUSE)
+            .map_or(now + pause, |due| due.min(now + pause))
     }
 
     /// Takes the engine's answer to an order.
--- a/tests/residency/lease.rs
+++ b/tests/residency/lease.rs
@@ -130,6 +130,18 @@
     assert_eq!(successor.epoch(), Some(4));
 }
 
+/// Guards against an instance that vouches for a former holder although it has heard of the present
+/// one; the former holder may not know its successor.
+#[test]
+fn third_instance_contests_a_claim_with_an_older_epoch() {
+    let mut third = lease("c", 2);
+
+    assert!(third.answer_claim(4, at(1000)));
+
+    assert!(!third.answer_claim(3, at(1100)));
+    assert!(third.answer_claim(4, at(1200)));
+}
+
 /// Guards against a claim that is acknowledged while the own takeover is being written.
 #[test]
 fn claim_is_contested_while_a_takeover_is_under_way() {
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -54,7 +54,7 @@
 fn load(ledger: &mut ResidencyLedger, model: &ModelRef, now: Duration) {
     let (waiter, _answer) = waiter(1, 100_000, 100_000);
     ledger.want(model, 0, waiter, now);
-    let action = ledger.next_action(now, true);
+    let action = ledger.next_action(now, true, &BTreeSet::new());
     assert!(is_load(&action, model), "{action:?}");
     ledger.order_answered(OrderKind::Load, model, 0, OrderOutcome::Accepted, now);
     ledger.order_answered(OrderKind::Load, model, 0, OrderOutcome::Holds, now);
@@ -71,7 +71,10 @@
     let mut ledger = ledger(4);
     let (waiter, mut answer) = waiter(1, 1000, 2000);
     ledger.want(&adapter(1), 0, waiter, at(0));
-    assert!(is_load(&ledger.next_action(at(0), true), &adapter(1)));
+    assert!(is_load(
+        &ledger.next_action(at(0), true, &BTreeSet::new()),
+        &adapter(1)
+    ));
     ledger.order_answered(
         OrderKind::Load,
         &adapter(1),
@@ -80,8 +83,8 @@
         at(1),
     );
 
-    let early = ledger.next_action(at(240), true);
-    let due = ledger.next_action(at(262), true);
+    let early = ledger.next_action(at(240), true, &BTreeSet::new());
+    let due = ledger.next_action(at(262), true, &BTreeSet::new());
     ledger.order_answered(
         OrderKind::Load,
         &adapter(1),
@@ -120,10 +123,13 @@
 
     assert!(!ledger.is_known());
     assert!(matches!(
-        ledger.next_action(at(300), true),
+        ledger.next_action(at(300), true, &BTreeSet::new()),
         LedgerAction::Wait(_)
     ));
-    assert_eq!(ledger.next_action(at(600), true), LedgerAction::Report);
+    assert_eq!(
+        ledger.next_action(at(600), true, &BTreeSet::new()),
+        LedgerAction::Report
+    );
 }
 
 /// Guards against an overfilled engine, which crashes: places on the way count.
@@ -136,7 +142,7 @@
     let (waiter, _answer) = waiter(1, 10_000, 20_000);
     ledger.want(&adapter(3), 0, waiter, at(5000));
 
-    let action = ledger.next_action(at(5000), true);
+    let action = ledger.next_action(at(5000), true, &BTreeSet::new());
 
     assert!(
         matches!(
@@ -147,6 +153,32 @@
     );
 }
 
+/// Guards against the eviction of an adapter with requests in flight, which blocks a place of the
+/// engine until they end.
+#[test]
+fn adapter_in_use_is_not_evicted() {
+    let mut ledger = ledger(2);
+    load(&mut ledger, &adapter(1), at(0));
+    load(&mut ledger, &adapter(2), at(10));
+    ledger.note_uses(&adapter(2), 5, at(20));
+    let (waiter, _answer) = waiter(1, 10_000, 20_000);
+    ledger.want(&adapter(3), 0, waiter, at(5000));
+    let busy = BTreeSet::from([adapter(1)]);
+
+    let action = ledger.next_action(at(5000), true, &busy);
+    let all_busy = BTreeSet::from([adapter(1), adapter(2)]);
+    let waiting = ledger.next_action(at(5000), true, &all_busy);
+
+    assert!(
+        matches!(
+            &action,
+            LedgerAction::Order { kind: OrderKind::Unload, model, .. } if *model == adapter(2)
+        ),
+        "{action:?}"
+    );
+    assert!(matches!(waiting, LedgerAction::Wait(_)), "{waiting:?}");
+}
+
 /// Guards against a load ordered twice after a lost answer: the next order names the same count,
 /// so that the engine takes only one of them.
 #[test]
@@ -156,7 +188,7 @@
     ledger.want(&adapter(1), 0, waiter, at(0));
     let LedgerAction::Order {
         expected: first, ..
-    } = ledger.next_action(at(0), true)
+    } = ledger.next_action(at(0), true, &BTreeSet::new())
     else {
         panic!("the load is ordered");
     };
@@ -164,12 +196,12 @@
     ledger.order_lost(OrderKind::Load, &adapter(1), at(700));
 
     assert!(matches!(
-        ledger.next_action(at(710), true),
+        ledger.next_action(at(710), true, &BTreeSet::new()),
         LedgerAction::Wait(_)
     ));
     let LedgerAction::Order {
         expected: second, ..
-    } = ledger.next_action(at(900), true)
+    } = ledger.next_action(at(900), true, &BTreeSet::new())
     else {
         panic!("the load is ordered again");
     };
@@ -187,7 +219,7 @@
     ledger.want(&adapter(1), 0, hopeless, at(0));
     ledger.want(&adapter(2), 0, gone, at(0));
 
-    let action = ledger.next_action(at(0), true);
+    let action = ledger.next_action(at(0), true, &BTreeSet::new());
 
     assert!(matches!(action, LedgerAction::Wait(_)), "{action:?}");
     assert_eq!(refused.try_recv(), Ok(Err(LoadRefusal::TooLate)));
@@ -203,7 +235,7 @@
     ledger.want(&adapter(1), 0, late, at(0));
     ledger.want(&adapter(2), 0, punctual, at(300));
 
-    let action = ledger.next_action(at(300), true);
+    let action = ledger.next_action(at(300), true, &BTreeSet::new());
 
     assert!(is_load(&action, &adapter(2)), "{action:?}");
 }
@@ -216,7 +248,7 @@
     let (waiter, mut answer) = waiter(1, 10_000, 20_000);
 
     ledger.want(&adapter(1), 2, waiter, at(100));
-    let action = ledger.next_action(at(100), true);
+    let action = ledger.next_action(at(100), true, &BTreeSet::new());
 
     assert!(
         matches!(
@@ -268,7 +300,9 @@
     }
 
     let mut ordered = BTreeMap::new();
-    while let LedgerAction::Order { kind, model, .. } = ledger.next_action(at(1), true) {
+    while let LedgerAction::Order { kind, model, .. } =
+        ledger.next_action(at(1), true, &BTreeSet::new())
+    {
         ledger.order_answered(kind, &model, 0, OrderOutcome::Accepted, at(1));
         ordered.insert(model, kind);
     }
