Do not count the check of a load under way as an order

A check that is answered "still loading" is repeated after 25 ms now, and the expected time follows what was seen.

--- a/src/residency/fetch_permits.rs
+++ b/src/residency/fetch_permits.rs
@@ -24,6 +24,11 @@
         !self.free.is_empty()
     }
 
+    /// Counts the permits that no load uses yet.
+    pub(super) const fn free_count(&self) -> usize {
+        self.free.len()
+    }
+
     /// Uses a permit for a load.
     pub(super) fn take(&mut self) {
         if let Some(permit) = self.free.pop() {
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -361,6 +361,19 @@
         }
     }
 
+    /// Returns whether the shares of the owned domains leave room for one more load.
+    fn has_own_share(&self) -> bool {
+        let state = self.lock();
+        let ledgers = state.loaders.values().map(|loader| &loader.ledger);
+        let fetches: usize = ledgers.map(ResidencyLedger::fetches).sum();
+        let held = state
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.epoch().is_some());
+        let share: usize = held.map(|(domain, _)| self.fetch_limit(Some(domain))).sum();
+        fetches + state.ordering + state.permits.free_count() < share
+    }
+
     async fn send_return(&self, holder: &InstanceId, permit: u64) {
         let done = PermitDone {
             store: String::new(),
@@ -405,7 +418,7 @@
             Ok(Some(permit)) if permit != LAPSED_BID => Some(permit),
             Ok(None) => {
                 sleep(LEASE_PAUSE).await;
-                Some(OWN_SHARE)
+                self.has_own_share().then_some(OWN_SHARE)
             }
             Ok(Some(_)) | Err(_) => None,
         }
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -96,15 +96,13 @@
 /// Time between two checks of an eviction, or of a load at an engine that takes no order just now.
 const CHECK_STEP: Duration = Duration::from_millis(25);
 
-/// Time beyond the expected end of a load at which it is checked. A check is the same order again,
-/// which an engine that is still loading takes for a second load, so it must not come early.
+/// Time beyond the expected end of a load at which it is checked. A check is the same order again; an
+/// engine answers whether the load is done.
 const CHECK_MARGIN: Duration = Duration::from_millis(10);
 
-/// Growth of the expected load time after a load that was not done by then.
-const SLOWER: f64 = 1.2;
-
-/// Decay of the expected load time after a load that was done by then.
-const FASTER: f64 = 0.99;
+/// Decay of the expected load time after a load that was done by then, so that it is checked sooner
+/// again after a time in which the weight store was overloaded.
+const FASTER: f64 = 0.9;
 
 /// Reports lag; one read sooner after an order may not show it.
 const REPORT_LAG: Duration = Duration::from_millis(280);
@@ -346,6 +344,10 @@
             return;
         }
         match (kind, outcome) {
+            (OrderKind::Load, OrderOutcome::Accepted) if self.is_check(kind, model) => {
+                // The engine still loads; it does not count the same order again.
+                self.delay_check(model, now);
+            }
             (OrderKind::Load, OrderOutcome::Accepted) => {
                 self.count_order();
                 self.load_accepted(model, version, now);
@@ -405,8 +407,11 @@
                 PendingLoad {
                     version: *version,
                     ordered_at: known.as_ref().map_or(now, |known| known.ordered_at),
-                    check_at: now + CHECK_STEP,
-                    is_fetch: true,
+                    check_at: known
+                        .as_ref()
+                        .map_or(now, |known| known.check_at)
+                        .max(now + CHECK_STEP),
+                    is_fetch: known.as_ref().is_none_or(|known| known.is_fetch),
                     waiters: known.map(|known| known.waiters).unwrap_or_default(),
                 },
             );
@@ -563,14 +568,6 @@
     }
 
     fn load_accepted(&mut self, model: &ModelRef, version: u64, now: Duration) {
-        if let Some(pending) = self.pending.get(model) {
-            if pending.is_fetch {
-                self.cold_time = self.cold_time.mul_f64(SLOWER);
-            }
-            // The engine may have taken the check for another order; a report tells.
-            self.forget(now);
-            return;
-        }
         let is_fetch = !self.recent.contains_key(model);
         let time = if is_fetch {
             self.cold_time
@@ -603,7 +600,12 @@
         if let Some(pending) = self.pending.remove(model) {
             waiters.extend(pending.waiters);
             if pending.is_fetch {
-                self.cold_time = self.cold_time.mul_f64(FASTER).max(FIRST_COLD_TIME);
+                let time = now.saturating_sub(pending.ordered_at);
+                self.cold_time = if time > self.cold_time + CHECK_MARGIN * 2 {
+                    (self.cold_time * 3 + time) / 4
+                } else {
+                    self.cold_time.mul_f64(FASTER).max(FIRST_COLD_TIME)
+                };
             }
         }
         let mut resident = Resident {
