Load a new adapter version beside the old one; keep ownership until the process ends

A new version is now loaded at an engine that does not hold the old one. - An instance that was shutting down gave its domain up and took it again 0.8 s later; after its end the domain had no owner for five seconds. It now orders until it ends, and its next process takes its own record back at the first read. The release of a lease is removed.

--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -421,6 +421,7 @@
         now: Duration,
     ) -> Vec<&'a Arc<UpstreamEntry>> {
         let key = model.to_string();
+        let min_version = self.fleet.min_version(model);
         let mut homes: Vec<_> = usable
             .iter()
             .copied()
@@ -429,8 +430,11 @@
             .collect();
         homes.sort_by_cached_key(|entry| {
             let has_owner = self.view.owner_of(&entry.id, now).is_some();
+            // Replacing an adapter blocks an engine until its requests have ended; the new version
+            // is loaded where the old one is not.
+            let is_outdated = self.view.is_outdated(&entry.id, model, min_version);
             let score = rendezvous_score(&key, entry.id.as_str());
-            std::cmp::Reverse((has_owner, score))
+            std::cmp::Reverse((has_owner, !is_outdated, score))
         });
         homes
     }
--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -22,6 +22,7 @@
     rank: u32,
     is_taking: bool,
     heard_epoch: u64,
+    has_read: bool,
 }
 
 #[derive(Debug)]
@@ -29,7 +30,6 @@
     record: LeaseRecord,
     revision: u64,
     renewed_at: Duration,
-    order_from: Duration,
 }
 
 #[derive(Debug)]
@@ -86,6 +86,7 @@
             rank,
             is_taking: false,
             heard_epoch: 0,
+            has_read: false,
         }
     }
 
@@ -135,6 +136,7 @@
     /// other instances, none if one of them has never acknowledged.
     #[must_use]
     pub fn next_step(&mut self, now: Duration, acked_at: Option<Duration>) -> LeaseStep {
+        let wait = Self::START_PAUSE + Self::RANK_STEP * self.rank;
         if let Some(held) = &self.held {
             let proof = held.renewed_at.max(acked_at.unwrap_or_default());
             if now.saturating_sub(proof) < Self::RENEW_AGE {
@@ -144,17 +146,19 @@
             record.renewals += 1;
             return LeaseStep::Write(record, Some(held.revision));
         }
-        let wait = Self::START_PAUSE + Self::RANK_STEP * self.rank;
-        if now.saturating_sub(self.heard_at) < wait {
-            return LeaseStep::Rest;
-        }
         let Some(seen) = &self.seen else {
-            return LeaseStep::Read;
+            // The first read shows at once whether this machine held the domain before.
+            let is_due = !self.has_read || now.saturating_sub(self.heard_at) >= wait;
+            return if is_due {
+                LeaseStep::Read
+            } else {
+                LeaseStep::Rest
+            };
         };
         let is_own = seen.record.holder == self.instance;
         let is_stale = now.saturating_sub(seen.unchanged_since) >= Self::TAKEOVER_AGE
             && now.saturating_sub(self.heard_at) >= Self::TAKEOVER_AGE;
-        if is_own || seen.record.is_released || is_stale {
+        if is_own || is_stale {
             self.is_taking = true;
             return LeaseStep::Write(self.taken(seen.record.epoch + 1), Some(seen.revision));
         }
@@ -165,8 +169,12 @@
     /// Takes the record that was read; none if there is no record.
     #[must_use]
     pub fn record_read(&mut self, found: Option<(LeaseRecord, u64)>, now: Duration) -> LeaseStep {
+        self.has_read = true;
         let Some((record, revision)) = found else {
             self.seen = None;
+            if now.saturating_sub(self.heard_at) < Self::RANK_STEP * self.rank {
+                return LeaseStep::Rest;
+            }
             self.is_taking = true;
             return LeaseStep::Write(self.taken(1), None);
         };
@@ -187,28 +195,10 @@
     /// Takes a successful write that was sent at `sent_at`.
     pub fn record_written(&mut self, record: LeaseRecord, revision: u64, sent_at: Duration) {
         self.is_taking = false;
-        if record.is_released {
-            self.held = None;
-            self.seen = None;
-            self.heard_at = sent_at;
-            return;
-        }
-        let order_from = match (&self.held, &self.seen) {
-            (Some(held), _) => held.order_from,
-            (None, Some(seen))
-                if seen.record.is_released && seen.record.holder != self.instance =>
-            {
-                sent_at + Self::ORDER_TIME + Self::QUIET_TIME
-            }
-            // No other instance has ordered yet, or this machine was the last to, or the takeover
-            // age covers the validity and the quiet time.
-            (None, _) => sent_at,
-        };
         self.held = Some(HeldLease {
             record,
             revision,
             renewed_at: sent_at,
-            order_from,
         });
         self.seen = None;
     }
@@ -232,7 +222,7 @@
     pub fn may_order(&self, now: Duration, acked_at: Option<Duration>) -> bool {
         self.held.as_ref().is_some_and(|held| {
             let proof = held.renewed_at.max(acked_at.unwrap_or_default());
-            now >= held.order_from && now.saturating_sub(proof) < Self::VALIDITY
+            now.saturating_sub(proof) < Self::VALIDITY
         })
     }
 
@@ -242,16 +232,6 @@
         self.held.as_ref().map(|held| held.record.epoch)
     }
 
-    /// Returns the record that gives the lease up, with the revision to write it at.
-    #[must_use]
-    pub fn release(&self) -> Option<(LeaseRecord, u64)> {
-        self.held.as_ref().map(|held| {
-            let mut record = held.record.clone();
-            record.is_released = true;
-            (record, held.revision)
-        })
-    }
-
     /// Gives the lease up locally.
     pub fn drop_held(&mut self, now: Duration) {
         self.held = None;
@@ -265,7 +245,6 @@
             holder: self.instance.clone(),
             epoch,
             renewals: 0,
-            is_released: false,
         }
     }
 }
--- a/src/residency/lease_record.rs
+++ b/src/residency/lease_record.rs
@@ -11,6 +11,4 @@
     pub epoch: u64,
     /// Rises with each renewal.
     pub renewals: u64,
-    /// Whether the holder has given the domain up and orders no more.
-    pub is_released: bool,
 }
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -8,8 +8,8 @@
 use super::domain_lease::oldest_ack;
 use super::fetch_permits::{FetchPermits, PermitStep};
 use super::{
-    DomainLease, EngineOrder, FetchPool, LeaseRecord, LedgerAction, LedgerLimits, LoadRefusal,
-    LoadWaiter, LoadWorth, OrderKind, OrderPort, ResidencyLedger,
+    DomainLease, EngineOrder, FetchPool, LedgerAction, LedgerLimits, LoadRefusal, LoadWaiter,
+    LoadWorth, OrderKind, OrderPort, ResidencyLedger,
 };
 use crate::forward::{FleetState, ModelRef, UpstreamEntry};
 use crate::id::{DomainId, InstanceId, UpstreamId};
@@ -498,17 +498,7 @@
         }
     }
 
-    /// Returns the records that give all held leases up.
-    #[must_use]
-    pub fn releases(&self) -> Vec<(LeaseRecord, u64)> {
-        self.lock()
-            .leases
-            .values()
-            .filter_map(DomainLease::release)
-            .collect()
-    }
-
-    /// Stops ordering at once; the records are written afterwards.
+    /// Stops ordering at once; the process ends.
     pub fn drop_leases(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
--- a/src/residency/order_port.rs
+++ b/src/residency/order_port.rs
@@ -60,6 +60,8 @@
     pub sequence: u64,
     /// Base models that are resident.
     pub models: BTreeSet<String>,
+    /// Whether an order is carried out before which no other is taken.
+    pub is_busy: bool,
     /// Resident adapters with their versions.
     pub adapters: BTreeMap<ModelRef, u64>,
     /// Adapters that are being loaded, with their versions.
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -110,6 +110,9 @@
 /// Pause after an order without an answer; an engine that is down refuses connections at once.
 const LOST_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause for an engine that carries an order out; it refuses all others meanwhile.
+const BUSY_PAUSE: Duration = Duration::from_millis(150);
+
 /// Time after its last use in which an adapter is not evicted: requests may be on their way that no
 /// instance has told of yet.
 const IDLE_AGE: Duration = Duration::from_millis(600);
@@ -250,11 +253,13 @@
         if self.pending.len() >= self.limits.max_pending {
             return None;
         }
-        let (recent, cold) = (&self.recent, self.cold_time);
+        let (recent, residents, cold) = (&self.recent, &self.residents, self.cold_time);
         let best = self
             .waiting
             .iter_mut()
             .filter(|(model, _)| may_fetch || recent.contains_key(model))
+            // An engine takes no other order until the requests of a replaced adapter have ended.
+            .filter(|(model, _)| !(residents.contains_key(model) && busy.contains(model)))
             .map(|(model, waiting)| {
                 let is_recent = recent.contains_key(model);
                 let ready_at = now + if is_recent { cold / WARM_SHARE } else { cold };
@@ -386,6 +391,9 @@
         self.sequence = Some(report.sequence);
         self.models.clone_from(&report.models);
         self.evicting = None;
+        if report.is_busy {
+            self.pause_until = now + BUSY_PAUSE;
+        }
         let residents = std::mem::take(&mut self.residents);
         for (model, version) in &report.adapters {
             let known = residents.get(model);
--- a/src/residency/residency_view.rs
+++ b/src/residency/residency_view.rs
@@ -80,6 +80,15 @@
         (version >= min_version).then_some(version)
     }
 
+    /// Returns whether an upstream holds a version of the adapter below `min_version`.
+    #[must_use]
+    pub fn is_outdated(&self, upstream: &UpstreamId, model: &ModelRef, min_version: u64) -> bool {
+        self.lock()
+            .get(upstream)
+            .and_then(|entry| entry.adapters.get(model).copied())
+            .is_some_and(|version| version < min_version)
+    }
+
     /// Returns the owner of an upstream if it has told of it lately.
     #[must_use]
     pub fn owner_of(&self, upstream: &UpstreamId, now: Duration) -> Option<InstanceId> {
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -334,3 +334,20 @@
     assert_eq!(ordered.len(), 4);
     assert_eq!(ledger.fetches(), 4);
 }
+
+/// Guards against a replacement that blocks an engine until the last request of the old version has
+/// ended; no other adapter was loaded there for five seconds.
+#[test]
+fn adapter_in_use_is_not_replaced() {
+    let mut ledger = ledger(2);
+    load(&mut ledger, &adapter(1), at(0));
+    let (replacing, _replaced) = waiter(9, 10_000, 20_000);
+    let (other, _answer) = waiter(1, 10_000, 20_000);
+    ledger.want(&adapter(1), 2, replacing, at(10));
+    ledger.want(&adapter(2), 0, other, at(10));
+    let busy = BTreeSet::from([adapter(1)]);
+
+    let action = ledger.next_action(at(10), true, &busy);
+
+    assert!(is_load(&action, &adapter(2)), "{action:?}");
+}
