--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -22,7 +22,7 @@
 use crate::member::rendezvous_score;
 use crate::policy::{RetryBudget, SuspectList, SuspectVerdict, UpstreamOption, choose_upstream};
 use crate::residency::{LoadClient, LoadWorth, ResidencyView};
-use crate::telemetry::{LogEvent, LogName};
+use crate::telemetry::{LogEvent, LogName, MetricName, MetricSink};
 use crate::time::ClockSource;
 
 /// Carries requests through their attempts.
@@ -47,6 +47,8 @@
     pub loads: LoadClient,
     /// Requests that crashed upstreams.
     pub suspects: Arc<Mutex<SuspectList>>,
+    /// Counts and durations by service.
+    pub metrics: MetricSink,
     /// The retries allowed, by service.
     pub budgets: Mutex<BTreeMap<String, RetryBudget>>,
     /// The time at which this process ends; none while it does not shut down.
@@ -242,21 +244,23 @@
     async fn forward(self: &Arc<Self>, mut run: ForwardRun) -> Response<ReplyBody> {
         let now = self.clock.now();
         if lock(&self.suspects).judge(run.fingerprint, now) == SuspectVerdict::Refused {
-            return refuse(
+            return self.refuse(
                 &run,
                 unavailable("crashed upstreams", Duration::from_secs(5)),
             );
         }
         self.budget(&run.service.name, |budget| budget.earn(now));
+        self.metrics
+            .add(MetricName::Requests, &run.service.name, run.rank_tag(), 1);
         let mut may_have_run = false;
         loop {
             let chosen = match self.place(&mut run).await {
                 Ok(chosen) => chosen,
                 Err(answer) if may_have_run => {
                     let failed = own(StatusCode::BAD_GATEWAY, answer.reason);
-                    return refuse(&run, failed);
+                    return self.refuse(&run, failed);
                 }
-                Err(answer) => return refuse(&run, answer),
+                Err(answer) => return self.refuse(&run, answer),
             };
             let failure = match self.attempt(&mut run, &chosen, None).await {
                 Ok(answer) => {
@@ -270,7 +274,7 @@
             self.note_failure(&run, &chosen, &failure);
             may_have_run |= !failure.is_not_run();
             if !self.may_retry(&run, &failure) {
-                return refuse(&run, last_answer(&failure, may_have_run));
+                return self.refuse(&run, last_answer(&failure, may_have_run));
             }
             if matches!(failure, AttemptFailure::NotRun(_)) {
                 sleep(RETRY_PAUSE).await;
@@ -513,6 +517,13 @@
         });
     }
 
+    /// Counts and logs why this instance answers a request itself, and builds the answer.
+    fn refuse(&self, run: &ForwardRun, answer: OwnAnswer) -> Response<ReplyBody> {
+        self.metrics
+            .add(MetricName::Refusals, &run.service.name, answer.reason, 1);
+        log_refusal(run, answer)
+    }
+
     async fn attempt(
         &self,
         run: &mut ForwardRun,
@@ -566,6 +577,9 @@
                 lock(&self.suspects).charge(run.fingerprint, now);
             }
         }
+        let service = &run.service.name;
+        self.metrics
+            .add(MetricName::Retries, service, failure.as_str(), 1);
         LogEvent::new(LogName::RequestRetried)
             .with("attempt", &run.parts.attempt)
             .with("upstream", upstream)
@@ -614,7 +628,16 @@
 
     /// Passes an upstream's answer on.
     fn reply(self: &Arc<Self>, run: ForwardRun, answer: UpstreamAnswer) -> Response<ReplyBody> {
-        if run.arrived.elapsed() > run.route.target_latency {
+        let (service, rank) = (&run.service.name, run.rank_tag());
+        let taken = run.arrived.elapsed();
+        self.metrics
+            .record(MetricName::FirstToken, service, rank, taken);
+        if !run.load_wait.is_zero() {
+            self.metrics.add(MetricName::LoadStalls, service, rank, 1);
+            self.metrics
+                .record(MetricName::QueueWait, service, rank, run.load_wait);
+        }
+        if taken > run.route.target_latency {
             run.log_late(&answer.body);
         }
         let is_stream = run.route.kind == RouteKind::Stream && answer.status.is_success();
@@ -712,6 +735,15 @@
             .saturating_sub(prompt)
     }
 
+    fn rank_tag(&self) -> &'static str {
+        match self.route.rank {
+            0 => "rank_0",
+            1 => "rank_1",
+            2 => "rank_2",
+            _ => "rank_3_and_beyond",
+        }
+    }
+
     fn value(&self) -> u32 {
         let rank = usize::from(self.route.rank).min(RANK_VALUES.len() - 1);
         RANK_VALUES[rank]
@@ -719,7 +751,7 @@
 }
 
 /// Logs why this instance answers a request itself, and builds the answer.
-fn refuse(run: &ForwardRun, answer: OwnAnswer) -> Response<ReplyBody> {
+fn log_refusal(run: &ForwardRun, answer: OwnAnswer) -> Response<ReplyBody> {
     let name = if answer.status == StatusCode::SERVICE_UNAVAILABLE {
         LogName::RequestRefused
     } else {
