Remove the entries of instances that are gone

While the store was down from 17 to 28 s nobody might order, and 339 requests were refused because their loads were late. Entries of instances that are out of touch for 8 s are removed now, one that was only cut off registers again, and an instance that is not listed takes no domain over. Ruled out: majorities among the instances, which end all loads when most instances are lost.

--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -288,6 +288,11 @@
         }
     }
 
+    /// Returns whether this instance grants the permits of all domains.
+    pub(super) fn keeps_pool(&self, now: Duration) -> bool {
+        self.lock().pool_holder(now).as_ref() == Some(&self.instance)
+    }
+
     /// Sets the links through which permits are asked for.
     pub fn connect(&self, mesh: PeerMesh) {
         // A second call would bring the same links.
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -53,6 +53,9 @@
 /// A longer gap between two looks means that this process was paused.
 const PAUSE_LIMIT: Duration = Duration::from_millis(700);
 
+/// Time out of touch after which an instance counts as gone; longer than cuts and freezes mostly are.
+const GONE_AGE: Duration = Duration::from_secs(8);
+
 /// Time between two shares of the load with few instances.
 const SHARE_PERIOD: Duration = Duration::from_millis(250);
 
@@ -62,14 +65,18 @@
         tokio::spawn(Arc::clone(&self).run_shares(timers.clone()));
         let mut ticks = timers.subscribe(LEASE_PERIOD);
         let mut last = self.clock.now();
+        let mut missing = BTreeMap::new();
         loop {
             ticks.next().await;
             let now = self.clock.now();
-            let was_paused = now.saturating_sub(last) > PAUSE_LIMIT;
+            // An instance that is not listed is not asked for acknowledgements, so that an owner
+            // may go on beside it; it takes nothing over until it has been listed for long enough.
+            let must_wait = now.saturating_sub(last) > PAUSE_LIMIT || !self.is_listed();
             last = now;
             self.follow_instances();
+            self.forget_gone(&mut missing, now).await;
             for (domain, rank) in self.candidacies() {
-                if was_paused {
+                if must_wait {
                     self.owner
                         .with_lease(&domain, rank, |lease, _| lease.resume_after_pause(now));
                 }
@@ -167,6 +174,50 @@
             .collect()
     }
 
+    /// Removes the entries of instances that have been out of touch for long.
+    ///
+    /// An owner needs the acknowledgement of every listed instance, or the store, to order; an
+    /// instance that was replaced for good must not leave it with the store alone. One instance
+    /// does this for all. An instance that was only cut off registers again.
+    async fn forget_gone(&self, missing: &mut BTreeMap<InstanceId, Duration>, now: Duration) {
+        let live: BTreeSet<InstanceId> = self
+            .mesh
+            .live_peers()
+            .into_iter()
+            .map(|peer| peer.id)
+            .collect();
+        let listed = lock(&self.instances).clone();
+        missing.retain(|id, _| listed.iter().any(|other| other.id == *id));
+        let mut gone = None;
+        for other in listed.iter().filter(|other| other.id != self.instance) {
+            if live.contains(&other.id) {
+                missing.remove(&other.id);
+                continue;
+            }
+            let since = *missing.entry(other.id.clone()).or_insert(now);
+            if now.saturating_sub(since) > GONE_AGE {
+                gone = Some(other.id.clone());
+            }
+        }
+        // An instance without any live peer is more likely cut off itself.
+        let may_judge = !live.is_empty() || listed.len() <= 2;
+        if let Some(gone) = gone.filter(|_| may_judge && self.owner.keeps_pool(now)) {
+            missing.remove(&gone);
+            match (self.store.forget)(&gone).await {
+                Ok(()) => LogEvent::new(LogName::PeerDead)
+                    .with("peer", &gone)
+                    .with("reason", "out of touch; its entry was removed")
+                    .send(),
+                Err(error) => log::debug!("the entry of {gone} was not removed: {error}"),
+            }
+        }
+    }
+
+    fn is_listed(&self) -> bool {
+        let listed = lock(&self.instances);
+        listed.iter().any(|listed| listed.id == self.instance)
+    }
+
     fn follow_instances(&self) {
         let instances = self
             .instances
--- a/src/residency/store_port.rs
+++ b/src/residency/store_port.rs
@@ -2,7 +2,7 @@
 
 use super::{LeaseRecord, PortFuture};
 use crate::error::Result;
-use crate::id::DomainId;
+use crate::id::{DomainId, InstanceId};
 
 /// The outcome of a conditional write of a [`LeaseRecord`].
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,12 +19,16 @@
 type ReadLease = dyn Fn(&DomainId) -> PortFuture<Result<FoundLease>> + Send + Sync;
 type WriteLease = dyn Fn(LeaseRecord, Option<u64>) -> PortFuture<Result<LeaseWrite>> + Send + Sync;
 
+type ForgetInstance = dyn Fn(&InstanceId) -> PortFuture<Result<()>> + Send + Sync;
+
 /// The store as the owners of failure domains use it.
 pub struct StorePort {
     /// Reads the record of a domain with its revision.
     pub read: Box<ReadLease>,
     /// Writes a record if its revision is still the given one; none creates it.
     pub write: Box<WriteLease>,
+    /// Removes the entry of an instance that is gone.
+    pub forget: Box<ForgetInstance>,
 }
 
 impl fmt::Debug for StorePort {
