--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -364,14 +364,16 @@
     fn choose(&self, run: &ForwardRun) -> Option<ChosenUpstream> {
         let now = self.clock.now();
         let upstreams = self.fleet.upstreams();
-        let usable: Vec<&Arc<UpstreamEntry>> = upstreams
+        let listed: Vec<&Arc<UpstreamEntry>> = upstreams
             .values()
-            .filter(|entry| {
-                entry.service == run.service.name
-                    && !entry.is_draining
-                    && self.health.is_usable(&entry.id, now)
-            })
+            .filter(|entry| entry.service == run.service.name && !entry.is_draining)
             .collect();
+        let is_usable = |entry: &&Arc<UpstreamEntry>| self.health.is_usable(&entry.id, now);
+        let mut usable: Vec<_> = listed.iter().copied().filter(is_usable).collect();
+        if usable.is_empty() {
+            // Avoiding an upstream is a preference; one that fails is better than a refusal.
+            usable = listed;
+        }
         let untried = |entry: &&&Arc<UpstreamEntry>| !run.tried.contains(&entry.id);
         let Some(model) = &run.parts.model else {
             let fresh: Vec<_> = usable.iter().filter(untried).copied().collect();
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -50,7 +50,7 @@
     path
 }
 
-/// Guards against defaults that change unnoticed; docs/operations.md lists them.
+/// Guards against defaults that change unnoticed; docs/OPERATIONS.md lists them.
 #[test]
 fn a_minimal_file_leaves_the_documented_defaults() {
     let settings = NodeSettings::from_sources(&sources(MINIMAL)).expect("the file is valid");
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -136,7 +136,7 @@
 /// Guards against alarms that the operations page does not explain.
 #[test]
 fn each_warning_is_on_the_operations_page() {
-    let page = std::fs::read_to_string("docs/operations.md").expect("the page exists");
+    let page = std::fs::read_to_string("docs/OPERATIONS.md").expect("the page exists");
 
     for name in LogName::ALL {
         if name.level() <= log::Level::Warn {
