--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,9 @@
 //!    [`claim`] in the object store of [`platform`] first.
 //!
 //! [`node`] wires the parts together; [`command`] is the command line.
+//!
+//! On the users' machines requests take the opaque path of [`forward`] instead, with [`residency`]
+//! in place of [`owner`] and [`permit`]; the crate in `platform/` connects both to the users' wire.
 
 pub mod admin;
 pub mod audit;
