Split the request runner, the load owner and the ledger into smaller files

The runner's placement and attempts, the own answers, the owner's state, permits and engine task, and the ledger's answers have files of their own now. No behaviour changes; text is moved, visibility widened to the module. Ruled out: splitting domain_lease.rs, which is one state machine.

--- /dev/null
+++ b/src/forward/forward_run.rs
@@ -0,0 +1,138 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use http::header::{CONTENT_LENGTH, HOST, HeaderMap};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::own_answer::{OwnAnswer, own, to_response};
+use super::upstream_attempt::RequestParts;
+use super::{
+    ConnectionBody, ForwardRoute, ForwardService, HeaderNames, ModelRef, ReplyBody, RouteSet,
+    UpstreamEntry,
+};
+use crate::id::UpstreamId;
+use crate::telemetry::{LogEvent, LogName};
+
+/// One request on its way.
+#[derive(Debug)]
+pub(super) struct ForwardRun {
+    pub(super) route: Arc<ForwardRoute>,
+    pub(super) service: Arc<ForwardService>,
+    pub(super) parts: RequestParts,
+    pub(super) fingerprint: u64,
+    pub(super) deadline: Instant,
+    pub(super) arrived: Instant,
+    pub(super) tried: Vec<UpstreamId>,
+    pub(super) attempts: u32,
+    pub(super) load_wait: Duration,
+}
+
+/// An upstream that was chosen, and whether its adapter is resident.
+#[derive(Debug)]
+pub(super) struct ChosenUpstream {
+    pub(super) entry: Arc<UpstreamEntry>,
+    pub(super) is_resident: bool,
+}
+
+/// Value of a request by rank, in thousandths; the most urgent first.
+pub(super) const RANK_VALUES: [u32; 3] = [2000, 1500, 600];
+
+impl ForwardRun {
+    /// Logs where the time of an answer after the target went.
+    pub(super) fn log_late(&self, body: &ConnectionBody) {
+        let model = self.parts.model.as_ref().map(ModelRef::to_string);
+        LogEvent::new(LogName::RequestLate)
+            .with("attempt", &self.parts.attempt)
+            .with("route", &self.route.name)
+            .with("model", model.unwrap_or_default())
+            .with("upstream", body.upstream())
+            .with_count("target_ms", millis(self.route.target_latency))
+            .with_count("head_ms", millis(self.arrived.elapsed()))
+            .with_count("load_wait_ms", millis(self.load_wait))
+            .with_count("attempts", u64::from(self.attempts))
+            .with_count("prompt_tokens", u64::from(self.parts.load.prompt_tokens))
+            .send();
+    }
+
+    /// Returns the time left for a load if the answer is to be on time.
+    pub(super) fn on_time_left(&self) -> Duration {
+        let prompt = Duration::from_millis(u64::from(self.parts.load.prompt_tokens) / 20);
+        self.route
+            .target_latency
+            .saturating_sub(self.arrived.elapsed())
+            .saturating_sub(prompt)
+    }
+
+    pub(super) fn rank_tag(&self) -> &'static str {
+        match self.route.rank {
+            0 => "rank_0",
+            1 => "rank_1",
+            2 => "rank_2",
+            _ => "rank_3_and_beyond",
+        }
+    }
+
+    pub(super) fn value(&self) -> u32 {
+        let rank = usize::from(self.route.rank).min(RANK_VALUES.len() - 1);
+        RANK_VALUES[rank]
+    }
+}
+
+/// Logs why this instance answers a request itself, and builds the answer.
+pub(super) fn log_refusal(run: &ForwardRun, answer: OwnAnswer) -> Response<ReplyBody> {
+    let name = if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+        LogName::RequestRefused
+    } else {
+        LogName::RequestFailed
+    };
+    let model = run.parts.model.as_ref().map(ModelRef::to_string);
+    LogEvent::new(name)
+        .with("attempt", &run.parts.attempt)
+        .with("route", &run.route.name)
+        .with("model", model.unwrap_or_default())
+        .with("reason", answer.reason)
+        .with_count("status", u64::from(answer.status.as_u16()))
+        .with_count("attempts", u64::from(run.attempts))
+        .with_count("held_ms", millis(run.arrived.elapsed()))
+        .send();
+    to_response(answer)
+}
+
+pub(super) fn find_route(
+    routes: &RouteSet,
+    head: &http::request::Parts,
+) -> Result<Arc<ForwardRoute>, OwnAnswer> {
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.authority().map(http::uri::Authority::as_str))
+        .ok_or_else(|| own(StatusCode::BAD_REQUEST, "the request names no host"))?;
+    routes
+        .find(host, head.uri.path())
+        .cloned()
+        .ok_or_else(|| own(StatusCode::NOT_FOUND, "no route"))
+}
+
+pub(super) fn stated_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+pub(super) fn fingerprint(head: &http::request::Parts, body: &Bytes, names: &HeaderNames) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(head.method.as_str().as_bytes());
+    hasher.update(head.uri.path().as_bytes());
+    if let Some(parts) = head.headers.get(&names.prompt_parts) {
+        hasher.update(parts.as_bytes());
+    }
+    hasher.update(body);
+    hasher.digest()
+}
+
+pub(super) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/forward/own_answer.rs
@@ -0,0 +1,64 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::RETRY_AFTER;
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::Full;
+
+use super::{AttemptFailure, ReplyBody};
+
+/// A request that this instance answers itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct OwnAnswer {
+    pub(super) status: StatusCode,
+    pub(super) reason: &'static str,
+    pub(super) retry_after: Option<Duration>,
+}
+
+/// Retry time for a request that found no room; loads of that length are done by then.
+pub(super) const RETRY_AFTER_LOAD: Duration = Duration::from_millis(900);
+
+/// Retry time for a request that this instance can't place at all.
+pub(super) const RETRY_AFTER_START: Duration = Duration::from_millis(400);
+
+/// Retry time for a request that another instance takes at once.
+pub(super) const RETRY_AFTER_SHUTDOWN: Duration = Duration::from_millis(50);
+
+/// Returns the answer after the last attempt; "not run" only if no attempt may have run.
+pub(super) fn last_answer(failure: &AttemptFailure, may_have_run: bool) -> OwnAnswer {
+    if !may_have_run {
+        return unavailable("no upstream took the request", RETRY_AFTER_START);
+    }
+    match failure {
+        AttemptFailure::TimedOut => own(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+        _ => own(StatusCode::BAD_GATEWAY, "the upstream failed"),
+    }
+}
+
+pub(super) const fn own(status: StatusCode, reason: &'static str) -> OwnAnswer {
+    OwnAnswer {
+        status,
+        reason,
+        retry_after: None,
+    }
+}
+
+pub(super) const fn unavailable(reason: &'static str, retry_after: Duration) -> OwnAnswer {
+    OwnAnswer {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason,
+        retry_after: Some(retry_after),
+    }
+}
+
+pub(super) fn to_response(answer: OwnAnswer) -> Response<ReplyBody> {
+    let text = Bytes::from_static(answer.reason.as_bytes());
+    let mut response = Response::new(ReplyBody::Own(Full::new(text)));
+    *response.status_mut() = answer.status;
+    if let Some(pause) = answer.retry_after
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", pause.as_secs_f64()))
+    {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/src/forward/runner_attempts.rs
@@ -0,0 +1,230 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use tokio::time::Instant;
+
+use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
+use super::own_answer::OwnAnswer;
+use super::relay_body::ResumeCall;
+use super::request_runner::lock;
+use super::upstream_attempt::{AttemptPlan, drain, send_attempt};
+use super::{
+    AttemptFailure, ConnectionBody, RelayBody, ReplyBody, RequestRunner, RouteKind, UpstreamAnswer,
+};
+use crate::error::{Error, ErrorKind};
+use crate::policy::RetryBudget;
+use crate::telemetry::{LogEvent, LogName, MetricName};
+
+/// Pause before a request is tried again at an upstream that lacked the adapter.
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Share of the retry budget that is used; the rest covers what instances count differently.
+const BUDGET_SHARE: f64 = 0.6;
+
+/// Time until an answer's head must arrive from an upstream that may be silent, for requests that
+/// may run again elsewhere.
+const HEAD_PATIENCE: Duration = Duration::from_millis(1200);
+
+/// Upstreams that may refuse a request or be out of reach before it is given up.
+const MAX_UNSENT: u32 = 4;
+
+/// The attempts of a request, their budget, and the answers that are passed on.
+impl RequestRunner {
+    /// Counts and logs why this instance answers a request itself, and builds the answer.
+    pub(super) fn refuse(&self, run: &ForwardRun, answer: OwnAnswer) -> Response<ReplyBody> {
+        self.metrics
+            .add(MetricName::Refusals, &run.service.name, answer.reason, 1);
+        log_refusal(run, answer)
+    }
+
+    pub(super) async fn attempt(
+        &self,
+        run: &mut ForwardRun,
+        chosen: &ChosenUpstream,
+        last_event: Option<String>,
+    ) -> Result<UpstreamAnswer, AttemptFailure> {
+        let now = Instant::now();
+        let can_repeat = run.route.is_repeatable() && run.attempts + 1 < run.route.max_attempts;
+        let head_until = if can_repeat && run.route.kind == RouteKind::Stream {
+            run.deadline.min(now + HEAD_PATIENCE)
+        } else {
+            run.deadline
+        };
+        run.attempts += 1;
+        run.tried.push(chosen.entry.id.clone());
+        let version = run
+            .parts
+            .model
+            .as_ref()
+            .map_or(0, |model| self.fleet.min_version(model));
+        let instances = self.board.live_instances(self.clock.now());
+        let limit = usize::try_from(run.service.max_connections).unwrap_or(usize::MAX);
+        let plan = AttemptPlan {
+            entry: Arc::clone(&chosen.entry),
+            version,
+            head_until,
+            deadline: run.deadline,
+            max_connections: (limit / instances).max(4),
+            last_event,
+        };
+        send_attempt(&self.pool, &self.board, &self.names, &run.parts, &plan).await
+    }
+
+    pub(super) fn note_failure(
+        &self,
+        run: &ForwardRun,
+        chosen: &ChosenUpstream,
+        failure: &AttemptFailure,
+    ) {
+        let now = self.clock.now();
+        let upstream = &chosen.entry.id;
+        match failure {
+            AttemptFailure::NotSent(_) | AttemptFailure::TimedOut => {
+                self.health.lose(upstream, now);
+            }
+            AttemptFailure::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
+                if let Some(model) = &run.parts.model {
+                    self.view.note_absent(upstream, model);
+                }
+            }
+            AttemptFailure::NotRun(_) | AttemptFailure::Mismatch(_) => {
+                self.health.fail(upstream, now);
+            }
+            AttemptFailure::Broken(_) => {
+                self.health.lose(upstream, now);
+                lock(&self.suspects).charge(run.fingerprint, now);
+            }
+        }
+        let service = &run.service.name;
+        self.metrics
+            .add(MetricName::Retries, service, failure.as_str(), 1);
+        LogEvent::new(LogName::RequestRetried)
+            .with("attempt", &run.parts.attempt)
+            .with("upstream", upstream)
+            .with("reason", failure.as_str())
+            .with("detail", format!("{failure:?}"))
+            .with_count("attempts", u64::from(run.attempts))
+            .send();
+    }
+
+    pub(super) fn may_retry(&self, run: &ForwardRun, failure: &AttemptFailure) -> bool {
+        let may_repeat = failure.is_not_run() || run.route.is_repeatable();
+        // Upstreams that were not reached do not count against the attempts of the route.
+        let is_within = run.attempts < run.route.max_attempts
+            || matches!(failure, AttemptFailure::NotSent(_)) && run.attempts < MAX_UNSENT;
+        may_repeat
+            && (is_within || failure.is_not_run() && run.attempts < MAX_UNSENT)
+            && Instant::now() < run.deadline
+            && (matches!(failure, AttemptFailure::NotSent(_)) || self.spend(&run.service.name))
+    }
+
+    pub(super) fn has_other_upstream(&self, run: &ForwardRun) -> bool {
+        self.fleet.upstreams().values().any(|entry| {
+            entry.service == run.service.name
+                && !entry.is_draining
+                && !run.tried.contains(&entry.id)
+        })
+    }
+
+    pub(super) fn spend(&self, service: &str) -> bool {
+        let now = self.clock.now();
+        self.budget(service, |budget| budget.try_spend(now))
+    }
+
+    pub(super) fn budget<T>(&self, service: &str, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let now = self.clock.now();
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
+            let instances = u32::try_from(self.board.live_instances(now)).unwrap_or(u32::MAX);
+            let reserve = BUDGET_SHARE * self.settings.retry_reserve / f64::from(instances.max(4));
+            let share = BUDGET_SHARE * self.settings.retry_ratio;
+            let window = self.settings.retry_window;
+            RetryBudget::new(share, reserve * 3.0, window / 2, now).with_reserve(reserve / 2.0)
+        });
+        work(budget)
+    }
+
+    /// Passes an upstream's answer on.
+    pub(super) fn reply(
+        self: &Arc<Self>,
+        run: ForwardRun,
+        answer: UpstreamAnswer,
+    ) -> Response<ReplyBody> {
+        let (service, rank) = (&run.service.name, run.rank_tag());
+        let taken = run.arrived.elapsed();
+        self.metrics
+            .record(MetricName::FirstToken, service, rank, taken);
+        if !run.load_wait.is_zero() {
+            self.metrics.add(MetricName::LoadStalls, service, rank, 1);
+            self.metrics
+                .record(MetricName::QueueWait, service, rank, run.load_wait);
+        }
+        if taken > run.route.target_latency {
+            run.log_late(&answer.body);
+        }
+        let is_stream = run.route.kind == RouteKind::Stream && answer.status.is_success();
+        let mut headers = answer.headers;
+        headers.remove(&self.names.upstream_load);
+        let body = if is_stream {
+            let resume = run
+                .route
+                .is_resumable
+                .then(|| Arc::clone(self).resume_call(run));
+            ReplyBody::Stream(Box::new(RelayBody::new(answer.body, resume)))
+        } else {
+            ReplyBody::Plain(Box::new(answer.body))
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    pub(super) fn resume_call(self: Arc<Self>, run: ForwardRun) -> ResumeCall {
+        let run = Arc::new(tokio::sync::Mutex::new(run));
+        Box::new(move |last_event| {
+            let (this, run) = (Arc::clone(&self), Arc::clone(&run));
+            Box::pin(async move {
+                let mut run = run.lock().await;
+                this.resume(&mut run, last_event).await
+            })
+        })
+    }
+
+    /// Opens the rest of a stream at another upstream.
+    pub(super) async fn resume(
+        &self,
+        run: &mut ForwardRun,
+        last_event: Option<String>,
+    ) -> Result<ConnectionBody, Error> {
+        let fail = |detail: &str| Error::new(ErrorKind::Truncated, detail);
+        if let Some(broken) = run.tried.last() {
+            self.health.lose(broken, self.clock.now());
+        }
+        run.arrived = Instant::now();
+        while run.attempts <= run.route.max_attempts {
+            if !self.spend(&run.service.name) {
+                return Err(fail("the retry budget is spent"));
+            }
+            let chosen = self
+                .place(run)
+                .await
+                .map_err(|answer| fail(answer.reason))?;
+            match self.attempt(run, &chosen, last_event.clone()).await {
+                Ok(answer) if answer.status == StatusCode::OK => {
+                    LogEvent::new(LogName::RequestRetried)
+                        .with("attempt", &run.parts.attempt)
+                        .with("upstream", &chosen.entry.id)
+                        .with("reason", "resumed")
+                        .with("after_event", last_event.as_deref().unwrap_or("none"))
+                        .send();
+                    return Ok(answer.body);
+                }
+                Ok(answer) => drain(answer.body),
+                Err(failure) => self.note_failure(run, &chosen, &failure),
+            }
+        }
+        Err(fail("no upstream went on with the stream"))
+    }
+}
--- /dev/null
+++ b/src/forward/runner_placement.rs
@@ -0,0 +1,242 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::forward_run::{ChosenUpstream, ForwardRun, RANK_VALUES};
+use super::own_answer::{OwnAnswer, RETRY_AFTER_LOAD, RETRY_AFTER_START, unavailable};
+use super::runner_attempts::RETRY_PAUSE;
+use super::{ModelRef, RequestRunner, UpstreamEntry};
+use crate::error::ErrorKind;
+use crate::member::rendezvous_score;
+use crate::policy::{UpstreamOption, choose_upstream};
+use crate::residency::LoadWorth;
+
+/// Time that callers wait for the first event of a stream: two seconds, or four times the target.
+const STREAM_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time left for the way and the prompt after a load.
+const LOAD_MARGIN: Duration = Duration::from_millis(300);
+
+/// Difference in waiting loads for which the second home is preferred to the first.
+const DETOUR: Duration = Duration::from_millis(200);
+
+/// Predicted wait beyond that of the best other upstream from which one more is given the adapter.
+const SPREAD_MS: f64 = 120.0;
+
+/// Time for which such a load is of use; demand may have moved on after that.
+const SPREAD_TIME: Duration = Duration::from_millis(1200);
+
+/// The choice of upstreams and the loads that it needs.
+impl RequestRunner {
+    /// Chooses an upstream and has the adapter loaded there if needed.
+    pub(super) async fn place(&self, run: &mut ForwardRun) -> Result<ChosenUpstream, OwnAnswer> {
+        loop {
+            if Instant::now() >= run.deadline {
+                return Err(unavailable("no time is left", RETRY_AFTER_LOAD));
+            }
+            let Some(chosen) = self.choose(run) else {
+                return Err(unavailable("no usable upstream", RETRY_AFTER_START));
+            };
+            let Some(model) = run.parts.model.as_ref().filter(|_| !chosen.is_resident) else {
+                return Ok(chosen);
+            };
+            let patience = STREAM_PATIENCE.max(run.route.target_latency * 4);
+            let until = run.deadline.min(run.arrived + patience);
+            let left = until.saturating_duration_since(Instant::now());
+            let useful = left.saturating_sub(LOAD_MARGIN);
+            if useful.is_zero() {
+                return Err(unavailable("the load would be late", RETRY_AFTER_LOAD));
+            }
+            let want = self.loads.want(
+                &chosen.entry.id,
+                model,
+                self.fleet.min_version(model),
+                LoadWorth {
+                    value: run.value(),
+                    on_time_for: run.on_time_left(),
+                    useful_for: useful,
+                },
+            );
+            let asked = Instant::now();
+            let loaded = timeout_at(until - LOAD_MARGIN / 2, want).await;
+            run.load_wait += asked.elapsed();
+            match loaded {
+                // The upstream may have begun to leave in the meantime.
+                Ok(Ok(_)) if self.takes_requests(&chosen.entry) => return Ok(chosen),
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) if error.kind() == ErrorKind::Overloaded => {
+                    return Err(unavailable("the load would be late", RETRY_AFTER_LOAD));
+                }
+                Ok(Err(_)) => sleep(RETRY_PAUSE * 2).await,
+                Err(_) => return Err(unavailable("the load was late", RETRY_AFTER_LOAD)),
+            }
+        }
+    }
+
+    /// Returns whether an upstream is still listed and not leaving.
+    pub(super) fn takes_requests(&self, entry: &UpstreamEntry) -> bool {
+        self.fleet
+            .upstreams()
+            .get(&entry.id)
+            .is_some_and(|known| !known.is_draining && known.address == entry.address)
+    }
+
+    pub(super) fn choose(&self, run: &ForwardRun) -> Option<ChosenUpstream> {
+        let now = self.clock.now();
+        let upstreams = self.fleet.upstreams();
+        let listed: Vec<&Arc<UpstreamEntry>> = upstreams
+            .values()
+            .filter(|entry| entry.service == run.service.name && !entry.is_draining)
+            .collect();
+        let is_usable = |entry: &&Arc<UpstreamEntry>| self.health.is_usable(&entry.id, now);
+        let mut usable: Vec<_> = listed.iter().copied().filter(is_usable).collect();
+        if usable.is_empty() {
+            // Avoiding an upstream is a preference; one that fails is better than a refusal.
+            usable = listed;
+        }
+        let untried = |entry: &&&Arc<UpstreamEntry>| !run.tried.contains(&entry.id);
+        let Some(model) = &run.parts.model else {
+            let fresh: Vec<_> = usable.iter().filter(untried).copied().collect();
+            let candidates = if fresh.is_empty() { usable } else { fresh };
+            let entry = self.pick(run, &candidates, &[], now)?;
+            return Some(ChosenUpstream {
+                entry,
+                is_resident: true,
+            });
+        };
+        let min_version = self.fleet.min_version(model);
+        let is_resident = |entry: &&&Arc<UpstreamEntry>| {
+            self.view
+                .resident_version(&entry.id, model, min_version)
+                .is_some()
+        };
+        let residents: Vec<_> = usable
+            .iter()
+            .filter(is_resident)
+            .filter(untried)
+            .copied()
+            .collect();
+        let homes = self.homes(&usable, model, &residents, now);
+        if let Some(entry) = self.pick(run, &residents, &[], now) {
+            self.spread(run, model, &entry, &homes, now);
+            return Some(ChosenUpstream {
+                entry,
+                is_resident: true,
+            });
+        }
+        let mut fresh = homes.iter().filter(|entry| !run.tried.contains(&entry.id));
+        let first = fresh.next().or(homes.first())?;
+        // A steady home keeps adapters in the engine's host memory; only a long queue is avoided.
+        let entry = fresh
+            .next()
+            .filter(|second| self.view.backlog(&first.id) > self.view.backlog(&second.id) + DETOUR)
+            .unwrap_or(first);
+        Some(ChosenUpstream {
+            entry: Arc::clone(entry),
+            is_resident: false,
+        })
+    }
+
+    /// Lists the upstreams where the adapter is loaded next, by rendezvous hash; those whose owner
+    /// answers come first.
+    pub(super) fn homes<'a>(
+        &self,
+        usable: &[&'a Arc<UpstreamEntry>],
+        model: &ModelRef,
+        residents: &[&Arc<UpstreamEntry>],
+        now: Duration,
+    ) -> Vec<&'a Arc<UpstreamEntry>> {
+        let key = model.to_string();
+        let min_version = self.fleet.min_version(model);
+        let mut homes: Vec<_> = usable
+            .iter()
+            .copied()
+            .filter(|entry| !residents.iter().any(|known| known.id == entry.id))
+            .filter(|entry| self.view.may_have_model(&entry.id, &model.model))
+            .collect();
+        homes.sort_by_cached_key(|entry| {
+            let has_owner = self.view.owner_of(&entry.id, now).is_some();
+            // Replacing an adapter blocks an engine until its requests have ended; the new version
+            // is loaded where the old one is not.
+            let is_outdated = self.view.is_outdated(&entry.id, model, min_version);
+            let score = rendezvous_score(&key, entry.id.as_str());
+            std::cmp::Reverse((has_owner, !is_outdated, score))
+        });
+        homes
+    }
+
+    pub(super) fn pick(
+        &self,
+        run: &ForwardRun,
+        candidates: &[&Arc<UpstreamEntry>],
+        load_times: &[Duration],
+        now: Duration,
+    ) -> Option<Arc<UpstreamEntry>> {
+        let options: Vec<UpstreamOption> = candidates
+            .iter()
+            .enumerate()
+            .map(|(index, entry)| {
+                let load_time = load_times.get(index).copied().unwrap_or_default();
+                self.option(run, entry, load_time, now)
+            })
+            .collect();
+        choose_upstream(&options, rand::random()).map(|index| Arc::clone(candidates[index]))
+    }
+
+    pub(super) fn option(
+        &self,
+        run: &ForwardRun,
+        entry: &UpstreamEntry,
+        load_time: Duration,
+        now: Duration,
+    ) -> UpstreamOption {
+        let load = self.board.total_load(&entry.id, now);
+        UpstreamOption {
+            requests: load.requests,
+            slots: entry.slots,
+            prompt_tokens: load.prompt_tokens,
+            memory_tokens: load.memory_tokens,
+            memory_limit: run
+                .service
+                .engine
+                .as_ref()
+                .map_or(0, |engine| engine.memory_tokens),
+            failures: self.health.failures(&entry.id, now),
+            load_time,
+            is_remote: entry.domain != self.settings.domain,
+        }
+    }
+
+    /// Asks for one more home of an adapter whose upstreams are much busier than the next home.
+    pub(super) fn spread(
+        &self,
+        run: &ForwardRun,
+        model: &ModelRef,
+        chosen: &UpstreamEntry,
+        homes: &[&Arc<UpstreamEntry>],
+        now: Duration,
+    ) {
+        let Some(next) = homes.first() else {
+            return;
+        };
+        let ahead = self.option(run, chosen, Duration::ZERO, now).predicted_ms();
+        let there = self.option(run, next, Duration::ZERO, now).predicted_ms();
+        if ahead - there < SPREAD_MS {
+            return;
+        }
+        let (loads, upstream, model) = (self.loads.clone(), next.id.clone(), model.clone());
+        let version = self.fleet.min_version(&model);
+        tokio::spawn(async move {
+            let worth = LoadWorth {
+                value: RANK_VALUES[2],
+                on_time_for: SPREAD_TIME,
+                useful_for: SPREAD_TIME,
+            };
+            let want = loads.want(&upstream, &model, version, worth);
+            if let Err(error) = want.await {
+                log::debug!("{model} was not spread to {upstream}: {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/residency/ledger_answers.rs
@@ -0,0 +1,234 @@
+use std::time::Duration;
+
+use super::residency_ledger::{
+    EvictingAdapter, FIRST_COLD_TIME, PendingLoad, REPORT_LAG, Resident, WARM_SHARE,
+};
+use super::{EngineReport, OrderKind, OrderOutcome, ResidencyLedger};
+use crate::forward::ModelRef;
+
+/// Time between two checks of an eviction, or of a load at an engine that takes no order just now.
+const CHECK_STEP: Duration = Duration::from_millis(25);
+
+/// Time beyond the expected end of a load at which it is checked. A check is the same order again; an
+/// engine answers whether the load is done.
+const CHECK_MARGIN: Duration = Duration::from_millis(10);
+
+/// Decay of the expected load time after a load that was done by then, so that it is checked sooner
+/// again after a time in which the weight store was overloaded.
+const FASTER: f64 = 0.9;
+
+/// Pause after an order without an answer; an engine that is down refuses connections at once.
+const LOST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause for an engine that carries an order out; it refuses all others meanwhile.
+const BUSY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Adapters that an engine keeps in host memory, as far as the ledger believes.
+const RECENT_ADAPTERS: usize = 100;
+
+/// What the engine answers and reports.
+impl ResidencyLedger {
+    /// Takes the engine's answer to an order.
+    pub fn order_answered(
+        &mut self,
+        kind: OrderKind,
+        model: &ModelRef,
+        version: u64,
+        outcome: OrderOutcome,
+        now: Duration,
+    ) {
+        if !model.has_adapter() {
+            self.forget(now);
+            return;
+        }
+        match (kind, outcome) {
+            (OrderKind::Load, OrderOutcome::Accepted) if self.is_check(kind, model) => {
+                // The engine still loads; it does not count the same order again.
+                self.delay_check(model, now);
+            }
+            (OrderKind::Load, OrderOutcome::Accepted) => {
+                self.count_order();
+                self.load_accepted(model, version, now);
+            }
+            (OrderKind::Load, OrderOutcome::Holds) => self.load_done(model, version, now),
+            (OrderKind::Unload, OrderOutcome::Accepted) => {
+                self.count_order();
+                self.evicting = Some(EvictingAdapter {
+                    model: model.clone(),
+                    check_at: now + CHECK_STEP * 4,
+                });
+            }
+            (OrderKind::Unload, OrderOutcome::Holds) => {
+                self.count_order();
+                self.evicted(model, now);
+            }
+            (_, OrderOutcome::Conflict | OrderOutcome::Refused | OrderOutcome::Misdirected) => {
+                self.forget(now);
+            }
+        }
+    }
+
+    /// Takes an order without an answer, which may take effect now or later.
+    ///
+    /// The next order names the same number of accepted orders. If the engine accepts it, the lost
+    /// one is void; otherwise the conflict leads to a report.
+    pub fn order_lost(&mut self, kind: OrderKind, model: &ModelRef, now: Duration) {
+        if self.is_check(kind, model) {
+            self.delay_check(model, now);
+        }
+        self.pause_until = now + LOST_PAUSE;
+    }
+
+    /// Takes a report; it is ignored if it is of before the last order.
+    pub fn report_read(&mut self, report: &EngineReport, now: Duration) {
+        self.sequence = Some(report.sequence);
+        self.models.clone_from(&report.models);
+        self.evicting = None;
+        if report.is_busy {
+            self.pause_until = now + BUSY_PAUSE;
+        }
+        let residents = std::mem::take(&mut self.residents);
+        for (model, version) in &report.adapters {
+            let known = residents.get(model);
+            self.residents.insert(
+                model.clone(),
+                Resident {
+                    version: *version,
+                    uses: known.map_or(0.0, |known| known.uses),
+                    used_at: known.map_or(Duration::ZERO, |known| known.used_at),
+                },
+            );
+            self.note_recent(model, now);
+        }
+        let mut pending = std::mem::take(&mut self.pending);
+        for (model, version) in &report.pending {
+            let known = pending.remove(model);
+            self.pending.insert(
+                model.clone(),
+                PendingLoad {
+                    version: *version,
+                    ordered_at: known.as_ref().map_or(now, |known| known.ordered_at),
+                    check_at: known
+                        .as_ref()
+                        .map_or(now, |known| known.check_at)
+                        .max(now + CHECK_STEP),
+                    is_fetch: known.as_ref().is_none_or(|known| known.is_fetch),
+                    waiters: known.map(|known| known.waiters).unwrap_or_default(),
+                },
+            );
+        }
+        for (model, lost) in pending {
+            for waiter in lost.waiters {
+                self.want(&model, lost.version, waiter, now);
+            }
+        }
+    }
+
+    /// Takes an unanswered or failed read of a report.
+    pub fn report_lost(&mut self, now: Duration) {
+        self.report_at = now + REPORT_LAG;
+    }
+
+    pub(super) fn is_check(&self, kind: OrderKind, model: &ModelRef) -> bool {
+        match kind {
+            OrderKind::Load => self.pending.contains_key(model),
+            OrderKind::Unload => self
+                .evicting
+                .as_ref()
+                .is_some_and(|evicting| evicting.model == *model),
+        }
+    }
+
+    pub(super) fn delay_check(&mut self, model: &ModelRef, now: Duration) {
+        if let Some(pending) = self.pending.get_mut(model) {
+            pending.check_at = now + CHECK_STEP;
+            // A load that never ends was dropped by the engine; a report tells.
+            if now.saturating_sub(pending.ordered_at) > self.cold_time * 8 {
+                self.forget(now);
+            }
+        } else if let Some(evicting) = &mut self.evicting {
+            evicting.check_at = now + CHECK_STEP * 4;
+        }
+    }
+
+    pub(super) fn count_order(&mut self) {
+        if let Some(sequence) = &mut self.sequence {
+            *sequence += 1;
+        }
+    }
+
+    pub(super) fn load_accepted(&mut self, model: &ModelRef, version: u64, now: Duration) {
+        let is_fetch = !self.recent.contains_key(model);
+        let time = if is_fetch {
+            self.cold_time
+        } else {
+            self.cold_time / WARM_SHARE
+        };
+        let waiters = self
+            .waiting
+            .remove(model)
+            .map(|waiting| waiting.waiters)
+            .unwrap_or_default();
+        self.pending.insert(
+            model.clone(),
+            PendingLoad {
+                version,
+                ordered_at: now,
+                check_at: now + time + CHECK_MARGIN,
+                is_fetch,
+                waiters,
+            },
+        );
+    }
+
+    pub(super) fn load_done(&mut self, model: &ModelRef, version: u64, now: Duration) {
+        let mut waiters = self
+            .waiting
+            .remove(model)
+            .map(|waiting| waiting.waiters)
+            .unwrap_or_default();
+        if let Some(pending) = self.pending.remove(model) {
+            waiters.extend(pending.waiters);
+            if pending.is_fetch {
+                let time = now.saturating_sub(pending.ordered_at);
+                self.cold_time = if time > self.cold_time + CHECK_MARGIN * 2 {
+                    (self.cold_time * 3 + time) / 4
+                } else {
+                    self.cold_time.mul_f64(FASTER).max(FIRST_COLD_TIME)
+                };
+            }
+        }
+        let mut resident = Resident {
+            version,
+            uses: 0.0,
+            used_at: now,
+        };
+        resident.note_use(u32::try_from(waiters.len()).unwrap_or(u32::MAX), now);
+        self.residents.insert(model.clone(), resident);
+        self.note_recent(model, now);
+        for waiter in waiters {
+            let _gone = waiter.reply.send(Ok(version));
+        }
+    }
+
+    pub(super) fn evicted(&mut self, model: &ModelRef, now: Duration) {
+        self.residents.remove(model);
+        self.evicting = None;
+        self.note_recent(model, now);
+    }
+
+    pub(super) fn note_recent(&mut self, model: &ModelRef, now: Duration) {
+        self.recent.insert(model.clone(), now);
+        if self.recent.len() > RECENT_ADAPTERS {
+            let oldest = self
+                .recent
+                .iter()
+                .filter(|(model, _)| !self.residents.contains_key(model))
+                .min_by_key(|(_, held_at)| **held_at)
+                .map(|(model, _)| model.clone());
+            if let Some(oldest) = oldest {
+                self.recent.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/residency/loader_task.rs
@@ -0,0 +1,237 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::owner_state::OwnerState;
+use super::{EngineOrder, LedgerAction, LoadOwner, OrderKind, ResidencyLedger};
+use crate::forward::{ModelRef, UpstreamEntry};
+use crate::id::{DomainId, UpstreamId};
+use crate::telemetry::{LogEvent, LogName};
+
+/// Time after which an order or report counts as lost. Engines answer within a few milliseconds; the
+/// next order names the same count, so that giving up early does no harm.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Pause before an upstream's loader looks again for permission to order.
+const LEASE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Window in which base-model loads are counted against the store's rate.
+const MODEL_LOAD_WINDOW: Duration = Duration::from_secs(5);
+
+enum LoaderStep {
+    Wait(Duration),
+    Report,
+    /// An order, and whether it starts a load from the weight store.
+    Order(EngineOrder, bool),
+}
+
+/// The task of one engine: reports and orders, one after the other.
+impl LoadOwner {
+    /// Asks for permits that are missing and returns those that are not needed.
+    pub(super) fn balance_permits(self: &Arc<Self>, now: Duration) {
+        let mut state = self.lock();
+        let ledgers = || state.loaders.values().map(|loader| &loader.ledger);
+        let fetches: usize = ledgers().map(ResidencyLedger::fetches).sum();
+        let fetches = fetches + state.ordering;
+        let waiting = ledgers().map(ResidencyLedger::waiting_fetches).sum();
+        let value = ledgers().map(|ledger| ledger.best_value(now)).max();
+        let step = state.permits.reconcile(fetches, waiting);
+        drop(state);
+        self.send_permits(step, f64::from(value.unwrap_or(0)));
+    }
+
+    pub(super) async fn run_loader(self: Arc<Self>, upstream: UpstreamId, wake: Arc<Notify>) {
+        loop {
+            let now = self.clock.now();
+            self.balance_permits(now);
+            let Some((entry, step)) = self.next_step(&upstream, &wake, now) else {
+                return;
+            };
+            match step {
+                LoaderStep::Wait(until) => {
+                    let pause = until.saturating_sub(now);
+                    // A wake-up and the end of the pause mean the same: look again.
+                    let _woken = timeout(pause, wake.notified()).await;
+                }
+                LoaderStep::Report => self.read_report(&upstream, entry).await,
+                LoaderStep::Order(order, is_fetch) => {
+                    self.send_order(&upstream, entry, order).await;
+                    if is_fetch {
+                        self.lock().ordering -= 1;
+                    }
+                }
+            }
+        }
+    }
+
+    fn next_step(
+        &self,
+        upstream: &UpstreamId,
+        wake: &Arc<Notify>,
+        now: Duration,
+    ) -> Option<(Arc<UpstreamEntry>, LoaderStep)> {
+        let mut state = self.lock();
+        let entry = Arc::clone(&state.loaders.get(upstream)?.entry);
+        let acked_at = state.acked_at(&entry.domain);
+        let epoch = state.leases.get(&entry.domain).and_then(|lease| {
+            let epoch = lease.epoch()?;
+            lease.may_order(now, acked_at).then_some(epoch)
+        });
+        let missing = self.missing_model(&state, upstream, &entry, now);
+        let loader = state.loaders.get_mut(upstream)?;
+        if !Arc::ptr_eq(&loader.wake, wake) {
+            return None;
+        }
+        let Some(epoch) = epoch else {
+            return Some((entry, LoaderStep::Wait(now + LEASE_PAUSE)));
+        };
+        let order = |kind, model, version, expected| EngineOrder {
+            kind,
+            model,
+            version,
+            expected,
+            holder: self.instance.clone(),
+            fencing_token: epoch,
+        };
+        if let Some(model) = missing {
+            let expected = loader.ledger.sequence();
+            state
+                .model_loads
+                .retain(|at| now.saturating_sub(*at) < MODEL_LOAD_WINDOW);
+            state.model_loads.push(now);
+            let order = order(OrderKind::Load, ModelRef::new(&model, ""), 0, expected);
+            return Some((entry, LoaderStep::Order(order, false)));
+        }
+        let is_free = state.permits.is_free();
+        let busy = state.running_at(upstream, now);
+        let loader = state.loaders.get_mut(upstream)?;
+        let step = match loader.ledger.next_action(now, is_free, &busy) {
+            LedgerAction::Wait(until) => LoaderStep::Wait(until),
+            LedgerAction::Report => LoaderStep::Report,
+            LedgerAction::Order {
+                kind,
+                model,
+                version,
+                expected,
+                is_fetch,
+            } => {
+                if is_fetch {
+                    state.permits.take();
+                    state.ordering += 1;
+                }
+                LoaderStep::Order(order(kind, model, version, expected), is_fetch)
+            }
+        };
+        Some((entry, step))
+    }
+
+    /// Names a base model that the upstream lacks and that fits the rate of the weight store.
+    pub(super) fn missing_model(
+        &self,
+        state: &OwnerState,
+        upstream: &UpstreamId,
+        entry: &UpstreamEntry,
+        now: Duration,
+    ) -> Option<String> {
+        let loader = state.loaders.get(upstream)?;
+        if entry.is_draining {
+            return None;
+        }
+        let routes = self.fleet.routes()?;
+        let engine = routes.service(&entry.service)?.engine.as_ref()?;
+        let model = engine
+            .models
+            .iter()
+            .find(|model| loader.ledger.lacks_model(&model.name))?;
+        let held: f64 = engine
+            .models
+            .iter()
+            .filter(|known| loader.ledger.models().contains(&known.name))
+            .map(|known| known.weights_mb)
+            .sum();
+        if held + model.weights_mb > engine.weights_mb {
+            return None;
+        }
+        let domains = self.domain_count();
+        let window = MODEL_LOAD_WINDOW.as_secs_f64();
+        let recent = state
+            .model_loads
+            .iter()
+            .filter(|at| now.saturating_sub(**at) < MODEL_LOAD_WINDOW)
+            .count();
+        let allowed = (engine.loads_per_s * window / f64::from(domains)).max(1.0);
+        let is_allowed = f64::from(u32::try_from(recent).unwrap_or(u32::MAX)) < allowed;
+        is_allowed.then(|| model.name.clone())
+    }
+
+    pub(super) fn domain_count(&self) -> u32 {
+        let upstreams = self.fleet.upstreams();
+        let domains: BTreeSet<&DomainId> = upstreams.values().map(|entry| &entry.domain).collect();
+        u32::try_from(domains.len()).unwrap_or(u32::MAX).max(1)
+    }
+
+    pub(super) async fn read_report(&self, upstream: &UpstreamId, entry: Arc<UpstreamEntry>) {
+        let read = timeout(ORDER_TIMEOUT, (self.port.report)(Arc::clone(&entry))).await;
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(loader) = state.loaders.get_mut(upstream) else {
+            return;
+        };
+        match read {
+            Ok(Ok(report)) => loader.ledger.report_read(&report, now),
+            Ok(Err(error)) => {
+                loader.ledger.report_lost(now);
+                log_lost(upstream, "report", error.detail());
+            }
+            Err(_) => {
+                loader.ledger.report_lost(now);
+                log_lost(upstream, "report", "no answer in time");
+            }
+        }
+    }
+
+    pub(super) async fn send_order(
+        &self,
+        upstream: &UpstreamId,
+        entry: Arc<UpstreamEntry>,
+        order: EngineOrder,
+    ) {
+        let (kind, model, version) = (order.kind, order.model.clone(), order.version);
+        let expected = order.expected.unwrap_or(0);
+        let sent = timeout(ORDER_TIMEOUT, (self.port.order)(entry, order)).await;
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(loader) = state.loaders.get_mut(upstream) else {
+            return;
+        };
+        match sent {
+            Ok(Ok(outcome)) => {
+                log::debug!(
+                    "order {kind:?} {model} version {version} at {upstream} after {expected}: {outcome:?}"
+                );
+                loader
+                    .ledger
+                    .order_answered(kind, &model, version, outcome, now);
+            }
+            Ok(Err(error)) => {
+                loader.ledger.order_lost(kind, &model, now);
+                log_lost(upstream, "order", error.detail());
+            }
+            Err(_) => {
+                loader.ledger.order_lost(kind, &model, now);
+                log_lost(upstream, "order", "no answer in time");
+            }
+        }
+    }
+}
+
+fn log_lost(upstream: &UpstreamId, call: &str, reason: &str) {
+    LogEvent::new(LogName::LoadFailed)
+        .with("upstream", upstream)
+        .with("call", call)
+        .with("reason", reason)
+        .send();
+}
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::waiting_load::WaitingLoad;
-use super::{EngineReport, LoadRefusal, LoadWaiter, OrderKind, OrderOutcome};
+use super::{LoadRefusal, LoadWaiter, OrderKind};
 use crate::forward::ModelRef;
 
 /// What one engine holds, and which order comes next.
@@ -12,17 +12,17 @@
 /// never take effect after a later one; the ledger therefore never overfills an engine.
 #[derive(Debug)]
 pub struct ResidencyLedger {
-    limits: LedgerLimits,
-    sequence: Option<u64>,
-    report_at: Duration,
-    models: BTreeSet<String>,
-    residents: BTreeMap<ModelRef, Resident>,
-    pending: BTreeMap<ModelRef, PendingLoad>,
-    evicting: Option<EvictingAdapter>,
-    recent: BTreeMap<ModelRef, Duration>,
-    waiting: BTreeMap<ModelRef, WaitingLoad>,
-    cold_time: Duration,
-    pause_until: Duration,
+    pub(super) limits: LedgerLimits,
+    pub(super) sequence: Option<u64>,
+    pub(super) report_at: Duration,
+    pub(super) models: BTreeSet<String>,
+    pub(super) residents: BTreeMap<ModelRef, Resident>,
+    pub(super) pending: BTreeMap<ModelRef, PendingLoad>,
+    pub(super) evicting: Option<EvictingAdapter>,
+    pub(super) recent: BTreeMap<ModelRef, Duration>,
+    pub(super) waiting: BTreeMap<ModelRef, WaitingLoad>,
+    pub(super) cold_time: Duration,
+    pub(super) pause_until: Duration,
 }
 
 /// The limits of one engine.
@@ -44,25 +44,25 @@
 }
 
 #[derive(Debug)]
-struct Resident {
-    version: u64,
-    uses: f64,
-    used_at: Duration,
+pub(super) struct Resident {
+    pub(super) version: u64,
+    pub(super) uses: f64,
+    pub(super) used_at: Duration,
 }
 
 #[derive(Debug)]
-struct PendingLoad {
-    version: u64,
-    ordered_at: Duration,
-    check_at: Duration,
-    is_fetch: bool,
-    waiters: Vec<LoadWaiter>,
+pub(super) struct PendingLoad {
+    pub(super) version: u64,
+    pub(super) ordered_at: Duration,
+    pub(super) check_at: Duration,
+    pub(super) is_fetch: bool,
+    pub(super) waiters: Vec<LoadWaiter>,
 }
 
 #[derive(Debug)]
-struct EvictingAdapter {
-    model: ModelRef,
-    check_at: Duration,
+pub(super) struct EvictingAdapter {
+    pub(super) model: ModelRef,
+    pub(super) check_at: Duration,
 }
 
 /// What the owner has to do next for an engine.
@@ -88,30 +88,13 @@
 }
 
 /// The first estimate of a load from the weight store, before one was seen.
-const FIRST_COLD_TIME: Duration = Duration::from_millis(250);
+pub(super) const FIRST_COLD_TIME: Duration = Duration::from_millis(250);
 
 /// A load that the engine holds in host memory is about ten times as fast.
-const WARM_SHARE: u32 = 10;
-
-/// Time between two checks of an eviction, or of a load at an engine that takes no order just now.
-const CHECK_STEP: Duration = Duration::from_millis(25);
-
-/// Time beyond the expected end of a load at which it is checked. A check is the same order again; an
-/// engine answers whether the load is done.
-const CHECK_MARGIN: Duration = Duration::from_millis(10);
-
-/// Decay of the expected load time after a load that was done by then, so that it is checked sooner
-/// again after a time in which the weight store was overloaded.
-const FASTER: f64 = 0.9;
+pub(super) const WARM_SHARE: u32 = 10;
 
 /// Reports lag; one read sooner after an order may not show it.
-const REPORT_LAG: Duration = Duration::from_millis(280);
-
-/// Pause after an order without an answer; an engine that is down refuses connections at once.
-const LOST_PAUSE: Duration = Duration::from_millis(100);
-
-/// Pause for an engine that carries an order out; it refuses all others meanwhile.
-const BUSY_PAUSE: Duration = Duration::from_millis(150);
+pub(super) const REPORT_LAG: Duration = Duration::from_millis(280);
 
 /// Time after its last use in which an adapter is not evicted: requests may be on their way that no
 /// instance has told of yet.
@@ -120,9 +103,6 @@
 /// Time in which half of an adapter's uses are forgotten, so that popularity can shift.
 const USE_HALF_LIFE: Duration = Duration::from_secs(10);
 
-/// Adapters that an engine keeps in host memory, as far as the ledger believes.
-const RECENT_ADAPTERS: usize = 100;
-
 /// The longest pause while loads wait, until an adapter may have become idle.
 const WAITING_PAUSE: Duration = Duration::from_millis(50);
 
@@ -335,107 +315,6 @@
             .map_or(now + pause, |due| due.min(now + pause))
     }
 
-    /// Takes the engine's answer to an order.
-    pub fn order_answered(
-        &mut self,
-        kind: OrderKind,
-        model: &ModelRef,
-        version: u64,
-        outcome: OrderOutcome,
-        now: Duration,
-    ) {
-        if !model.has_adapter() {
-            self.forget(now);
-            return;
-        }
-        match (kind, outcome) {
-            (OrderKind::Load, OrderOutcome::Accepted) if self.is_check(kind, model) => {
-                // The engine still loads; it does not count the same order again.
-                self.delay_check(model, now);
-            }
-            (OrderKind::Load, OrderOutcome::Accepted) => {
-                self.count_order();
-                self.load_accepted(model, version, now);
-            }
-            (OrderKind::Load, OrderOutcome::Holds) => self.load_done(model, version, now),
-            (OrderKind::Unload, OrderOutcome::Accepted) => {
-                self.count_order();
-                self.evicting = Some(EvictingAdapter {
-                    model: model.clone(),
-                    check_at: now + CHECK_STEP * 4,
-                });
-            }
-            (OrderKind::Unload, OrderOutcome::Holds) => {
-                self.count_order();
-                self.evicted(model, now);
-            }
-            (_, OrderOutcome::Conflict | OrderOutcome::Refused | OrderOutcome::Misdirected) => {
-                self.forget(now);
-            }
-        }
-    }
-
-    /// Takes an order without an answer, which may take effect now or later.
-    ///
-    /// The next order names the same number of accepted orders. If the engine accepts it, the lost
-    /// one is void; otherwise the conflict leads to a report.
-    pub fn order_lost(&mut self, kind: OrderKind, model: &ModelRef, now: Duration) {
-        if self.is_check(kind, model) {
-            self.delay_check(model, now);
-        }
-        self.pause_until = now + LOST_PAUSE;
-    }
-
-    /// Takes a report; it is ignored if it is of before the last order.
-    pub fn report_read(&mut self, report: &EngineReport, now: Duration) {
-        self.sequence = Some(report.sequence);
-        self.models.clone_from(&report.models);
-        self.evicting = None;
-        if report.is_busy {
-            self.pause_until = now + BUSY_PAUSE;
-        }
-        let residents = std::mem::take(&mut self.residents);
-        for (model, version) in &report.adapters {
-            let known = residents.get(model);
-            self.residents.insert(
-                model.clone(),
-                Resident {
-                    version: *version,
-                    uses: known.map_or(0.0, |known| known.uses),
-                    used_at: known.map_or(Duration::ZERO, |known| known.used_at),
-                },
-            );
-            self.note_recent(model, now);
-        }
-        let mut pending = std::mem::take(&mut self.pending);
-        for (model, version) in &report.pending {
-            let known = pending.remove(model);
-            self.pending.insert(
-                model.clone(),
-                PendingLoad {
-                    version: *version,
-                    ordered_at: known.as_ref().map_or(now, |known| known.ordered_at),
-                    check_at: known
-                        .as_ref()
-                        .map_or(now, |known| known.check_at)
-                        .max(now + CHECK_STEP),
-                    is_fetch: known.as_ref().is_none_or(|known| known.is_fetch),
-                    waiters: known.map(|known| known.waiters).unwrap_or_default(),
-                },
-            );
-        }
-        for (model, lost) in pending {
-            for waiter in lost.waiters {
-                self.want(&model, lost.version, waiter, now);
-            }
-        }
-    }
-
-    /// Takes an unanswered or failed read of a report.
-    pub fn report_lost(&mut self, now: Duration) {
-        self.report_at = now + REPORT_LAG;
-    }
-
     /// Forgets what the engine holds until the next report, and keeps who waits.
     pub fn forget(&mut self, now: Duration) {
         self.sequence = None;
@@ -546,118 +425,15 @@
             .count();
         self.residents.len() + self.pending.len() - replacing
     }
-
-    fn is_check(&self, kind: OrderKind, model: &ModelRef) -> bool {
-        match kind {
-            OrderKind::Load => self.pending.contains_key(model),
-            OrderKind::Unload => self
-                .evicting
-                .as_ref()
-                .is_some_and(|evicting| evicting.model == *model),
-        }
-    }
-
-    fn delay_check(&mut self, model: &ModelRef, now: Duration) {
-        if let Some(pending) = self.pending.get_mut(model) {
-            pending.check_at = now + CHECK_STEP;
-            // A load that never ends was dropped by the engine; a report tells.
-            if now.saturating_sub(pending.ordered_at) > self.cold_time * 8 {
-                self.forget(now);
-            }
-        } else if let Some(evicting) = &mut self.evicting {
-            evicting.check_at = now + CHECK_STEP * 4;
-        }
-    }
-
-    fn count_order(&mut self) {
-        if let Some(sequence) = &mut self.sequence {
-            *sequence += 1;
-        }
-    }
-
-    fn load_accepted(&mut self, model: &ModelRef, version: u64, now: Duration) {
-        let is_fetch = !self.recent.contains_key(model);
-        let time = if is_fetch {
-            self.cold_time
-        } else {
-            self.cold_time / WARM_SHARE
-        };
-        let waiters = self
-            .waiting
-            .remove(model)
-            .map(|waiting| waiting.waiters)
-            .unwrap_or_default();
-        self.pending.insert(
-            model.clone(),
-            PendingLoad {
-                version,
-                ordered_at: now,
-                check_at: now + time + CHECK_MARGIN,
-                is_fetch,
-                waiters,
-            },
-        );
-    }
-
-    fn load_done(&mut self, model: &ModelRef, version: u64, now: Duration) {
-        let mut waiters = self
-            .waiting
-            .remove(model)
-            .map(|waiting| waiting.waiters)
-            .unwrap_or_default();
-        if let Some(pending) = self.pending.remove(model) {
-            waiters.extend(pending.waiters);
-            if pending.is_fetch {
-                let time = now.saturating_sub(pending.ordered_at);
-                self.cold_time = if time > self.cold_time + CHECK_MARGIN * 2 {
-                    (self.cold_time * 3 + time) / 4
-                } else {
-                    self.cold_time.mul_f64(FASTER).max(FIRST_COLD_TIME)
-                };
-            }
-        }
-        let mut resident = Resident {
-            version,
-            uses: 0.0,
-            used_at: now,
-        };
-        resident.note_use(u32::try_from(waiters.len()).unwrap_or(u32::MAX), now);
-        self.residents.insert(model.clone(), resident);
-        self.note_recent(model, now);
-        for waiter in waiters {
-            let _gone = waiter.reply.send(Ok(version));
-        }
-    }
-
-    fn evicted(&mut self, model: &ModelRef, now: Duration) {
-        self.residents.remove(model);
-        self.evicting = None;
-        self.note_recent(model, now);
-    }
-
-    fn note_recent(&mut self, model: &ModelRef, now: Duration) {
-        self.recent.insert(model.clone(), now);
-        if self.recent.len() > RECENT_ADAPTERS {
-            let oldest = self
-                .recent
-                .iter()
-                .filter(|(model, _)| !self.residents.contains_key(model))
-                .min_by_key(|(_, held_at)| **held_at)
-                .map(|(model, _)| model.clone());
-            if let Some(oldest) = oldest {
-                self.recent.remove(&oldest);
-            }
-        }
-    }
 }
 
 impl Resident {
-    fn faded_uses(&self, now: Duration) -> f64 {
+    pub(super) fn faded_uses(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.used_at).as_secs_f64();
         self.uses * (-age / USE_HALF_LIFE.as_secs_f64()).exp2()
     }
 
-    fn note_use(&mut self, count: u32, now: Duration) {
+    pub(super) fn note_use(&mut self, count: u32, now: Duration) {
         self.uses = self.faded_uses(now) + f64::from(count);
         self.used_at = now;
     }
