Count the second copy of an adapter as a blocked slot

Cause, from the log of the owner and a dump of its state at the failure: a former owner's copy of an adapter became usable while the new owner was loading the same adapter. The copy was taken into use, its slot counted as free, and the load ended in a second copy. The engine then refused further loads as full (409), and two failures in a row refuse the waiting requests. The slots of second copies were also never freed.

Change: ResidentReview decides about all copies in one place without input or output. A copy blocks its slot while the adapter is loading; idle second copies of ended owners are evicted; the number of slots is set before copies are adopted, as the scheduler adopts only into free ones.

Tests: tests/owner_review.rs; three of the five fail with the matching rule taken out (loading, surplus, leaving), each run by hand.

--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -21,6 +21,7 @@
 mod owner_status;
 mod plain_runner;
 mod release_ledger;
+mod resident_review;
 mod upstream_client;
 mod upstream_owner;
 
@@ -33,4 +34,5 @@
 pub use owner_recorder::OwnerRecorder;
 pub use owner_registry::{HandoverAnnouncer, OwnerRegistry};
 pub use release_ledger::ReleaseLedger;
+pub use resident_review::{ResidentReview, ReviewInput};
 pub use upstream_owner::UpstreamOwner;
--- a/src/owner/owner_orders.rs
+++ b/src/owner/owner_orders.rs
@@ -192,6 +192,36 @@
         }
     }
 
+    /// Orders the eviction of a second copy of an adapter.
+    ///
+    /// A copy that stays is found again in the next status; its slot counts as blocked until then.
+    pub(super) fn spawn_drop(&self, name: EngineName) {
+        let owner = self.clone();
+        tokio::spawn(async move {
+            if owner.begin_order() {
+                owner.drop_copy(&name).await;
+                owner.state().orders -= 1;
+            }
+            owner.state().dropping.remove(&name);
+        });
+    }
+
+    async fn drop_copy(&self, name: &EngineName) {
+        let UpstreamClient::Engine { orders, .. } = &self.inner().client else {
+            return;
+        };
+        if !self.inner().context.lease.is_valid() {
+            return;
+        }
+        self.note(LogName::EvictOrdered, MetricName::Evictions, name);
+        let reason = "the engine holds the adapter twice";
+        self.audit(AuditKind::EvictionOrder, name, reason);
+        if let Err(error) = orders.evict(name, self.epoch()).await {
+            let log = self.log(LogName::EvictFailed).with("adapter", name);
+            log.with("reason", &error).send();
+        }
+    }
+
     fn spawn_load(&self, adapter: AdapterRef) {
         if !self.begin_order() {
             return;
--- a/src/owner/owner_state.rs
+++ b/src/owner/owner_state.rs
@@ -21,6 +21,11 @@
     pub asking: BTreeSet<AdapterRef>,
     /// Adapters of the own epoch in the last status that the scheduler does not know.
     pub strays: BTreeSet<EngineName>,
+    /// Second copies of adapters whose eviction has been ordered; they are not used again, as an
+    /// order without an answer may still arrive.
+    pub leaving: BTreeSet<EngineName>,
+    /// Those of them whose order is under way.
+    pub dropping: BTreeSet<EngineName>,
     /// Loads and evictions that the engine has not confirmed.
     pub orders: u32,
     /// Adapters of former owners that must not be evicted yet.
@@ -39,13 +44,6 @@
         adapter.is_some_and(|adapter| !self.names.contains_key(adapter))
     }
 
-    /// Returns whether the engine holds an adapter of the own epoch that the scheduler does not know.
-    pub fn is_stray(&self, name: &EngineName) -> bool {
-        let is_known = self.names.contains_key(name.adapter())
-            || self.scheduler.residency().state(name.adapter()).is_some();
-        !is_known
-    }
-
     /// Returns the number of dispatched calls.
     pub fn running(&self) -> u32 {
         let running = self
--- a/src/owner/owner_status.rs
+++ b/src/owner/owner_status.rs
@@ -5,8 +5,9 @@
 
 use super::owner_state::OwnerState;
 use super::upstream_client::UpstreamClient;
-use super::{OwnerCall, UpstreamOwner};
+use super::{OwnerCall, ResidentReview, ReviewInput, UpstreamOwner};
 use crate::error::Error;
+use crate::id::AdapterRef;
 use crate::policy::ScheduleAction;
 use crate::telemetry::{LogEvent, LogName};
 use crate::upstream::EngineStatus;
@@ -59,6 +60,7 @@
             .with("upstream", self.upstream())
             .send();
         state.names.clear();
+        state.leaving.clear();
         for adapter in std::mem::take(&mut state.held) {
             state.scheduler.unhold(&adapter, self.now());
         }
@@ -88,21 +90,28 @@
         status: &EngineStatus,
     ) -> Vec<ScheduleAction> {
         let (mut actions, now) = (Vec::new(), self.now());
-        let limit = self.inner().pool.frozen_owner_limit;
-        let (mut blocked, mut strays) = (0, BTreeSet::new());
-        for resident in &status.resident {
-            let (name, adapter) = (&resident.name, resident.name.adapter());
-            if name.epoch() == state.epoch {
-                strays.extend(state.is_stray(name).then(|| name.clone()));
-                continue;
-            }
-            let standing = (self.inner().context.standing)(self.upstream(), name.epoch());
-            let is_duplicate = state.names.get(adapter).is_some_and(|known| known != name);
-            if is_duplicate || !standing.is_usable(limit) {
-                blocked += 1;
-                continue;
-            }
-            let is_evictable = standing.is_evictable(limit, resident.running);
+        state.leaving.retain(|name| {
+            status
+                .resident
+                .iter()
+                .any(|resident| resident.name == *name)
+        });
+        let review = ResidentReview::from_status(
+            &status.resident,
+            &ReviewInput {
+                epoch: state.epoch,
+                names: &state.names,
+                leaving: &state.leaving,
+                slot: |adapter: &AdapterRef| state.scheduler.residency().state(adapter),
+                standing: |epoch| (self.inner().context.standing)(self.upstream(), epoch),
+                silence_limit: self.inner().pool.frozen_owner_limit,
+            },
+        );
+        // The scheduler adopts an adapter only into a free slot, so that the number goes first.
+        let slots = self.inner().pool.slots.saturating_sub(review.blocked);
+        state.scheduler.set_slots(slots);
+        for (name, is_evictable) in review.usable {
+            let adapter = name.adapter();
             if state.names.insert(adapter.clone(), name.clone()).is_none() {
                 actions.extend(state.scheduler.adopted(adapter, now));
             }
@@ -114,13 +123,17 @@
         }
         // A load whose order got no answer may have ended later. A status may be older than the
         // last eviction, so that one status alone does not count.
-        let former = std::mem::replace(&mut state.strays, strays.clone());
-        for name in strays.intersection(&former) {
+        let former = std::mem::replace(&mut state.strays, review.strays.clone());
+        for name in review.strays.intersection(&former) {
             state.names.insert(name.adapter().clone(), name.clone());
             actions.extend(state.scheduler.adopted(name.adapter(), now));
         }
-        let slots = self.inner().pool.slots.saturating_sub(blocked);
-        state.scheduler.set_slots(slots);
+        for name in review.surplus {
+            state.leaving.insert(name.clone());
+            if state.dropping.insert(name.clone()) {
+                self.spawn_drop(name);
+            }
+        }
         actions
     }
 
--- a/src/owner/upstream_owner.rs
+++ b/src/owner/upstream_owner.rs
@@ -67,6 +67,8 @@
             asking: BTreeSet::new(),
             orders: 0,
             strays: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+            dropping: BTreeSet::new(),
             held: BTreeSet::new(),
             incarnation: None,
             is_healthy: false,
--- /dev/null
+++ b/tests/owner_review.rs
@@ -0,0 +1,149 @@
+//! What an owner makes of the adapters that its engine reports after a change of owner.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use comfreychute::id::{AdapterRef, EngineName, OwnerEpoch};
+use comfreychute::owner::{EpochStanding, ResidentReview, ReviewInput};
+use comfreychute::policy::SlotState;
+use comfreychute::upstream::ResidentAdapter;
+
+const FORMER: OwnerEpoch = OwnerEpoch::from_u64(1 << 32);
+const OWN: OwnerEpoch = OwnerEpoch::from_u64(2 << 32);
+
+fn adapter(name: &str) -> AdapterRef {
+    format!("{name}@1").parse().expect("an adapter reference")
+}
+
+fn copy(name: &str, epoch: OwnerEpoch) -> EngineName {
+    EngineName::new(adapter(name), epoch)
+}
+
+fn resident(name: &EngineName, running: u32) -> ResidentAdapter {
+    ResidentAdapter {
+        name: name.clone(),
+        running,
+    }
+}
+
+/// Reviews a status for an owner that uses `names` and loads `loading`.
+fn review(
+    residents: &[ResidentAdapter],
+    names: &[EngineName],
+    loading: &[&str],
+    leaving: &[EngineName],
+    standing: EpochStanding,
+) -> ResidentReview {
+    let names: BTreeMap<_, _> = names
+        .iter()
+        .map(|name| (name.adapter().clone(), name.clone()))
+        .collect();
+    let loading: BTreeSet<_> = loading.iter().map(|name| adapter(name)).collect();
+    ResidentReview::from_status(
+        residents,
+        &ReviewInput {
+            epoch: OWN,
+            names: &names,
+            leaving: &leaving.iter().cloned().collect(),
+            slot: |adapter: &AdapterRef| {
+                if loading.contains(adapter) {
+                    Some(SlotState::Loading)
+                } else {
+                    names.contains_key(adapter).then_some(SlotState::Resident)
+                }
+            },
+            standing: |_| standing,
+            silence_limit: None,
+        },
+    )
+}
+
+const ENDED: EpochStanding = EpochStanding::Dead {
+    dead_for: Duration::from_mins(1),
+};
+
+/// Guards against loads that the engine refuses as full: a copy that became usable while the same
+/// adapter was loading was used for a moment and its slot counted as free.
+#[test]
+fn a_copy_blocks_its_slot_while_the_adapter_is_loading() {
+    let former = copy("coop-3", FORMER);
+
+    let review = review(&[resident(&former, 0)], &[], &["coop-3"], &[], ENDED);
+
+    assert_eq!(review.blocked, 1);
+    assert!(review.usable.is_empty());
+    assert!(review.surplus.is_empty(), "the load may still fail");
+}
+
+/// Guards against slots lost until the engine restarts: second copies were never evicted.
+#[test]
+fn an_idle_second_copy_of_an_ended_owner_is_surplus() {
+    let (own, former) = (copy("coop-3", OWN), copy("coop-3", FORMER));
+    let residents = [resident(&own, 2), resident(&former, 0)];
+
+    let review = review(&residents, &[own], &[], &[], ENDED);
+
+    assert_eq!(review.blocked, 1);
+    assert_eq!(review.surplus, BTreeSet::from([former]));
+}
+
+/// Guards against an eviction under a request of a former owner.
+#[test]
+fn a_second_copy_in_use_or_of_an_owner_that_may_act_stays() {
+    let (own, former) = (copy("coop-3", OWN), copy("coop-3", FORMER));
+    let silent = EpochStanding::Silent {
+        silent_for: Duration::from_mins(1),
+    };
+    let cases = [
+        (1, ENDED),
+        (0, EpochStanding::Draining),
+        (0, silent),
+        (1, EpochStanding::Released),
+    ];
+
+    for (running, standing) in cases {
+        let residents = [resident(&own, 0), resident(&former, running)];
+        let review = review(&residents, std::slice::from_ref(&own), &[], &[], standing);
+
+        assert_eq!(review.blocked, 1, "{standing:?}");
+        assert!(review.surplus.is_empty(), "{standing:?}");
+    }
+}
+
+/// Guards against the use of a copy whose eviction has been ordered; the order may arrive late.
+#[test]
+fn a_copy_that_is_leaving_is_not_used_again() {
+    let former = copy("coop-3", FORMER);
+
+    let review = review(
+        &[resident(&former, 0)],
+        &[],
+        &[],
+        std::slice::from_ref(&former),
+        ENDED,
+    );
+
+    assert!(review.usable.is_empty());
+    assert_eq!(review.blocked, 1);
+    assert_eq!(review.surplus, BTreeSet::from([former]));
+}
+
+/// Guards against two copies of former owners that are both adopted under one name.
+#[test]
+fn of_two_copies_of_former_owners_one_is_used() {
+    let (first, second) = (
+        copy("coop-3", FORMER),
+        copy("coop-3", OwnerEpoch::from_u64(7)),
+    );
+
+    let review = review(
+        &[resident(&first, 0), resident(&second, 0)],
+        &[],
+        &[],
+        &[],
+        ENDED,
+    );
+
+    assert_eq!(review.usable, [(first, true)]);
+    assert_eq!(review.blocked, 1);
+}
