Repeat in shares only what a peer has not confirmed

Cause: an owner of 23 engines sent the names of all resident adapters, and each instance its uses of adapters, to every one of 82 peers four times a second. That is about 13 Mbit/s from an instance whose link may carry 10.

Change: a share carries the names only of upstreams that have changed since the peer's last confirmation; a peer that does not know them says so.

Tests: tests/residency/shares.rs. The first fails by its nature without the ledger; the others were not run against a mutant.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -545,6 +545,9 @@
     /// replying instance owns them or is taking them over.
     #[prost(string, repeated, tag = "1")]
     pub contested: Vec<String>,
+    /// Upstreams that were marked as unchanged and that the replying instance does not know.
+    #[prost(string, repeated, tag = "2")]
+    pub unknown: Vec<String>,
 }
 
 /// Requests in flight at one upstream.
@@ -582,6 +585,9 @@
     /// Milliseconds of loads that wait or run at the upstream.
     #[prost(uint32, tag = "5")]
     pub backlog_ms: u32,
+    /// Whether models and adapters are left out, since the receiver has confirmed them.
+    #[prost(bool, tag = "6")]
+    pub is_unchanged: bool,
 }
 
 /// Uses of one adapter at one upstream.
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -119,6 +119,7 @@
                 .residents()
                 .map(|(model, version)| format!("{model}@{version}"))
                 .collect(),
+            is_unchanged: false,
             backlog_ms: {
                 let domain = &loader.entry.domain;
                 let time = backlog(&state, domain, self.fetch_limit(Some(domain)));
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -20,6 +20,7 @@
 mod ownership_loop;
 mod residency_ledger;
 mod residency_view;
+mod share_ledger;
 mod store_port;
 mod waiting_load;
 
@@ -33,5 +34,6 @@
 pub use ownership_loop::OwnershipLoop;
 pub use residency_ledger::{LedgerAction, LedgerLimits, ResidencyLedger};
 pub use residency_view::ResidencyView;
+pub use share_ledger::ShareLedger;
 pub use store_port::{LeaseWrite, StorePort};
 pub use waiting_load::{LoadRefusal, LoadWaiter};
--- a/src/residency/residency_view.rs
+++ b/src/residency/residency_view.rs
@@ -31,10 +31,26 @@
         Self::default()
     }
 
-    /// Takes what an owner says of its upstreams.
-    pub fn merge(&self, owner: &InstanceId, items: &[OwnedItem], now: Duration) {
+    /// Takes what an owner says of its upstreams; returns those that it calls unchanged though
+    /// nothing is known of them from it.
+    pub fn merge(&self, owner: &InstanceId, items: &[OwnedItem], now: Duration) -> Vec<String> {
         let mut entries = self.lock();
+        let mut unknown = Vec::new();
         for item in items {
+            let backlog = Duration::from_millis(u64::from(item.backlog_ms));
+            if item.is_unchanged {
+                let known = entries
+                    .get_mut(&UpstreamId::from_name(&item.upstream))
+                    .filter(|entry| entry.owner == *owner);
+                match known {
+                    Some(entry) => {
+                        entry.told_at = now;
+                        entry.backlog = backlog;
+                    }
+                    None => unknown.push(item.upstream.clone()),
+                }
+                continue;
+            }
             let adapters = item.adapters.iter().filter_map(|text| parse(text));
             entries.insert(
                 UpstreamId::from_name(&item.upstream),
@@ -43,10 +59,11 @@
                     told_at: now,
                     models: item.models.iter().cloned().collect(),
                     adapters: adapters.collect(),
-                    backlog: Duration::from_millis(u64::from(item.backlog_ms)),
+                    backlog,
                 },
             );
         }
+        unknown
     }
 
     /// Notes an adapter that has just become resident.
--- a/tests/residency/main.rs
+++ b/tests/residency/main.rs
@@ -3,4 +3,5 @@
 mod fetch_pool;
 mod lease;
 mod ledger;
+mod shares;
 mod view;
--- a/tests/residency/view.rs
+++ b/tests/residency/view.rs
@@ -14,6 +14,7 @@
         models: vec!["base".to_owned()],
         adapters: adapters.iter().map(|name| (*name).to_owned()).collect(),
         backlog_ms: 0,
+        is_unchanged: false,
     }
 }
 
