Keep a silent stream until its rest is open elsewhere

Cause, from the log: a hot adapter's first requests met at one engine, whose events then paused for over 1.1 s. The relay dropped the stream and asked for its rest elsewhere; with the retry budget spent or no place free, nothing was left. In the same way a request without a head after 1.2 s was given up (504, attempts 1) although no other upstream could take it.

Ruled out: the change of the configuration in the same second (the cut streams had no route in common with it), resets by the engine.

Change: while the rest is being opened, the silent body is kept and goes on if it is heard first or if nobody else takes the stream. The head of an answer is awaited to the deadline unless another upstream and the retry budget allow a second attempt.

Tests: slow_stream_stays_when_it_cannot_be_resumed_elsewhere and slow_head_is_awaited_when_there_is_no_other_upstream; both failed before the change (cut after the first event; 502). silent_stream_goes_on_at_another_ upstream looked at the end of the answer whether the silent upstream was let go; that now happens with the arrival of the rest, so it waits for it, half a second at most, the time that a cancellation may take.

--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -26,12 +26,15 @@
     resume: Option<ResumeCall>,
     checks: Interval,
     last_event_at: Instant,
+    /// What a silent body brought while the rest was being opened elsewhere.
+    heard: Option<Frame<Bytes>>,
     has_ended: bool,
 }
 
 enum RelaySource {
     Reading(ConnectionBody),
-    Resuming(ResumeFuture),
+    /// The rest is being opened elsewhere; a body that is only silent is kept until it is there.
+    Resuming(ResumeFuture, Option<ConnectionBody>),
 }
 
 /// Time between two looks at whether a stream is silent; no timer is set for each event.
@@ -54,23 +57,79 @@
             resume,
             checks,
             last_event_at: now,
+            heard: None,
             has_ended: false,
         }
     }
 
     /// Replaces a broken source; the error stands if the stream can't be resumed.
-    fn start_resume(&mut self, error: Error) -> Result<()> {
+    fn replace_broken(&mut self, error: Error) -> Result<()> {
         self.splitter.discard_partial();
         let Some(resume) = &mut self.resume else {
             self.has_ended = true;
             return Err(error);
         };
         let last = self.splitter.last_id().map(str::to_owned);
-        self.source = RelaySource::Resuming(resume(last));
-        self.last_event_at = Instant::now();
+        self.source = RelaySource::Resuming(resume(last), None);
         Ok(())
     }
 
+    /// Opens the rest of a silent stream elsewhere; the stream goes on if it is heard first.
+    fn hedge_silent(&mut self) {
+        let Some(resume) = &mut self.resume else {
+            return;
+        };
+        let last = self.splitter.last_id().map(str::to_owned);
+        let future = resume(last);
+        let former = std::mem::replace(&mut self.source, RelaySource::Resuming(future, None));
+        if let (RelaySource::Reading(body), RelaySource::Resuming(_, kept)) =
+            (former, &mut self.source)
+        {
+            *kept = Some(body);
+        }
+    }
+
+    /// Waits for the rest of the stream from elsewhere, and for the body that is kept meanwhile.
+    fn poll_resume(&mut self, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        let RelaySource::Resuming(future, kept) = &mut self.source else {
+            return Poll::Ready(Ok(()));
+        };
+        match future.as_mut().poll(cx) {
+            Poll::Ready(Ok(body)) => {
+                self.splitter.discard_partial();
+                self.source = RelaySource::Reading(body);
+            }
+            Poll::Ready(Err(error)) => match kept.take() {
+                // Nobody else goes on with the stream; its upstream may still do so.
+                Some(body) => self.source = RelaySource::Reading(body),
+                None => return Poll::Ready(Err(error)),
+            },
+            Poll::Pending => {
+                let Some(body) = kept else {
+                    return Poll::Pending;
+                };
+                let Poll::Ready(frame) = Pin::new(body).poll_frame(cx) else {
+                    return Poll::Pending;
+                };
+                match frame {
+                    Some(Ok(frame)) => self.heard = Some(frame),
+                    // The body says again that it has ended.
+                    None => {}
+                    Some(Err(error)) => {
+                        log::debug!("a silent stream broke off while its rest was opened: {error}");
+                        *kept = None;
+                        return Poll::Pending;
+                    }
+                }
+                if let Some(body) = kept.take() {
+                    self.source = RelaySource::Reading(body);
+                }
+            }
+        }
+        self.last_event_at = Instant::now();
+        Poll::Ready(Ok(()))
+    }
+
     /// Returns whether a stream that can be resumed has been silent for too long.
     fn is_silent(&mut self, cx: &mut Context<'_>) -> bool {
         let mut is_due = false;
@@ -95,28 +154,25 @@
                 return Poll::Ready(None);
             }
             let body = match &mut this.source {
-                RelaySource::Resuming(future) => match ready!(future.as_mut().poll(cx)) {
-                    Ok(body) => {
-                        this.source = RelaySource::Reading(body);
-                        this.last_event_at = Instant::now();
-                        continue;
-                    }
-                    Err(error) => {
+                RelaySource::Resuming(..) => {
+                    if let Err(error) = ready!(this.poll_resume(cx)) {
                         this.has_ended = true;
                         return Poll::Ready(Some(Err(error)));
                     }
-                },
+                    continue;
+                }
                 RelaySource::Reading(body) => body,
             };
-            match Pin::new(body).poll_frame(cx) {
+            let polled = match this.heard.take() {
+                Some(frame) => Poll::Ready(Some(Ok(frame))),
+                None => Pin::new(body).poll_frame(cx),
+            };
+            match polled {
                 Poll::Pending => {
                     if !this.is_silent(cx) {
                         return Poll::Pending;
                     }
-                    let error = Error::new(ErrorKind::Upstream, "the stream went silent");
-                    if let Err(error) = this.start_resume(error) {
-                        return Poll::Ready(Some(Err(error)));
-                    }
+                    this.hedge_silent();
                 }
                 Poll::Ready(None) => {
                     this.has_ended = true;
@@ -139,7 +195,7 @@
                         this.has_ended = true;
                         return Poll::Ready(Some(Err(error)));
                     }
-                    if let Err(error) = this.start_resume(error) {
+                    if let Err(error) = this.replace_broken(error) {
                         return Poll::Ready(Some(Err(error)));
                     }
                 }
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -1,8 +1,9 @@
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
 use super::own_answer::OwnAnswer;
@@ -44,14 +45,10 @@
         chosen: &ChosenUpstream,
         last_event: Option<String>,
     ) -> Result<UpstreamAnswer, AttemptFailure> {
-        let now = Instant::now();
-        let can_repeat = run.route.is_repeatable() && run.attempts + 1 < run.route.max_attempts;
-        let head_until = if can_repeat && run.route.kind == RouteKind::Stream {
-            run.deadline.min(now + HEAD_PATIENCE)
-        } else {
-            run.deadline
-        };
         run.attempts += 1;
+        let can_repeat = run.route.kind == RouteKind::Stream
+            && run.route.is_repeatable()
+            && run.attempts < run.route.max_attempts;
         run.tried.push(chosen.entry.id.clone());
         let version = run
             .parts
@@ -63,12 +60,29 @@
         let plan = AttemptPlan {
             entry: Arc::clone(&chosen.entry),
             version,
-            head_until,
+            head_until: run.deadline,
             deadline: run.deadline,
             max_connections: (limit / instances).max(4),
             last_event,
         };
-        send_attempt(&self.pool, &self.board, &self.names, &run.parts, &plan).await
+        let sending = send_attempt(&self.pool, &self.board, &self.names, &run.parts, &plan);
+        if !can_repeat {
+            return sending.await;
+        }
+        let mut sending = pin!(sending);
+        match timeout(HEAD_PATIENCE, &mut sending).await {
+            Ok(outcome) => outcome,
+            Err(_) if self.may_go_elsewhere(run) => Err(AttemptFailure::TimedOut),
+            // A late answer is better than none.
+            Err(_) => sending.await,
+        }
+    }
+
+    /// Returns whether a request that has waited in vain could run at another upstream.
+    fn may_go_elsewhere(&self, run: &ForwardRun) -> bool {
+        let now = self.clock.now();
+        self.has_other_upstream(run)
+            && self.budget(&run.service.name, |budget| budget.covers_retry(now))
     }
 
     pub(super) fn note_failure(
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -46,15 +46,21 @@
     /// Takes one retry if the budget allows it.
     #[must_use]
     pub fn try_spend(&mut self, now: Duration) -> bool {
-        self.fade(now);
-        // A tolerance, because ten earnings of 0.1 sum to slightly less than 1.
-        let is_covered = self.balance > 1.0 - 1e-9;
+        let is_covered = self.covers_retry(now);
         if is_covered {
             self.balance = (self.balance - 1.0).max(0.0);
         }
         is_covered
     }
 
+    /// Returns whether the budget allows a retry now.
+    #[must_use]
+    pub fn covers_retry(&mut self, now: Duration) -> bool {
+        self.fade(now);
+        // A tolerance, because ten earnings of 0.1 sum to slightly less than 1.
+        self.balance > 1.0 - 1e-9
+    }
+
     /// Returns the retries saved up.
     #[must_use]
     pub const fn balance(&self) -> f64 {
