Let one instance of each domain watch the store closely

Ruled out: leases (336 calls).

Change: one instance of each failure domain keeps the short waits; the others wait up to ten seconds. A change still ends every wait at once, and an instance whose answer is lost learns from its peers' revisions that it is behind, now also for the list of instances.

Run by hand with the mechanism out: without the revisions of peers lost_change_is_learnt_from_a_peer fails, with short waits for all one_instance_of_a_domain_watches_closely does (32 calls).

--- a/src/forward/feed_kind.rs
+++ b/src/forward/feed_kind.rs
@@ -7,4 +7,6 @@
     Upstreams,
     /// Adapter versions.
     Versions,
+    /// The other instances.
+    Instances,
 }
--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -20,7 +20,8 @@
     upstreams: Mutex<Option<Arc<UpstreamMap>>>,
     versions: Mutex<Arc<BTreeMap<ModelRef, u64>>>,
     changes: watch::Sender<u64>,
-    marks: [FeedMark; 3],
+    marks: [FeedMark; 4],
+    has_watch_duty: AtomicBool,
 }
 
 /// How far this instance and its peers have followed one kind of objects.
@@ -57,7 +58,9 @@
             upstreams: Mutex::new(None),
             versions: Mutex::default(),
             changes: watch::channel(0).0,
-            marks: [FeedMark::new(), FeedMark::new(), FeedMark::new()],
+            marks: std::array::from_fn(|_| FeedMark::new()),
+            // Before it knows its peers an instance watches closely.
+            has_watch_duty: AtomicBool::new(true),
         }
     }
 
@@ -174,11 +177,23 @@
         }
     }
 
+    /// Sets whether this instance watches the store with short waits for its failure domain.
+    pub fn set_watch_duty(&self, has_duty: bool) {
+        self.has_watch_duty.store(has_duty, Ordering::Release);
+    }
+
+    /// Returns whether this instance watches the store with short waits.
+    #[must_use]
+    pub fn has_watch_duty(&self) -> bool {
+        self.has_watch_duty.load(Ordering::Acquire)
+    }
+
     const fn mark(&self, kind: FeedKind) -> &FeedMark {
         match kind {
             FeedKind::Config => &self.marks[0],
             FeedKind::Upstreams => &self.marks[1],
             FeedKind::Versions => &self.marks[2],
+            FeedKind::Instances => &self.marks[3],
         }
     }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -525,6 +525,9 @@
     /// The newest revision among the adapter versions that the sender has seen.
     #[prost(uint64, tag = "9")]
     pub version_revision: u64,
+    /// The newest revision among the instances that the sender has seen.
+    #[prost(uint64, tag = "10")]
+    pub instance_revision: u64,
 }
 
 /// A failure domain that an instance owns.
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -23,6 +23,7 @@
 mod share_ledger;
 mod store_port;
 mod waiting_load;
+mod watch_duty;
 
 pub use domain_lease::{DomainLease, LeaseStep};
 pub use fetch_pool::FetchPool;
@@ -37,3 +38,4 @@
 pub use share_ledger::ShareLedger;
 pub use store_port::{LeaseWrite, StorePort};
 pub use waiting_load::{LoadRefusal, LoadWaiter};
+pub use watch_duty::has_watch_duty;
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use super::{LeaseStep, LeaseWrite, LoadOwner, ResidencyView, ShareLedger, StorePort};
+use super::{
+    LeaseStep, LeaseWrite, LoadOwner, ResidencyView, ShareLedger, StorePort, has_watch_duty,
+};
 use crate::forward::{FeedKind, FleetState, LoadBoard};
 use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::member::rendezvous_score;
@@ -251,6 +253,8 @@
             periods = periods.wrapping_add(1);
             let peers = self.mesh.live_peers();
             lock(&ledger).retain(|id| peers.iter().any(|peer| peer.id == *id));
+            self.fleet
+                .set_watch_duty(has_watch_duty(&self.instance, &self.domain, &peers));
             let is_owner = !self.owner.owned_domains().is_empty();
             if !is_owner && !periods.is_multiple_of(stride(peers.len())) {
                 continue;
@@ -310,6 +314,7 @@
             config_revision: share.config_revision,
             upstream_revision: share.upstream_revision,
             version_revision: share.version_revision,
+            instance_revision: share.instance_revision,
         }
     }
 
@@ -325,6 +330,7 @@
             config_revision: self.fleet.own_revision(FeedKind::Config),
             upstream_revision: self.fleet.own_revision(FeedKind::Upstreams),
             version_revision: self.fleet.own_revision(FeedKind::Versions),
+            instance_revision: self.fleet.own_revision(FeedKind::Instances),
         }
     }
 }
@@ -342,6 +348,7 @@
             (FeedKind::Config, share.config_revision),
             (FeedKind::Upstreams, share.upstream_revision),
             (FeedKind::Versions, share.version_revision),
+            (FeedKind::Instances, share.instance_revision),
         ];
         for (kind, revision) in revisions {
             self.fleet.note_peer_revision(kind, revision);
--- a/tests/residency/main.rs
+++ b/tests/residency/main.rs
@@ -1,5 +1,6 @@
 //! Tests of ownership of failure domains, the ledger of one engine, and load permits.
 
+mod duty;
 mod fetch_pool;
 mod lease;
 mod ledger;
