Bound the log's volume and never wait for its output

Cause: lines were written to standard output by the thread that serves requests. A reader that stops would have stopped an instance, and a surge wrote a line for each refusal. Requests refused before their route was known (no route, bad header, shutting down) left no line at all.

The cost in processor time was not measured in this commit.

--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
-use http::header::{CONTENT_LENGTH, HOST, HeaderMap};
+use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -58,6 +58,20 @@
             .send();
     }
 
+    /// Logs at the debug level that an answer has begun, so that a request without trouble can be
+    /// followed by its id.
+    pub(super) fn log_answered(&self, status: StatusCode, upstream: &UpstreamId) {
+        LogEvent::new(LogName::RequestFinished)
+            .with("attempt", &self.parts.attempt)
+            .with("route", &self.route.name)
+            .with("upstream", upstream)
+            .with_count("status", u64::from(status.as_u16()))
+            .with_count("head_ms", millis(self.arrived.elapsed()))
+            .with_count("load_wait_ms", millis(self.load_wait))
+            .with_count("attempts", u64::from(self.attempts))
+            .send();
+    }
+
     /// Returns the time left for a load if the answer is to be on time.
     pub(super) fn on_time_left(&self) -> Duration {
         let prompt = Duration::from_millis(u64::from(self.parts.load.prompt_tokens) / 20);
@@ -102,6 +116,23 @@
     to_response(answer)
 }
 
+/// Logs why a request was answered before its route or content was known, and builds the answer.
+pub(super) fn log_early_refusal(
+    attempt: Option<&HeaderValue>,
+    answer: OwnAnswer,
+) -> Response<ReplyBody> {
+    // The line's writer escapes whatever the caller has put into the header.
+    let attempt = attempt.map_or_else(String::new, |value| {
+        String::from_utf8_lossy(value.as_bytes()).into_owned()
+    });
+    LogEvent::new(LogName::RequestRefused)
+        .with("attempt", attempt)
+        .with("reason", answer.reason)
+        .with_count("status", u64::from(answer.status.as_u16()))
+        .send();
+    to_response(answer)
+}
+
 pub(super) fn find_route(
     routes: &RouteSet,
     head: &http::request::Parts,
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -9,10 +9,12 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::forward_head::strip_hop_headers;
-use super::forward_run::{ChosenUpstream, ForwardRun, find_route, fingerprint, stated_length};
+use super::forward_run::{
+    ChosenUpstream, ForwardRun, find_route, fingerprint, log_early_refusal, stated_length,
+};
 use super::own_answer::{
     OwnAnswer, RETRY_AFTER_LOAD, RETRY_AFTER_SHUTDOWN, RETRY_AFTER_START, last_answer, own,
-    to_response, unavailable,
+    unavailable,
 };
 use super::runner_attempts::RETRY_PAUSE;
 use super::upstream_attempt::{RequestParts, drain};
@@ -75,9 +77,13 @@
     /// Answers one request.
     pub async fn run(self: &Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
         let arrived = Instant::now();
+        let named = request.headers().get(&self.names.attempt).cloned();
         match self.prepare(request, arrived).await {
             Ok(run) => self.forward(run).await,
-            Err(answer) => to_response(answer),
+            Err(answer) => {
+                self.metrics.add(MetricName::Refusals, "", answer.reason, 1);
+                log_early_refusal(named.as_ref(), answer)
+            }
         }
     }
 
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -174,6 +174,7 @@
             self.metrics
                 .record(MetricName::QueueWait, service, rank, run.load_wait);
         }
+        run.log_answered(answer.status, answer.body.upstream());
         if taken > run.route.target_latency {
             run.log_late(&answer.body);
         }
--- a/src/telemetry/json_logger.rs
+++ b/src/telemetry/json_logger.rs
@@ -5,8 +5,9 @@
 use serde_json::{Map, Value};
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
+use super::line_budget::LineBudget;
 use super::log_event::{EVENT_TARGET, render};
-use super::{LogEvent, LogName};
+use super::{LogDrain, LogEvent, LogName, QueuedOutput};
 use crate::error::{Error, ErrorKind};
 
 /// Writes log records as JSON lines.
@@ -17,6 +18,22 @@
     writer: Box<WriteLogger<LineWriter<W>>>,
 }
 
+impl JsonLogger<QueuedOutput> {
+    /// Creates a logger that never waits for `output` and limits the lines of each kind of event.
+    ///
+    /// The level can be changed later with [`log::set_max_level`].
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system gives no thread for the output.
+    #[must_use]
+    pub fn bounded<O: Write + Send + 'static>(output: O) -> (Self, LogDrain) {
+        LineBudget::start();
+        let (queued, drain) = QueuedOutput::start(output);
+        (Self::new(LevelFilter::Trace, queued), drain)
+    }
+}
+
 impl<W: Write + Send + 'static> JsonLogger<W> {
     /// Creates a logger that writes to `output`.
     #[must_use]
@@ -68,6 +85,9 @@
         if record.level() == log::Level::Info && !log::log_enabled!(log::Level::Debug) {
             return;
         }
+        if !LineBudget::admits(LogName::Library) {
+            return;
+        }
         let fields = Map::from_iter([(
             "target".to_owned(),
             Value::String(record.target().to_owned()),
--- a/src/telemetry/log_event.rs
+++ b/src/telemetry/log_event.rs
@@ -4,13 +4,14 @@
 use serde_json::{Map, Value};
 
 use super::LogName;
+use super::line_budget::LineBudget;
 
 /// The log target of events; the logger prints their text unchanged.
 pub(super) const EVENT_TARGET: &str = "comfreychute::event";
 
 /// One log line under construction.
 ///
-/// Nothing is formatted if the level of the event is off.
+/// Nothing is formatted if the level of the event is off or its limit of lines is reached.
 ///
 /// ```
 /// use comfreychute::telemetry::{LogEvent, LogName};
@@ -30,7 +31,8 @@
 impl LogEvent {
     /// Starts an event.
     pub fn new(name: LogName) -> Self {
-        let is_enabled = log::log_enabled!(target: EVENT_TARGET, name.level());
+        let is_enabled =
+            log::log_enabled!(target: EVENT_TARGET, name.level()) && LineBudget::admits(name);
         Self {
             name,
             fields: is_enabled.then(Map::new),
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -89,13 +89,19 @@
     AuditWriteFailed,
     /// a task ended unexpectedly; report it with the lines around it
     InternalFault,
+    /// the settings file was read again
+    SettingsReloaded,
+    /// the changed settings file has faults; correct them, the former settings stay in force
+    SettingsRefused,
+    /// log lines are missing here; look at the metrics for the numbers
+    LinesLeftOut,
     /// a message of a library
     Library,
 }
 
 impl LogName {
     /// All names, for documentation and tests.
-    pub const ALL: [Self; 43] = [
+    pub const ALL: [Self; 46] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -138,6 +144,9 @@
         Self::AuditLost,
         Self::AuditWriteFailed,
         Self::InternalFault,
+        Self::SettingsReloaded,
+        Self::SettingsRefused,
+        Self::LinesLeftOut,
         Self::Library,
     ];
 
@@ -187,6 +196,9 @@
             Self::AuditLost => "audit_lost",
             Self::AuditWriteFailed => "audit_write_failed",
             Self::InternalFault => "internal_fault",
+            Self::SettingsReloaded => "settings_reloaded",
+            Self::SettingsRefused => "settings_refused",
+            Self::LinesLeftOut => "lines_left_out",
             Self::Library => "library",
         }
     }
@@ -198,6 +210,7 @@
             Self::StartFailed
             | Self::ShutdownInterrupted
             | Self::ConfigRefused
+            | Self::SettingsRefused
             | Self::InternalFault => Level::Error,
             Self::ConfigReverted
             | Self::ConfigWatchFailed
@@ -216,7 +229,8 @@
             | Self::RequestQuarantined
             | Self::ClaimFailed
             | Self::AuditLost
-            | Self::AuditWriteFailed => Level::Warn,
+            | Self::AuditWriteFailed
+            | Self::LinesLeftOut => Level::Warn,
             Self::RequestFinished | Self::LoadOrdered | Self::EvictOrdered | Self::ConfigStale => {
                 Level::Debug
             }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -4,15 +4,19 @@
 //! the fields of the event such as `request`, `attempt`, `caller`, `adapter`, `upstream` or `reason`.
 
 mod json_logger;
+mod line_bucket;
+mod line_budget;
 mod log_event;
 mod log_name;
 mod metric_name;
 mod metric_row;
 mod metric_sink;
 mod metric_table;
+mod queued_output;
 mod timer_value;
 
 pub use json_logger::JsonLogger;
+pub use line_bucket::LineBucket;
 pub use log_event::LogEvent;
 pub(crate) use log_event::timestamp;
 pub use log_name::LogName;
@@ -20,6 +24,7 @@
 pub use metric_row::MetricRow;
 pub use metric_sink::MetricSink;
 pub use metric_table::MetricTable;
+pub use queued_output::{LogDrain, QueuedOutput};
 pub use timer_value::TimerValue;
 
 use slog::{Logger, o};
--- /dev/null
+++ b/src/telemetry/queued_output.rs
@@ -0,0 +1,143 @@
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Map, Value};
+
+use super::LogName;
+use super::line_budget::LineBudget;
+use super::log_event::render;
+
+/// Hands lines to a thread that writes them, so that an output that is not read stops nobody.
+///
+/// Lines that find the queue full are dropped and counted.
+#[derive(Debug)]
+pub struct QueuedOutput {
+    partial: Vec<u8>,
+    lines: SyncSender<Vec<u8>>,
+    counts: Arc<LineCounts>,
+}
+
+/// Waits for the lines that are still queued when a process ends.
+#[derive(Debug)]
+pub struct LogDrain {
+    counts: Arc<LineCounts>,
+}
+
+#[derive(Debug, Default)]
+struct LineCounts {
+    queued: AtomicU64,
+    written: AtomicU64,
+    dropped: AtomicU64,
+}
+
+/// Lines that wait for the output; at 300 bytes a line they take about a megabyte.
+const QUEUE_LINES: usize = 4096;
+
+/// Time between two looks at the lines that were left out.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between two looks at the queue while a process ends.
+const DRAIN_STEP: Duration = Duration::from_millis(5);
+
+impl QueuedOutput {
+    /// Starts the thread that writes to `output`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system gives no thread, as the standard library does.
+    #[must_use]
+    pub fn start<W: Write + Send + 'static>(output: W) -> (Self, LogDrain) {
+        let (lines, queue) = sync_channel(QUEUE_LINES);
+        let counts = Arc::new(LineCounts::default());
+        let writer = Arc::clone(&counts);
+        thread::spawn(move || write_lines(&queue, output, &writer));
+        let drain = LogDrain {
+            counts: Arc::clone(&counts),
+        };
+        let queued = Self {
+            partial: Vec::new(),
+            lines,
+            counts,
+        };
+        (queued, drain)
+    }
+}
+
+impl Write for QueuedOutput {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.partial.extend_from_slice(buf);
+        while let Some(end) = self.partial.iter().position(|byte| *byte == b'\n') {
+            let rest = self.partial.split_off(end + 1);
+            let line = std::mem::replace(&mut self.partial, rest);
+            if self.lines.try_send(line).is_ok() {
+                self.counts.queued.fetch_add(1, Ordering::AcqRel);
+            } else {
+                self.counts.dropped.fetch_add(1, Ordering::AcqRel);
+            }
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl LogDrain {
+    /// Blocks until the queued lines are written, `limit` at most.
+    pub fn wait(&self, limit: Duration) {
+        let until = Instant::now() + limit;
+        let is_pending = || {
+            let written = self.counts.written.load(Ordering::Acquire);
+            written < self.counts.queued.load(Ordering::Acquire)
+        };
+        while is_pending() && Instant::now() < until {
+            thread::sleep(DRAIN_STEP);
+        }
+    }
+}
+
+/// Writes lines until the logger is gone, and each second how many were left out.
+fn write_lines(queue: &Receiver<Vec<u8>>, mut output: impl Write, counts: &LineCounts) {
+    let mut reported_at = Instant::now();
+    loop {
+        match queue.recv_timeout(REPORT_PERIOD) {
+            Ok(line) => {
+                // There is no other place to report a fault of the log itself.
+                let _written = output.write_all(&line).and_then(|()| output.flush());
+                counts.written.fetch_add(1, Ordering::AcqRel);
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        if reported_at.elapsed() >= REPORT_PERIOD {
+            reported_at = Instant::now();
+            for line in missing_lines(counts.dropped.swap(0, Ordering::AcqRel)) {
+                let _written = output.write_all(line.as_bytes());
+            }
+        }
+    }
+}
+
+/// Renders a line for each kind of event of which lines are missing.
+fn missing_lines(dropped: u64) -> Vec<String> {
+    let to_line = |event: &str, reason: &str, count: u64| {
+        let fields = Map::from_iter([
+            ("left_out".to_owned(), Value::from(event)),
+            ("reason".to_owned(), Value::from(reason)),
+            ("count".to_owned(), Value::from(count)),
+        ]);
+        let name = LogName::LinesLeftOut;
+        let level = name.level().as_str();
+        format!("{}\n", render(level, name, &name.to_string(), &fields))
+    };
+    let limited = LineBudget::take_left_out()
+        .into_iter()
+        .map(|(name, count)| to_line(name.as_str(), "more lines of a kind than the limit", count));
+    let unread = (dropped > 0).then(|| to_line("any", "the output was not read in time", dropped));
+    limited.chain(unread).collect()
+}
