--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -12,6 +12,7 @@
 mod ledger_answers;
 mod load_client;
 mod load_owner;
+mod load_shares;
 mod load_worth;
 mod loader_task;
 mod order_port;
