Start the processes of the path tests in process groups of their own

Cause of the known red test outage::hanging_engines_get_few_calls_beyond_the_ requests: it stops the engine stand-in for 12 s. When the shell that started the tests ends in that time, its process group becomes orphaned with a stopped member, and the kernel sends SIGHUP to it, which ends the stand-ins.

The new test fails without the groups.

--- a/tests/path/fixture.rs
+++ b/tests/path/fixture.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -19,6 +20,12 @@
 /// Limit of every wait; far above what any step takes on a loaded machine.
 pub const LIMIT: Duration = Duration::from_mins(1);
 
+/// Makes a child the leader of a process group of its own.
+///
+/// A test stops processes. When the shell that started the tests ends, the group of the tests may
+/// become orphaned, and the kernel sends SIGHUP to an orphaned group with stopped members.
+const OWN_GROUP: i32 = 0;
+
 /// A process that is ended when the test ends.
 pub struct OwnedProcess {
     child: Child,
@@ -37,6 +44,16 @@
         self.child.id()
     }
 
+    /// Reads the number of its process group.
+    pub fn group_id(&self) -> u32 {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let line = std::fs::read_to_string(path).expect("the process runs");
+        // The name in parentheses may hold spaces; the state and the parent follow it.
+        let (_, fields) = line.rsplit_once(") ").expect("a name in parentheses");
+        let group = fields.split(' ').nth(2).expect("a process group");
+        group.parse().expect("a number")
+    }
+
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill").args(["-s", signal, &pid]).status();
@@ -71,6 +88,7 @@
 pub fn standin(name: &str, args: &[&str]) -> OwnedProcess {
     let mut child = Command::new(program(name))
         .args(args)
+        .process_group(OWN_GROUP)
         .stdout(Stdio::piped())
         .spawn()
         .unwrap_or_else(|error| panic!("{name} starts: {error}"));
@@ -174,6 +192,7 @@
     let child = Command::new(env!("CARGO_BIN_EXE_comfreychute"))
         .args(["node", "--settings"])
         .arg(&file)
+        .process_group(OWN_GROUP)
         .stderr(log)
         .spawn()
         .expect("the node starts");
--- a/tests/path/processes.rs
+++ b/tests/path/processes.rs
@@ -14,6 +14,19 @@
     ProcessFleet::start(FleetPlan::new(test)).await
 }
 
+/// Guards against a stopped stand-in that is killed by the SIGHUP of an orphaned process group when
+/// the shell that started the tests ends.
+#[tokio::test]
+async fn each_process_leads_a_process_group_of_its_own() {
+    let fleet = fleet("process-groups").await;
+
+    let standins = [&fleet.platform, &fleet.engines, &fleet.desk];
+    let nodes = fleet.nodes.values().map(|node| &node.process);
+    for process in standins.into_iter().chain(nodes) {
+        assert_eq!(process.group_id(), process.id());
+    }
+}
+
 /// Guards against a break anywhere on the path: routing, forwarding, loading, dispatch, relay.
 #[tokio::test]
 async fn a_completion_sent_to_any_node_is_streamed_from_the_adapter_that_it_names() {
