Pass changes of the store on from one instance of each domain

Each change of an upstream ended the waits of all 83 instances; entries of upstreams also list resident adapters, which change many times a second and which nobody reads there (owners ask the engines).

Change: one instance of each failure domain watches the store, and the others ask it over the peer link, with the same revisions. The new module `relay` holds the log of changes, the answers and the questions; an instance whose watcher is silent, behind its peers or not answered by the store asks the store itself at once and for three seconds. Only what instances use of an upstream's entry is passed on. Idle watches of ten seconds are gone, and so are the lists of models and adapters of an upstream's entry.

--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -1,13 +1,14 @@
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::{FeedKind, ModelRef, RouteSet, UpstreamEntry};
+use super::{ModelRef, RouteSet, UpstreamEntry};
 use crate::id::UpstreamId;
+use crate::relay::FeedKind;
 
 type UpstreamMap = BTreeMap<UpstreamId, Arc<UpstreamEntry>>;
 
@@ -21,7 +22,6 @@
     versions: Mutex<Arc<BTreeMap<ModelRef, u64>>>,
     changes: watch::Sender<u64>,
     marks: [FeedMark; 4],
-    has_watch_duty: AtomicBool,
 }
 
 /// How far this instance and its peers have followed one kind of objects.
@@ -45,8 +45,8 @@
     }
 }
 
-/// Time that an instance may be behind its peers before it reads anew; a change reaches all within
-/// some milliseconds.
+/// Time that an instance may be behind its peers before it reads anew; a change reaches all that ask
+/// within some milliseconds.
 const LAG_LIMIT: Duration = Duration::from_millis(300);
 
 impl FleetState {
@@ -59,8 +59,6 @@
             versions: Mutex::default(),
             changes: watch::channel(0).0,
             marks: std::array::from_fn(|_| FeedMark::new()),
-            // Before it knows its peers an instance watches closely.
-            has_watch_duty: AtomicBool::new(true),
         }
     }
 
@@ -159,8 +157,9 @@
         raise(&self.mark(kind).peers, revision);
     }
 
-    /// Waits until a peer has been ahead for so long that an answer of the store must be lost.
-    pub async fn lag(&self, kind: FeedKind) {
+    /// Waits until a peer has been ahead for so long that an answer must be lost; whoever answers
+    /// may pause between changes for `pause`.
+    pub async fn lag(&self, kind: FeedKind, pause: Duration) {
         let mark = self.mark(kind);
         let (mut covered, mut peers) = (mark.covered.subscribe(), mark.peers.subscribe());
         loop {
@@ -168,7 +167,7 @@
             if ahead > *covered.borrow_and_update() {
                 // Both senders live as long as this state.
                 let caught_up = covered.wait_for(|revision| *revision >= ahead);
-                if timeout(LAG_LIMIT, caught_up).await.is_err() {
+                if timeout(LAG_LIMIT + pause, caught_up).await.is_err() {
                     return;
                 }
             } else {
@@ -177,24 +176,8 @@
         }
     }
 
-    /// Sets whether this instance watches the store with short waits for its failure domain.
-    pub fn set_watch_duty(&self, has_duty: bool) {
-        self.has_watch_duty.store(has_duty, Ordering::Release);
-    }
-
-    /// Returns whether this instance watches the store with short waits.
-    #[must_use]
-    pub fn has_watch_duty(&self) -> bool {
-        self.has_watch_duty.load(Ordering::Acquire)
-    }
-
     const fn mark(&self, kind: FeedKind) -> &FeedMark {
-        match kind {
-            FeedKind::Config => &self.marks[0],
-            FeedKind::Upstreams => &self.marks[1],
-            FeedKind::Versions => &self.marks[2],
-            FeedKind::Instances => &self.marks[3],
-        }
+        &self.marks[kind.index()]
     }
 
     /// Subscribes to changes.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -8,7 +8,6 @@
 
 mod connection_body;
 mod engine_spec;
-mod feed_kind;
 mod fleet_state;
 mod forward_head;
 mod forward_route;
@@ -37,7 +36,6 @@
 
 pub use connection_body::ConnectionBody;
 pub use engine_spec::{EngineSpec, ModelSpec};
-pub use feed_kind::FeedKind;
 pub use fleet_state::FleetState;
 pub use forward_head::ForwardHead;
 pub use forward_route::{ForwardRoute, ServiceShare};
--- a/src/forward/upstream_entry.rs
+++ b/src/forward/upstream_entry.rs
@@ -19,8 +19,4 @@
     pub is_draining: bool,
     /// The time of its start, as it states it; tells a restart under the same id.
     pub incarnation: u64,
-    /// Base models that it stated when it was listed.
-    pub models: Vec<String>,
-    /// Adapters that it stated when it was listed, as `model/adapter@version`.
-    pub adapters: Vec<String>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //! [`node`] wires the parts together; [`command`] is the command line.
 //!
 //! On the users' machines requests take the opaque path of [`forward`] instead, with [`residency`]
-//! in place of [`owner`] and [`permit`]; the crate in `platform/` connects both to the users' wire.
+//! in place of [`owner`] and [`permit`] and [`relay`] for changes of the configuration; the crate in `platform/` connects both to the users' wire.
 
 pub mod admin;
 pub mod audit;
@@ -32,6 +32,7 @@
 pub mod permit;
 pub mod platform;
 pub mod policy;
+pub mod relay;
 pub mod residency;
 pub mod settings;
 pub mod shard;
--- a/src/node/mesh_wiring.rs
+++ b/src/node/mesh_wiring.rs
@@ -90,7 +90,7 @@
             record_handover(parts, &handover);
             reply::Body::Done(true)
         }
-        Some(ask::Body::Want(_) | ask::Body::Share(_)) | None => {
+        Some(ask::Body::Want(_) | ask::Body::Share(_) | ask::Body::Changes(_)) | None => {
             let error = Error::new(
                 ErrorKind::Protocol,
                 "the question has no content that this version knows",
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -304,13 +304,15 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerAsk {
     /// The content.
-    #[prost(oneof = "ask::Body", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "ask::Body", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<ask::Body>,
 }
 
 /// The contents of a question.
 pub mod ask {
-    use super::{AdapterWant, ConfigPull, LoadShare, Oneof, OwnerHandover, PermitBid, PermitDone};
+    use super::{
+        AdapterWant, ChangeAsk, ConfigPull, LoadShare, Oneof, OwnerHandover, PermitBid, PermitDone,
+    };
 
     /// The content of a question.
     #[derive(Clone, PartialEq, Oneof)]
@@ -333,6 +335,9 @@
         /// Tells the sender's share of the load.
         #[prost(message, tag = "6")]
         Share(LoadShare),
+        /// Asks for changes in the store.
+        #[prost(message, tag = "7")]
+        Changes(ChangeAsk),
     }
 }
 
@@ -340,13 +345,15 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerReply {
     /// The content.
-    #[prost(oneof = "reply::Body", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "reply::Body", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<reply::Body>,
 }
 
 /// The contents of a reply.
 pub mod reply {
-    use super::{AdapterGrant, ConfigDelta, Oneof, PermitGrant, RefusalBody, ShareReply};
+    use super::{
+        AdapterGrant, ChangeReply, ConfigDelta, Oneof, PermitGrant, RefusalBody, ShareReply,
+    };
 
     /// The content of a reply.
     #[derive(Clone, PartialEq, Oneof)]
@@ -369,6 +376,9 @@
         /// The share was taken.
         #[prost(message, tag = "6")]
         Shared(ShareReply),
+        /// Changes in the store.
+        #[prost(message, tag = "7")]
+        Changes(ChangeReply),
     }
 }
 
@@ -553,6 +563,48 @@
     pub unknown: Vec<String>,
 }
 
+/// Asks for changes in the store that the replying instance watches.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangeAsk {
+    /// The kind of objects, by its place among all kinds.
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// The revision of the store up to which the asking instance has read the kind.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Milliseconds to wait for a change.
+    #[prost(uint32, tag = "3")]
+    pub wait_ms: u32,
+}
+
+/// Changes in the store; none if the wait has ended without one.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangeReply {
+    /// Objects that were created or replaced.
+    #[prost(message, repeated, tag = "1")]
+    pub objects: Vec<ChangedObject>,
+    /// Names of deleted objects.
+    #[prost(string, repeated, tag = "2")]
+    pub deleted: Vec<String>,
+    /// The revision of the store from which further changes follow.
+    #[prost(uint64, tag = "3")]
+    pub covered: u64,
+}
+
+/// An object of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangedObject {
+    /// The name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The revision of the last change that matters to instances.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// What matters of the content, encoded as the store's own content is.
+    #[prost(bytes = "vec", tag = "3")]
+    pub payload: Vec<u8>,
+}
+
 /// Requests in flight at one upstream.
 #[derive(Clone, PartialEq, Message)]
 pub struct FlightItem {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -39,10 +39,10 @@
 pub use mesh_config::MeshConfig;
 pub use mesh_hooks::{HeartbeatHook, MeshHooks, ReplyFuture};
 pub use message::{
-    AdapterGrant, AdapterWant, CallChunk, CallOpen, ConfigDelta, ConfigPull, FlightItem,
-    HandoverItem, HeartbeatBody, LoadShare, OwnedDomain, OwnedItem, OwnerHandover, PeerAsk,
-    PeerFrame, PeerHello, PeerReply, PermitBid, PermitDone, PermitGrant, RefusalBody,
-    ResidencyItem, ShareReply, UseItem, ask, chunk, frame, reply,
+    AdapterGrant, AdapterWant, CallChunk, CallOpen, ChangeAsk, ChangeReply, ChangedObject,
+    ConfigDelta, ConfigPull, FlightItem, HandoverItem, HeartbeatBody, LoadShare, OwnedDomain,
+    OwnedItem, OwnerHandover, PeerAsk, PeerFrame, PeerHello, PeerReply, PermitBid, PermitDone,
+    PermitGrant, RefusalBody, ResidencyItem, ShareReply, UseItem, ask, chunk, frame, reply,
 };
 pub use peer_change::PeerChange;
 pub use peer_identity::PeerIdentity;
--- /dev/null
+++ b/src/relay/relay_client.rs
@@ -0,0 +1,110 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::{ChangePage, ChangeRelay, FeedKind};
+use crate::error::{Error, ErrorKind, Result};
+use crate::id::InstanceId;
+use crate::peer::{ChangeAsk, PeerAsk, PeerMesh, ask, reply};
+use crate::time::ClockSource;
+
+/// Asks the watcher of this instance's failure domain for changes in the store.
+#[derive(Debug)]
+pub struct RelayClient {
+    relay: Arc<ChangeRelay>,
+    mesh: PeerMesh,
+    clock: ClockSource,
+    /// Milliseconds of the clock until which the watcher is not asked.
+    paused_until: AtomicU64,
+}
+
+/// Time for a reply beyond the wait that it asks for; a hop within a domain takes a millisecond.
+const REPLY_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time for which the store is asked directly after a question to the watcher has failed: its links,
+/// its process or its way to the store may take that long to recover or to be declared dead.
+const FAILURE_PAUSE: Duration = Duration::from_secs(3);
+
+impl RelayClient {
+    /// Creates a client that asks over `mesh` the watcher that `relay` knows.
+    #[must_use]
+    pub const fn new(relay: Arc<ChangeRelay>, mesh: PeerMesh, clock: ClockSource) -> Self {
+        Self {
+            relay,
+            mesh,
+            clock,
+            paused_until: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the relay of this instance.
+    #[must_use]
+    pub fn relay(&self) -> &ChangeRelay {
+        &self.relay
+    }
+
+    /// Returns the instance to ask; none if this instance has to ask the store.
+    #[must_use]
+    pub fn watcher(&self) -> Option<InstanceId> {
+        let now = to_millis(self.clock.now());
+        let is_paused = now < self.paused_until.load(Ordering::Acquire);
+        self.relay.watcher().filter(|_| !is_paused)
+    }
+
+    /// Asks for the changes after a revision; waits for one as long as a watch of the kind does.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Unavailable`] if the watcher does not reply in time, is not reached, or
+    /// cannot tell. The store has to be asked then, as for some seconds to come.
+    pub async fn changes(
+        &self,
+        watcher: &InstanceId,
+        kind: FeedKind,
+        revision: u64,
+    ) -> Result<ChangePage> {
+        let page = self.ask(watcher, kind, revision).await;
+        if page.is_err() {
+            self.pause();
+        }
+        page
+    }
+
+    /// Leaves the watcher alone for some seconds; it has failed or is behind.
+    pub fn pause(&self) {
+        let until = to_millis(self.clock.now() + FAILURE_PAUSE);
+        self.paused_until.fetch_max(until, Ordering::AcqRel);
+    }
+
+    async fn ask(&self, watcher: &InstanceId, kind: FeedKind, revision: u64) -> Result<ChangePage> {
+        let wait = kind.watch_wait();
+        let question = ChangeAsk {
+            // Four kinds and some seconds fit.
+            kind: u32::try_from(kind.index()).unwrap_or(u32::MAX),
+            revision,
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        };
+        let body = Some(ask::Body::Changes(question));
+        let asked = self.mesh.ask(watcher, PeerAsk { body });
+        match timeout(wait + REPLY_MARGIN, asked).await {
+            Ok(answer) => match answer?.body {
+                Some(reply::Body::Changes(reply)) => Ok(ChangePage::from_reply(reply)),
+                Some(reply::Body::Refused(body)) => Err(body.to_error()),
+                _ => Err(Error::new(
+                    ErrorKind::Protocol,
+                    "the watcher's reply is of another kind; check that all instances run one version",
+                )),
+            },
+            Err(_) => Err(Error::new(
+                ErrorKind::Unavailable,
+                "the watcher did not reply in time",
+            )),
+        }
+    }
+}
+
+fn to_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/residency/load_shares.rs
+++ b/src/residency/load_shares.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use super::ownership_loop::lock;
-use super::{OwnershipLoop, ShareLedger, has_watch_duty};
-use crate::forward::FeedKind;
+use super::{OwnershipLoop, ShareLedger};
 use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::peer::{LoadShare, OwnedDomain, PeerAsk, PeerReply, ShareReply, ask, reply};
+use crate::relay::{FeedKind, choose_watcher};
 use crate::time::TimerService;
 
 /// Time between two shares of the load with few instances.
@@ -34,8 +34,8 @@
             periods = periods.wrapping_add(1);
             let peers = self.mesh.live_peers();
             lock(&ledger).retain(|id| peers.iter().any(|peer| peer.id == *id));
-            self.fleet
-                .set_watch_duty(has_watch_duty(&self.instance, &self.domain, &peers));
+            let watcher = choose_watcher(&self.instance, &self.domain, &peers);
+            self.relay.set_watcher(watcher);
             let is_owner = !self.owner.owned_domains().is_empty();
             if !is_owner && !periods.is_multiple_of(stride(peers.len())) {
                 continue;
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -24,7 +24,6 @@
 mod share_ledger;
 mod store_port;
 mod waiting_load;
-mod watch_duty;
 
 pub use domain_lease::{DomainLease, LeaseStep};
 pub use fetch_pool::FetchPool;
@@ -39,4 +38,3 @@
 pub use share_ledger::ShareLedger;
 pub use store_port::{LeaseWrite, StorePort};
 pub use waiting_load::{LoadRefusal, LoadWaiter};
-pub use watch_duty::has_watch_duty;
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -10,6 +10,7 @@
 use crate::peer::PeerMesh;
 use crate::platform::ListedInstance;
 use crate::policy::SuspectList;
+use crate::relay::ChangeRelay;
 use crate::telemetry::{LogEvent, LogName};
 use crate::time::{ClockSource, TimerService};
 
@@ -33,6 +34,8 @@
     pub suspects: Arc<Mutex<SuspectList>>,
     /// The links to the other instances.
     pub mesh: PeerMesh,
+    /// Changes in the store, passed on among instances.
+    pub relay: Arc<ChangeRelay>,
     /// The store.
     pub store: StorePort,
     /// The instances that the store lists.
