Pass on only the last change of an object in one answer of the store

Cause: a page is passed on as objects and deleted names, deletions first. An upstream that changed its entry and was deleted within one answer of the store was deleted and then put back, in the watcher's log and at all its readers. Found by reading: the watcher's own list had the deletion (its log line), its readers' lists did not. Ruled out: late answers of the watcher (readers logged other deletions 1 ms after it).

--- a/src/relay/change_page.rs
+++ b/src/relay/change_page.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeMap;
+
 use super::RelayedObject;
 use crate::peer::{ChangeReply, ChangedObject};
 
@@ -13,6 +15,32 @@
 }
 
 impl ChangePage {
+    /// Collects changes in the order of the store, each with whether its object was deleted.
+    ///
+    /// Only the last change of an object counts: one that was changed and then deleted is gone.
+    #[must_use]
+    pub fn from_changes(
+        changes: impl IntoIterator<Item = (RelayedObject, bool)>,
+        covered: u64,
+    ) -> Self {
+        let mut last = BTreeMap::new();
+        for (object, is_deleted) in changes {
+            last.insert(object.name.clone(), (object, is_deleted));
+        }
+        let mut page = Self {
+            covered,
+            ..Self::default()
+        };
+        for (name, (object, is_deleted)) in last {
+            if is_deleted {
+                page.deleted.push(name);
+            } else {
+                page.objects.push(object);
+            }
+        }
+        page
+    }
+
     /// Reads a page from a peer's reply.
     #[must_use]
     pub fn from_reply(reply: ChangeReply) -> Self {
--- a/tests/relay/log.rs
+++ b/tests/relay/log.rs
@@ -114,3 +114,22 @@
 fn reader_ahead_of_the_log_keeps_its_revision() {
     assert_eq!(listed().changes_since(30), Some(page(vec![], &[], 30)));
 }
+
+/// Guards against requests that go to an upstream which has left: it had changed its entry and was
+/// deleted within one answer of the store, and stayed present for the readers of the log.
+#[test]
+fn last_change_of_an_object_counts() {
+    let mut log = listed();
+    let changes = [
+        (object("a", 11, "draining"), false),
+        (object("a", 11, "draining"), true),
+        (object("b", 9, "ready"), true),
+        (object("b", 13, "back"), false),
+    ];
+
+    log.apply(&ChangePage::from_changes(changes, 14));
+
+    let told = log.changes_since(10).expect("known history");
+    assert_eq!(names(&told), ["b"]);
+    assert_eq!(told.deleted, ["a"]);
+}
