Tell the load through one instance of each domain in large fleets

Change: LoadTree decides who tells whom. Up to 16 peers nothing changes. Beyond, an instance tells its load to the first one of its domain, the first ones tell each other their sums, and each tells the rest back, so that everyone learns the load of all. Owners still send their claims to every listed instance, since the lease rests on those confirmations; uses of adapters go to their owner; suspects of crashes go to each process until it has confirmed them. Shares of load go up every 125 ms, so that the total is little older than before. The longer period of shares above 100 peers is gone.

Tests: tests/residency/load_tree.rs plays fleets of 2 to 300 instances: each learns the load of all, counted once, also after the first of a domain fails; shares grow with the number of instances (170 in a period for 83).

--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -152,6 +152,12 @@
         self.mark(kind).seen.load(Ordering::Acquire)
     }
 
+    /// Returns the revision of the newest change of a kind that this instance or a peer has read.
+    #[must_use]
+    pub fn known_revision(&self, kind: FeedKind) -> u64 {
+        self.own_revision(kind).max(*self.mark(kind).peers.borrow())
+    }
+
     /// Notes that a peer has read objects of a kind up to a revision.
     pub fn note_peer_revision(&self, kind: FeedKind, revision: u64) {
         raise(&self.mark(kind).peers, revision);
--- a/src/forward/load_board.rs
+++ b/src/forward/load_board.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -56,9 +56,19 @@
 #[derive(Debug)]
 struct PeerShare {
     loads: BTreeMap<UpstreamId, UpstreamLoad>,
+    /// The instances whose load it contains.
+    instances: usize,
+    /// Whether the peer passes its load on through this instance.
+    is_child: bool,
     told_at: Duration,
 }
 
+impl PeerShare {
+    fn is_live(&self, now: Duration) -> bool {
+        now.saturating_sub(self.told_at) < SHARE_EXPIRY
+    }
+}
+
 /// Age after which a peer's share no longer counts; several intervals of sharing.
 const SHARE_EXPIRY: Duration = Duration::from_secs(2);
 
@@ -115,7 +125,7 @@
         let state = self.lock();
         let mut total = state.own.get(upstream).copied().unwrap_or_default();
         for share in state.peers.values() {
-            if now.saturating_sub(share.told_at) < SHARE_EXPIRY
+            if share.is_live(now)
                 && let Some(load) = share.loads.get(upstream)
             {
                 total.add(load);
@@ -138,30 +148,61 @@
                 (UpstreamId::from_name(&item.upstream), load)
             })
             .collect();
-        let told_at = now;
-        self.lock()
-            .peers
-            .insert(peer.clone(), PeerShare { loads, told_at });
+        let share = PeerShare {
+            loads,
+            instances: usize::try_from(share.instances)
+                .unwrap_or(usize::MAX)
+                .max(1),
+            is_child: share.is_child,
+            told_at: now,
+        };
+        self.lock().peers.insert(peer.clone(), share);
     }
 
-    /// Counts the instances that have told their share lately, this one included.
+    /// Lists the instances that pass their load on through this one.
+    #[must_use]
+    pub fn children(&self, now: Duration) -> BTreeSet<InstanceId> {
+        let state = self.lock();
+        let children = state.peers.iter();
+        let children = children.filter(|(_, share)| share.is_child && share.is_live(now));
+        children.map(|(peer, _)| peer.clone()).collect()
+    }
+
+    /// Counts the instances whose load has been told lately, this one included.
     #[must_use]
     pub fn live_instances(&self, now: Duration) -> usize {
         let state = self.lock();
-        let is_live = |share: &&PeerShare| now.saturating_sub(share.told_at) < SHARE_EXPIRY;
-        1 + state.peers.values().filter(is_live).count()
+        let live = state.peers.values().filter(|share| share.is_live(now));
+        live.fold(1, |sum, share| sum.saturating_add(share.instances))
     }
 
-    /// Lists this instance's share for its peers.
+    /// Lists the load of this instance and of the peers for which `is_included` holds, and how many
+    /// instances it covers.
     #[must_use]
-    pub fn own_share(&self) -> Vec<FlightItem> {
+    pub fn to_share(
+        &self,
+        now: Duration,
+        is_included: impl Fn(&InstanceId) -> bool,
+    ) -> (Vec<FlightItem>, u32) {
+        let state = self.lock();
+        let mut sum = state.own.clone();
+        let mut instances = 1_usize;
+        let included = state.peers.iter();
+        let included = included.filter(|(peer, share)| share.is_live(now) && is_included(peer));
+        for (_, share) in included {
+            instances = instances.saturating_add(share.instances);
+            for (upstream, load) in &share.loads {
+                sum.entry(upstream.clone()).or_default().add(load);
+            }
+        }
         let to_item = |(upstream, load): (&UpstreamId, &UpstreamLoad)| FlightItem {
             upstream: upstream.as_str().to_owned(),
             requests: load.requests,
             prompt_tokens: load.prompt_tokens,
             memory_tokens: load.memory_tokens,
         };
-        self.lock().own.iter().map(to_item).collect()
+        let items = sum.iter().map(to_item).collect();
+        (items, u32::try_from(instances).unwrap_or(u32::MAX))
     }
 
     /// Lists the adapters in use and those used since the last call.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -538,6 +538,18 @@
     /// The newest revision among the instances that the sender has seen.
     #[prost(uint64, tag = "10")]
     pub instance_revision: u64,
+    /// The instances whose requests in flight are listed; zero means the sender alone.
+    #[prost(uint32, tag = "11")]
+    pub instances: u32,
+    /// Whether requests in flight are left out, since the receiver learns them from other instances.
+    #[prost(bool, tag = "12")]
+    pub is_without_load: bool,
+    /// Whether the receiver passes the load of the sender on, and tells the sender that of all others.
+    #[prost(bool, tag = "13")]
+    pub is_child: bool,
+    /// Whether the share tells the load and the revisions only; what else was told before still holds.
+    #[prost(bool, tag = "14")]
+    pub is_load_only: bool,
 }
 
 /// A failure domain that an instance owns.
--- a/src/residency/load_shares.rs
+++ b/src/residency/load_shares.rs
@@ -5,113 +5,175 @@
 use std::time::Duration;
 
 use super::ownership_loop::lock;
-use super::{OwnershipLoop, ShareLedger};
+use super::{LoadPart, LoadTree, OwnershipLoop, ShareLedger};
 use crate::id::{DomainId, InstanceId, UpstreamId};
-use crate::peer::{LoadShare, OwnedDomain, PeerAsk, PeerReply, ShareReply, ask, reply};
+use crate::peer::{
+    LivePeer, LoadShare, OwnedDomain, OwnedItem, PeerAsk, PeerReply, ShareReply, UseItem, ask,
+    reply,
+};
 use crate::relay::{FeedKind, choose_watcher};
 use crate::time::TimerService;
 
-/// Time between two shares of the load with few instances.
-const SHARE_PERIOD: Duration = Duration::from_millis(250);
+/// The peers that still have a share to reply to, with whether it tells the load only. The two kinds
+/// are apart, so that the frequent one never keeps an owner's claims back.
+type SharesInFlight = Arc<Mutex<BTreeSet<(InstanceId, bool)>>>;
 
-/// Shares that an instance which owns nothing sends in a second at most: 100 peers get each one. A
-/// share sent and one taken cost about ten microseconds together, measured with 83 instances.
-const SHARES_PER_SECOND: usize = 400;
+/// Time between two shares of the load to one peer; older load misleads when many instances choose
+/// among the same upstreams.
+const SHARE_PERIOD: Duration = Duration::from_millis(250);
 
-/// The longest period of shares, in periods of a small fleet; load that is older than a second
-/// misleads more than it helps.
-const LONGEST_STRIDE: usize = 4;
+/// Time between two shares to a peer that passes them on, so that the total is not much older than
+/// one that each instance tells all others.
+const UPWARD_PERIOD: Duration = Duration::from_millis(125);
 
 impl OwnershipLoop {
-    /// Tells all peers this instance's share until the process ends.
+    /// Tells the peers this instance's share until the process ends.
     pub(super) async fn run_shares(self: Arc<Self>, timers: TimerService) {
-        let mut ticks = timers.subscribe(SHARE_PERIOD);
+        let mut ticks = timers.subscribe(UPWARD_PERIOD);
         let in_flight = Arc::new(Mutex::new(BTreeSet::new()));
         let ledger = Arc::new(Mutex::new(ShareLedger::new()));
-        let mut periods = 0_usize;
+        // Peers that have to hear when no adapter is in use any more.
+        let mut told_uses = BTreeSet::new();
+        let mut shared_at = None;
         loop {
             ticks.next().await;
-            periods = periods.wrapping_add(1);
+            let now = self.clock.now();
             let peers = self.mesh.live_peers();
             lock(&ledger).retain(|id| peers.iter().any(|peer| peer.id == *id));
             let watcher = choose_watcher(&self.instance, &self.domain, &peers);
             self.relay.set_watcher(watcher);
-            let is_owner = !self.owner.owned_domains().is_empty();
-            if !is_owner && !periods.is_multiple_of(stride(peers.len())) {
+            let children = self.board.children(now);
+            let tree = LoadTree::new(&self.instance, &self.domain, &peers, children);
+            // A tick may come slightly early.
+            let is_due = shared_at.is_none_or(|at| now + UPWARD_PERIOD / 2 >= at + SHARE_PERIOD);
+            if !is_due {
+                let upward = peers.iter().filter(|peer| tree.is_upward(&peer.id));
+                for peer in upward {
+                    let mut share = self.load_share(&tree, &peer.id, now);
+                    share.is_load_only = true;
+                    self.send_share(peer, share, &[], (&in_flight, &ledger));
+                }
                 continue;
             }
-            let share = self.own_share();
-            let now = self.clock.now();
+            shared_at = Some(now);
+            let own = self.own_share(now);
             // An instance sends itself complete items only.
-            let _none_unknown = self.view.merge(&self.instance, &share.owned, now);
-            self.owner.note_uses(&self.instance, &share.used);
+            let _none_unknown = self.view.merge(&self.instance, &own.owned, now);
+            self.owner.note_uses(&self.instance, &own.used);
             self.owner
-                .hear_holders(&self.instance, to_domains(&share.owned_domains), now);
-            for peer in peers {
-                let peer = peer.id;
-                // One share at a time goes to each peer, so that a slow one gets no backlog.
-                if !lock(&in_flight).insert(peer.clone()) {
-                    continue;
+                .hear_holders(&self.instance, to_domains(&own.owned_domains), now);
+            for peer in &peers {
+                let mut share = self.load_share(&tree, &peer.id, now);
+                share.used = self.uses_for(&peer.id, &own.used, now);
+                let knows_suspects = {
+                    let ledger = lock(&ledger);
+                    share.owned = ledger.to_items(&peer.id, &own.owned);
+                    ledger.knows_suspects(&peer.id, peer.incarnation, &own.suspects)
+                };
+                if !knows_suspects {
+                    share.suspects.clone_from(&own.suspects);
+                }
+                share.owned_domains.clone_from(&own.owned_domains);
+                let had_uses = if share.used.is_empty() {
+                    told_uses.remove(&peer.id)
+                } else {
+                    told_uses.insert(peer.id.clone());
+                    true
+                };
+                let has_content = !share.is_without_load
+                    || had_uses
+                    || !share.owned_domains.is_empty()
+                    || !share.suspects.is_empty();
+                if has_content {
+                    self.send_share(peer, share, &own.owned, (&in_flight, &ledger));
                 }
-                let this = Arc::clone(&self);
-                let own_items = share.owned.clone();
-                let mut share = self.to_peer_share(&peer, &share, now);
-                share.owned = lock(&ledger).to_items(&peer, &own_items);
-                let (in_flight, ledger) = (Arc::clone(&in_flight), Arc::clone(&ledger));
-                tokio::spawn(async move {
-                    let claims = share.owned_domains.clone();
-                    let body = Some(ask::Body::Share(share));
-                    let sent_at = this.clock.now();
-                    match this.mesh.ask(&peer, PeerAsk { body }).await {
-                        Ok(answer) => {
-                            if let Some(reply::Body::Shared(reply)) = answer.body {
-                                let contested = &reply.contested;
-                                this.owner.note_reply(&peer, &claims, contested, sent_at);
-                                lock(&ledger).note_taken(&peer, &own_items, &reply.unknown);
-                            }
+            }
+        }
+    }
+
+    /// Sends a share in the background, unless the peer still has one to reply to, so that a slow
+    /// peer gets no backlog.
+    fn send_share(
+        self: &Arc<Self>,
+        peer: &LivePeer,
+        share: LoadShare,
+        own_items: &[OwnedItem],
+        (in_flight, ledger): (&SharesInFlight, &Arc<Mutex<ShareLedger>>),
+    ) {
+        let slot = (peer.id.clone(), share.is_load_only);
+        if !lock(in_flight).insert(slot.clone()) {
+            return;
+        }
+        let (this, peer, own_items) = (Arc::clone(self), peer.clone(), own_items.to_vec());
+        let (in_flight, ledger) = (Arc::clone(in_flight), Arc::clone(ledger));
+        tokio::spawn(async move {
+            let (claims, suspects) = (share.owned_domains.clone(), share.suspects.clone());
+            let body = Some(ask::Body::Share(share));
+            let sent_at = this.clock.now();
+            match this.mesh.ask(&peer.id, PeerAsk { body }).await {
+                Ok(answer) => {
+                    if let Some(reply::Body::Shared(reply)) = answer.body {
+                        let contested = &reply.contested;
+                        this.owner.note_reply(&peer.id, &claims, contested, sent_at);
+                        let mut ledger = lock(&ledger);
+                        if !own_items.is_empty() {
+                            ledger.note_taken(&peer.id, &own_items, &reply.unknown);
+                        }
+                        if !suspects.is_empty() {
+                            ledger.note_suspects(&peer.id, peer.incarnation, suspects);
                         }
-                        Err(error) => log::debug!("the share did not reach {peer}: {error}"),
                     }
-                    lock(&in_flight).remove(&peer);
-                });
+                }
+                Err(error) => log::debug!("the share did not reach {}: {error}", peer.id),
             }
-        }
+            lock(&in_flight).remove(&slot);
+        });
     }
 
-    /// Leaves out uses of adapters that concern other owners than the peer.
-    fn to_peer_share(&self, peer: &InstanceId, share: &LoadShare, now: Duration) -> LoadShare {
+    /// Returns the uses of adapters that concern the peer as an owner.
+    fn uses_for(&self, peer: &InstanceId, used: &[UseItem], now: Duration) -> Vec<UseItem> {
         let concerns = |upstream: &str| {
             let owner = self.view.owner_of(&UpstreamId::from_name(upstream), now);
             // Any peer may be about to take over an upstream without a known owner.
             owner.is_none_or(|owner| owner == *peer)
         };
-        let used = share.used.iter().filter(|item| concerns(&item.upstream));
+        let used = used.iter().filter(|item| concerns(&item.upstream));
+        used.cloned().collect()
+    }
+
+    /// Returns a share with the part of the load that the peer has to be told.
+    fn load_share(&self, tree: &LoadTree, peer: &InstanceId, now: Duration) -> LoadShare {
+        let part = tree.part_for(peer);
+        let (in_flight, instances) = match part {
+            Some(LoadPart::Own) => self.board.to_share(now, |_| false),
+            Some(LoadPart::Branch) => {
+                let is_child = |other: &InstanceId| tree.children().contains(other);
+                self.board.to_share(now, is_child)
+            }
+            Some(LoadPart::Rest) => self.board.to_share(now, |other| other != peer),
+            None => (Vec::new(), 0),
+        };
         LoadShare {
-            in_flight: share.in_flight.clone(),
-            owned: Vec::new(),
-            suspects: share.suspects.clone(),
-            owned_domains: share.owned_domains.clone(),
-            used: used.cloned().collect(),
-            config_revision: share.config_revision,
-            upstream_revision: share.upstream_revision,
-            version_revision: share.version_revision,
-            instance_revision: share.instance_revision,
+            in_flight,
+            instances,
+            is_without_load: part.is_none(),
+            is_child: tree.is_parent(peer),
+            config_revision: self.fleet.known_revision(FeedKind::Config),
+            upstream_revision: self.fleet.known_revision(FeedKind::Upstreams),
+            version_revision: self.fleet.known_revision(FeedKind::Versions),
+            instance_revision: self.fleet.known_revision(FeedKind::Instances),
+            ..LoadShare::default()
         }
     }
 
-    fn own_share(&self) -> LoadShare {
-        let now = self.clock.now();
-        let suspects = lock(&self.suspects).own_counts(now);
+    /// Returns what this instance alone can tell, without the load.
+    fn own_share(&self, now: Duration) -> LoadShare {
         LoadShare {
-            in_flight: self.board.own_share(),
             owned: self.owner.owned_items(),
-            suspects,
+            suspects: lock(&self.suspects).own_counts(now),
             owned_domains: self.owner.owned_domains(),
             used: self.board.take_uses(),
-            config_revision: self.fleet.own_revision(FeedKind::Config),
-            upstream_revision: self.fleet.own_revision(FeedKind::Upstreams),
-            version_revision: self.fleet.own_revision(FeedKind::Versions),
-            instance_revision: self.fleet.own_revision(FeedKind::Instances),
+            ..LoadShare::default()
         }
     }
 
@@ -119,10 +181,9 @@
     #[must_use]
     pub fn take_share(&self, peer: &InstanceId, share: &LoadShare) -> PeerReply {
         let now = self.clock.now();
-        self.board.merge(peer, share, now);
-        let unknown = self.view.merge(peer, &share.owned, now);
-        self.owner.note_uses(peer, &share.used);
-        lock(&self.suspects).merge(peer, &share.suspects, now);
+        if !share.is_without_load {
+            self.board.merge(peer, share, now);
+        }
         let revisions = [
             (FeedKind::Config, share.config_revision),
             (FeedKind::Upstreams, share.upstream_revision),
@@ -132,6 +193,13 @@
         for (kind, revision) in revisions {
             self.fleet.note_peer_revision(kind, revision);
         }
+        if share.is_load_only {
+            let body = Some(reply::Body::Shared(ShareReply::default()));
+            return PeerReply { body };
+        }
+        let unknown = self.view.merge(peer, &share.owned, now);
+        self.owner.note_uses(peer, &share.used);
+        lock(&self.suspects).merge(peer, &share.suspects, now);
         let contested = self.owner.answer_claims(&share.owned_domains);
         let is_accepted = |claim: &&OwnedDomain| !contested.contains(&claim.domain);
         let accepted = share.owned_domains.iter().filter(is_accepted);
@@ -145,14 +213,6 @@
     }
 }
 
-/// Returns after how many periods an instance that owns nothing sends its next share.
-fn stride(peers: usize) -> usize {
-    let per_second = peers * 1000 / SHARE_PERIOD.as_millis() as usize;
-    per_second
-        .div_ceil(SHARES_PER_SECOND)
-        .clamp(1, LONGEST_STRIDE)
-}
-
 fn to_domains(claims: &[OwnedDomain]) -> impl Iterator<Item = DomainId> {
     claims
         .iter()
--- a/src/residency/share_ledger.rs
+++ b/src/residency/share_ledger.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Default)]
 pub struct ShareLedger {
     confirmed: BTreeMap<InstanceId, BTreeMap<String, u64>>,
+    /// The process of each peer and the suspects that it has confirmed.
+    suspects: BTreeMap<InstanceId, (u64, BTreeMap<u64, u32>)>,
 }
 
 impl ShareLedger {
@@ -53,9 +55,35 @@
         self.confirmed.insert(peer.clone(), taken.collect());
     }
 
+    /// Returns whether the process `incarnation` of a peer has confirmed these suspects.
+    #[must_use]
+    pub fn knows_suspects(
+        &self,
+        peer: &InstanceId,
+        incarnation: u64,
+        suspects: &BTreeMap<u64, u32>,
+    ) -> bool {
+        suspects.is_empty()
+            || self
+                .suspects
+                .get(peer)
+                .is_some_and(|known| known.0 == incarnation && known.1 == *suspects)
+    }
+
+    /// Notes that the process `incarnation` of a peer has taken these suspects.
+    pub fn note_suspects(
+        &mut self,
+        peer: &InstanceId,
+        incarnation: u64,
+        suspects: BTreeMap<u64, u32>,
+    ) {
+        self.suspects.insert(peer.clone(), (incarnation, suspects));
+    }
+
     /// Forgets peers that `is_kept` does not name.
     pub fn retain(&mut self, is_kept: impl Fn(&InstanceId) -> bool) {
         self.confirmed.retain(|peer, _| is_kept(peer));
+        self.suspects.retain(|peer, _| is_kept(peer));
     }
 }
 
--- a/tests/residency/main.rs
+++ b/tests/residency/main.rs
@@ -3,5 +3,6 @@
 mod fetch_pool;
 mod lease;
 mod ledger;
+mod load_tree;
 mod shares;
 mod view;
