--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::{LeaseStep, LeaseWrite, LoadOwner, ResidencyView, StorePort};
+use crate::error::Result;
 use crate::forward::{FleetState, LoadBoard};
 use crate::id::{DomainId, InstanceId};
 use crate::member::rendezvous_score;
@@ -53,6 +54,11 @@
 /// Time between two looks at the leases.
 const LEASE_PERIOD: Duration = Duration::from_millis(100);
 
+/// Pause for a failure domain after the store has not answered about it, so that a store which turns
+/// many instances away does not get ten calls a second from each. It is short enough for a second
+/// attempt to renew a lease, which is due half a second before the lease lapses.
+const STORE_PAUSE: Duration = Duration::from_millis(300);
+
 /// A longer gap between two looks means that this process was paused.
 const PAUSE_LIMIT: Duration = Duration::from_millis(700);
 
@@ -66,6 +72,7 @@
         let mut ticks = timers.subscribe(LEASE_PERIOD);
         let mut last = self.clock.now();
         let mut missing = BTreeMap::new();
+        let mut paused_until: BTreeMap<DomainId, Duration> = BTreeMap::new();
         loop {
             ticks.next().await;
             let now = self.clock.now();
@@ -80,14 +87,19 @@
                     self.owner
                         .with_lease(&domain, rank, |lease, _| lease.resume_after_pause(now));
                 }
-                self.advance(&domain, rank).await;
+                if paused_until.get(&domain).is_some_and(|until| now < *until) {
+                    continue;
+                }
+                if self.advance(&domain, rank).await.is_err() {
+                    paused_until.insert(domain, self.clock.now() + STORE_PAUSE);
+                }
             }
             self.owner.follow_upstreams();
         }
     }
 
-    /// Does what a lease needs next.
-    async fn advance(&self, domain: &DomainId, rank: u32) {
+    /// Does what a lease needs next; fails if the store does not answer.
+    async fn advance(&self, domain: &DomainId, rank: u32) -> Result<()> {
         let now = self.clock.now();
         let step = self.owner.with_lease(domain, rank, |lease, acked_at| {
             lease.next_step(now, acked_at)
@@ -101,13 +113,13 @@
                 }
                 Err(error) => {
                     log::debug!("ownership of {domain} was not read: {error}");
-                    return;
+                    return Err(error);
                 }
             },
             step => step,
         };
         let LeaseStep::Write(record, expected) = step else {
-            return;
+            return Ok(());
         };
         let sent_at = self.clock.now();
         let epoch = record.epoch;
@@ -141,8 +153,10 @@
                 self.owner
                     .with_lease(domain, rank, |lease, _| lease.record_lost());
                 log::debug!("ownership of {domain} was not written: {error}");
+                return Err(error);
             }
         }
+        Ok(())
     }
 
     /// Lists the domains with this instance's place among the candidates for each.
