--- a/src/relay/change_log.rs
+++ b/src/relay/change_log.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -58,9 +58,8 @@
         if self.covered == 0 {
             self.horizon = covered;
         }
-        let names: Vec<&str> = objects.iter().map(|object| object.name.as_str()).collect();
-        let gone = self.objects.keys();
-        let gone = gone.filter(|name| !names.contains(&name.as_str()));
+        let names: BTreeSet<&String> = objects.iter().map(|object| &object.name).collect();
+        let gone = self.objects.keys().filter(|name| !names.contains(name));
         let page = ChangePage {
             objects: objects.to_vec(),
             deleted: gone.cloned().collect(),
--- a/src/residency/load_shares.rs
+++ b/src/residency/load_shares.rs
@@ -1,6 +1,6 @@
 //! The shares of the load that instances tell each other.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -63,17 +63,8 @@
             self.owner
                 .hear_holders(&self.instance, to_domains(&own.owned_domains), now);
             for peer in &peers {
-                let mut share = self.load_share(&tree, &peer.id, now);
-                share.used = self.uses_for(&peer.id, &own.used, now);
-                let knows_suspects = {
-                    let ledger = lock(&ledger);
-                    share.owned = ledger.to_items(&peer.id, &own.owned);
-                    ledger.knows_suspects(&peer.id, peer.incarnation, &own.suspects)
-                };
-                if !knows_suspects {
-                    share.suspects.clone_from(&own.suspects);
-                }
-                share.owned_domains.clone_from(&own.owned_domains);
+                let load = self.load_share(&tree, &peer.id, now);
+                let share = self.complete_share(load, peer, &own, &lock(&ledger), now);
                 let had_uses = if share.used.is_empty() {
                     told_uses.remove(&peer.id)
                 } else {
@@ -141,6 +132,29 @@
         used.cloned().collect()
     }
 
+    /// Adds to a share of the load what else the peer has to be told.
+    fn complete_share(
+        &self,
+        load: LoadShare,
+        peer: &LivePeer,
+        own: &LoadShare,
+        ledger: &ShareLedger,
+        now: Duration,
+    ) -> LoadShare {
+        let suspects = if ledger.knows_suspects(&peer.id, peer.incarnation, &own.suspects) {
+            BTreeMap::new()
+        } else {
+            own.suspects.clone()
+        };
+        LoadShare {
+            owned: ledger.to_items(&peer.id, &own.owned),
+            owned_domains: own.owned_domains.clone(),
+            used: self.uses_for(&peer.id, &own.used, now),
+            suspects,
+            ..load
+        }
+    }
+
     /// Returns a share with the part of the load that the peer has to be told.
     fn load_share(&self, tree: &LoadTree, peer: &InstanceId, now: Duration) -> LoadShare {
         let part = tree.part_for(peer);
--- a/src/residency/load_tree.rs
+++ b/src/residency/load_tree.rs
@@ -19,8 +19,8 @@
 ///
 /// Up to [`LoadTree::MAX_MESH_PEERS`] peers, each tells every other one. Beyond, an instance tells its
 /// own load to the first instance of its failure domain, those of all domains tell each other the
-/// sums, and each tells the total back. 83 instances send 200 shares in a period instead of 6,806,
-/// and those that cross domains are 12.
+/// sums, and each tells the rest back. 83 instances in four domains send 170 shares in a period
+/// instead of 6,806, and 12 of them cross domains.
 #[derive(Debug)]
 pub struct LoadTree {
     is_mesh: bool,
