Refuse loads at once while their owner cannot confirm its lease

Their owner's lease had lapsed, since neither the store nor all other instances confirmed it, and it kept new requests for loads until their callers would have left.

Change: 0.6 s after its lease has lapsed an owner refuses new requests for loads at once, as not run. Requests that wait already still wait as before.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -68,6 +68,10 @@
     /// Age of the last proof of life from which the holder renews its record.
     const RENEW_AGE: Duration = Duration::from_millis(450);
 
+    /// Time after its lapse in which a lease is mostly regained: two renewals of the record fit. A
+    /// request that waits for longer is late for its target.
+    pub const REGAIN_TIME: Duration = Duration::from_millis(600);
+
     /// Time that each later candidate waits in addition, so that they do not collide.
     const RANK_STEP: Duration = Duration::from_millis(600);
 
@@ -226,6 +230,13 @@
         })
     }
 
+    /// Returns whether the lease is held, but has lapsed more than [`REGAIN_TIME`](Self::REGAIN_TIME)
+    /// ago, so that no order may be sent.
+    #[must_use]
+    pub fn is_stuck(&self, now: Duration, acked_at: Option<Duration>) -> bool {
+        self.held.is_some() && !self.may_order(now.saturating_sub(Self::REGAIN_TIME), acked_at)
+    }
+
     /// Returns the epoch if the lease is held.
     #[must_use]
     pub fn epoch(&self) -> Option<u64> {
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -48,7 +48,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if this instance does not own the upstream or the load would be late.
+    /// Returns a refusal if this instance does not own the upstream, cannot confirm that it does, or
+    /// the load would be late.
     pub async fn want(
         &self,
         upstream: &UpstreamId,
@@ -77,6 +78,13 @@
         now: Duration,
     ) -> Result<(), LoadRefusal> {
         let mut state = self.lock();
+        let loader = state.loaders.get(upstream).ok_or(LoadRefusal::NotOwner)?;
+        let domain = &loader.entry.domain;
+        let acked_at = state.acked_at(domain);
+        let lease = state.leases.get(domain);
+        if lease.is_some_and(|lease| lease.is_stuck(now, acked_at)) {
+            return Err(LoadRefusal::Unconfirmed);
+        }
         let loader = state
             .loaders
             .get_mut(upstream)
--- a/src/residency/waiting_load.rs
+++ b/src/residency/waiting_load.rs
@@ -9,6 +9,9 @@
     TooLate,
     /// This instance does not own the upstream any more.
     NotOwner,
+    /// This instance owns the upstream, but has not been able to confirm it for so long that no load
+    /// can be expected in time.
+    Unconfirmed,
 }
 
 /// A request that waits for a load.
