Log and measure starts on outdated adapter versions

The incident VERSION could not be explained from the logs: they did not show when an instance learned of a version, nor when a request started relative to that.

The versions of FleetState move into a watch channel that an attempt waits on.

--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -11,6 +11,7 @@
 use crate::relay::ObjectKind;
 
 type UpstreamMap = BTreeMap<UpstreamId, Arc<UpstreamEntry>>;
+type VersionMap = BTreeMap<ModelRef, u64>;
 
 /// The latest configuration, upstreams and adapter versions known to this instance.
 ///
@@ -20,7 +21,7 @@
 pub struct FleetState {
     routes: Mutex<Option<Arc<RouteSet>>>,
     upstreams: Mutex<Option<Arc<UpstreamMap>>>,
-    versions: Mutex<Arc<BTreeMap<ModelRef, u64>>>,
+    versions: watch::Sender<Arc<VersionMap>>,
     /// Number of changes to the routes, upstreams and adapter versions.
     changes: watch::Sender<u64>,
     progress: [ReadProgress; 4],
@@ -58,7 +59,7 @@
         Self {
             routes: Mutex::new(None),
             upstreams: Mutex::new(None),
-            versions: Mutex::default(),
+            versions: watch::channel(Arc::default()).0,
             changes: watch::channel(0).0,
             progress: std::array::from_fn(|_| ReadProgress::new()),
         }
@@ -109,8 +110,8 @@
 
     /// Returns the latest announced version of each adapter.
     #[must_use]
-    pub fn versions(&self) -> Arc<BTreeMap<ModelRef, u64>> {
-        Arc::clone(&self.versions.lock().unwrap_or_else(PoisonError::into_inner))
+    pub fn versions(&self) -> Arc<VersionMap> {
+        Arc::clone(&self.versions.borrow())
     }
 
     /// Returns the lowest adapter version on which requests for `model` may start, or zero if any
@@ -120,14 +121,27 @@
         self.versions().get(model).copied().unwrap_or(0)
     }
 
-    /// Raises the version of an adapter to `version`; an older or equal version has no effect.
-    pub fn adopt_version(&self, model: &ModelRef, version: u64) {
-        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
-        if versions.get(model).is_none_or(|known| *known < version) {
-            Arc::make_mut(&mut versions).insert(model.clone(), version);
-            drop(versions);
+    /// Raises the version of an adapter to `version` and returns whether it was lower before.
+    pub fn adopt_version(&self, model: &ModelRef, version: u64) -> bool {
+        let is_newer = self.versions.send_if_modified(|versions| {
+            let is_newer = version > versions.get(model).copied().unwrap_or(0);
+            if is_newer {
+                Arc::make_mut(versions).insert(model.clone(), version);
+            }
+            is_newer
+        });
+        if is_newer {
             self.notify();
         }
+        is_newer
+    }
+
+    /// Waits until a version of an adapter above `version` is known.
+    pub async fn wait_for_newer_version(&self, model: &ModelRef, version: u64) {
+        let mut versions = self.versions.subscribe();
+        let is_newer = |known: &Arc<VersionMap>| known.get(model).is_some_and(|it| *it > version);
+        // The wait can't fail, because this state owns the sender.
+        let _versions = versions.wait_for(is_newer).await;
     }
 
     /// Returns whether requests can be routed: both routes and upstreams have been received.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -27,6 +27,7 @@
 mod route_set;
 mod runner_attempts;
 mod runner_placement;
+mod runner_versions;
 mod stream_splitter;
 mod tracked_body;
 mod upstream_attempt;
--- /dev/null
+++ b/src/forward/runner_versions.rs
@@ -0,0 +1,69 @@
+use std::pin::pin;
+
+use tokio::time::Instant;
+
+use super::forward_run::{ForwardRun, millis};
+use super::upstream_attempt::AttemptPlan;
+use super::{AttemptFailure, ModelRef, RequestRunner, UpstreamResponse};
+use crate::telemetry::{LogEvent, LogName, MetricName};
+
+/// The announcements of adapter versions during an attempt.
+impl RequestRunner {
+    /// Waits for the response of an attempt, and logs it if the version that the attempt states
+    /// became outdated before the response.
+    ///
+    /// An upstream may queue a request after it has checked the version, and sends the response
+    /// head when the request starts.
+    pub(super) async fn watch_version(
+        &self,
+        run: &ForwardRun,
+        plan: &AttemptPlan,
+        sending: impl Future<Output = Result<UpstreamResponse, AttemptFailure>>,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        let Some(model) = &run.parts.model else {
+            return sending.await;
+        };
+        let started = Instant::now();
+        let mut sending = pin!(sending);
+        tokio::select! {
+            biased;
+            outcome = &mut sending => return outcome,
+            () = self.fleet.wait_for_newer_version(model, plan.version) => {}
+        }
+        let outdated_since = Instant::now();
+        let outcome = sending.await;
+        if let Ok(response) = &outcome {
+            self.record_outdated(run, model, plan, response, started, outdated_since);
+        }
+        outcome
+    }
+
+    fn record_outdated(
+        &self,
+        run: &ForwardRun,
+        model: &ModelRef,
+        plan: &AttemptPlan,
+        response: &UpstreamResponse,
+        started: Instant,
+        outdated_since: Instant,
+    ) {
+        let outdated_time = outdated_since.elapsed();
+        self.metrics.record(
+            MetricName::OutdatedStart,
+            &run.service.name,
+            run.rank_tag(),
+            outdated_time,
+        );
+        LogEvent::new(LogName::RequestOutdated)
+            .with("attempt", &run.parts.attempt)
+            .with("upstream", &plan.entry.id)
+            .with("model", model)
+            .with_count("version", plan.version)
+            .with_count("announced", self.fleet.min_version(model))
+            .with_count("status", u64::from(response.status.as_u16()))
+            .with_count("connect_ms", millis(response.connect_time))
+            .with_count("head_ms", millis(started.elapsed()))
+            .with_count("outdated_ms", millis(outdated_time))
+            .send();
+    }
+}
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -3,8 +3,9 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
-use http::{Method, Request, StatusCode, Uri};
+use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use super::connection_body::InFlightGuard;
@@ -28,6 +29,8 @@
     pub body: ConnectionBody,
     /// Whether the response carries the signature header of an upstream.
     pub is_signed: bool,
+    /// The time from the start of the attempt until it had a connection.
+    pub connect_time: Duration,
 }
 
 /// Why an attempt yielded no response that can be forwarded.
@@ -100,6 +103,7 @@
     parts: &RequestParts,
     plan: &AttemptPlan,
 ) -> Result<UpstreamResponse, AttemptFailure> {
+    let started = Instant::now();
     let guard = InFlightGuard::new(tracker, &plan.entry.id, parts.model.as_ref(), parts.load);
     let mut is_fresh = false;
     loop {
@@ -117,11 +121,13 @@
         let Some(sender) = connection.sender.as_mut() else {
             return Err(AttemptFailure::NotSent("no connection".to_owned()));
         };
+        let connect_time = started.elapsed();
         let sent = sender.try_send_request(build_request(names, parts, plan));
         match timeout_at(plan.head_deadline, sent).await {
             Err(_) => return Err(AttemptFailure::TimedOut),
             Ok(Ok(response)) => {
-                return validate_response(names, parts, plan, connection, guard, response);
+                let received = (connection, guard, response);
+                return validate_response(names, parts, plan, received, connect_time);
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
@@ -167,10 +173,10 @@
     names: &HeaderNames,
     parts: &RequestParts,
     plan: &AttemptPlan,
-    connection: PooledConnection,
-    guard: InFlightGuard,
-    response: http::Response<hyper::body::Incoming>,
+    received: (PooledConnection, InFlightGuard, Response<Incoming>),
+    connect_time: Duration,
 ) -> Result<UpstreamResponse, AttemptFailure> {
+    let (connection, guard, response) = received;
     let (head, body) = response.into_parts();
     let mut headers = head.headers;
     let idle = stated_idle(&headers);
@@ -207,6 +213,7 @@
         headers,
         body,
         is_signed,
+        connect_time,
     })
 }
 
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -25,6 +25,8 @@
     ConfigReverted,
     /// tables with faults were refused; correct them with `comfreychute apply`
     ConfigRefused,
+    /// a newer version of an adapter is in force
+    VersionAdopted,
     /// the watch on the tables failed and is retried
     ConfigWatchFailed,
     /// the platform does not answer; edits and non-repeatable calls wait for it
@@ -73,6 +75,8 @@
     RequestFailed,
     /// a request finished
     RequestFinished,
+    /// a request started on a version of its adapter that had become outdated meanwhile
+    RequestOutdated,
     /// a request is retried on another upstream
     RequestRetried,
     /// an answer was cut off before its end
@@ -101,7 +105,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 46] = [
+    pub const ALL: [Self; 48] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -112,6 +116,7 @@
         Self::ConfigStale,
         Self::ConfigReverted,
         Self::ConfigRefused,
+        Self::VersionAdopted,
         Self::ConfigWatchFailed,
         Self::PlatformUnreachable,
         Self::PlatformRecovered,
@@ -136,6 +141,7 @@
         Self::RequestLate,
         Self::RequestFailed,
         Self::RequestFinished,
+        Self::RequestOutdated,
         Self::RequestRetried,
         Self::AnswerTruncated,
         Self::AnswerMismatch,
@@ -164,6 +170,7 @@
             Self::ConfigStale => "config_stale",
             Self::ConfigReverted => "config_reverted",
             Self::ConfigRefused => "config_refused",
+            Self::VersionAdopted => "version_adopted",
             Self::ConfigWatchFailed => "config_watch_failed",
             Self::PlatformUnreachable => "platform_unreachable",
             Self::PlatformRecovered => "platform_recovered",
@@ -188,6 +195,7 @@
             Self::RequestLate => "request_late",
             Self::RequestFailed => "request_failed",
             Self::RequestFinished => "request_finished",
+            Self::RequestOutdated => "request_outdated",
             Self::RequestRetried => "request_retried",
             Self::AnswerTruncated => "answer_truncated",
             Self::AnswerMismatch => "answer_mismatch",
--- a/src/telemetry/metric_name.rs
+++ b/src/telemetry/metric_name.rs
@@ -10,6 +10,9 @@
     QueueWait,
     /// Time from the acceptance of a request to its first token, by pool and rank.
     FirstToken,
+    /// Time for which a newer version of the adapter had been known when a request started on an
+    /// older one, by pool and rank.
+    OutdatedStart,
     /// Running requests as a percentage of the maximum batch size, by pool.
     BatchOccupancy,
     /// Requests refused, by pool and reason.
@@ -30,11 +33,12 @@
 
 impl MetricName {
     /// All names, in declaration order.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Requests,
         Self::LoadStalls,
         Self::QueueWait,
         Self::FirstToken,
+        Self::OutdatedStart,
         Self::BatchOccupancy,
         Self::Refusals,
         Self::Retries,
@@ -53,6 +57,7 @@
             Self::LoadStalls => "load_stalls",
             Self::QueueWait => "queue_wait",
             Self::FirstToken => "first_token",
+            Self::OutdatedStart => "outdated_start",
             Self::BatchOccupancy => "batch_occupancy",
             Self::Refusals => "refusals",
             Self::Retries => "retries",
