Withdraw queued requests whose adapter version is outdated

Cause: the adapter version is chosen and checked when a request is sent. An engine may then queue the request for seconds, because more urgent requests are admitted first, and start it on the version that it holds. Nothing checked the decision again after the wait.

Change: an attempt waits for newer versions of its adapter along with the response head, which an engine sends when it starts the request. Once the sent version has been outdated for long enough, the attempt is closed, which removes it from the queue. It is repeated on the new version if the route allows that; otherwise the caller gets 502, since a request that was sent may have run. The delay is the users' bound, read from version_ms, less the longest watch call and a margin.

--- a/src/forward/forward_settings.rs
+++ b/src/forward/forward_settings.rs
@@ -2,7 +2,7 @@
 
 use crate::id::{DomainId, InstanceId};
 
-/// The identity of this instance and its limits for retries.
+/// The identity of this instance, its limits for retries and the limit for adapter versions.
 #[derive(Debug, Clone)]
 pub struct ForwardSettings {
     /// The id of this instance.
@@ -15,4 +15,7 @@
     pub retry_reserve: f64,
     /// The window over which `retry_ratio` and `retry_reserve` apply.
     pub retry_window: Duration,
+    /// Time after the announcement of an adapter version from which no request may start on an
+    /// older one.
+    pub version_limit: Duration,
 }
--- a/src/forward/local_response.rs
+++ b/src/forward/local_response.rs
@@ -35,6 +35,10 @@
     }
     match failure {
         AttemptFailure::TimedOut => reject(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+        AttemptFailure::Outdated => reject(
+            StatusCode::BAD_GATEWAY,
+            "the adapter version changed while the request was queued",
+        ),
         _ => reject(StatusCode::BAD_GATEWAY, "the upstream failed"),
     }
 }
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -107,6 +107,8 @@
                     self.directory.record_absent(upstream, model);
                 }
             }
+            // The upstream has only queued the request.
+            AttemptFailure::Outdated => {}
             AttemptFailure::NotRun(_) | AttemptFailure::Mismatch(_) => {
                 self.health.record_failure(upstream, now);
             }
--- a/src/forward/runner_versions.rs
+++ b/src/forward/runner_versions.rs
@@ -1,19 +1,26 @@
 use std::pin::pin;
+use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::forward_run::{ForwardRun, millis};
 use super::upstream_attempt::AttemptPlan;
 use super::{AttemptFailure, ModelRef, RequestRunner, UpstreamResponse};
+use crate::relay::ObjectKind;
 use crate::telemetry::{LogEvent, LogName, MetricName};
 
+/// Time for the withdrawal of a request to reach the upstream, and for an announcement to be passed
+/// on after a lost watch call has been detected.
+const WITHDRAWAL_MARGIN: Duration = Duration::from_secs(1);
+
 /// The announcements of adapter versions during an attempt.
 impl RequestRunner {
-    /// Waits for the response of an attempt, and logs it if the version that the attempt states
-    /// became outdated before the response.
+    /// Waits for the response of an attempt, and withdraws the attempt if the adapter version that
+    /// it states has been outdated for too long.
     ///
     /// An upstream may queue a request after it has checked the version, and sends the response
-    /// head when the request starts.
+    /// head when the request starts. Dropping `sending` closes the connection, which removes the
+    /// request from the queue.
     pub(super) async fn watch_version(
         &self,
         run: &ForwardRun,
@@ -31,13 +38,24 @@
             () = self.fleet.wait_for_newer_version(model, plan.version) => {}
         }
         let outdated_since = Instant::now();
-        let outcome = sending.await;
+        let Ok(outcome) = timeout(self.withdrawal_delay(), sending).await else {
+            return Err(AttemptFailure::Outdated);
+        };
         if let Ok(response) = &outcome {
             self.record_outdated(run, model, plan, response, started, outdated_since);
         }
         outcome
     }
 
+    /// Returns how long a request may still start on a version that this instance knows to be
+    /// outdated.
+    ///
+    /// The announcement may have been made up to one watch call earlier.
+    fn withdrawal_delay(&self) -> Duration {
+        let announcement_age = ObjectKind::Versions.watch_wait() + WITHDRAWAL_MARGIN;
+        self.settings.version_limit.saturating_sub(announcement_age)
+    }
+
     fn record_outdated(
         &self,
         run: &ForwardRun,
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -44,6 +44,8 @@
     Broken(String),
     /// The response head did not arrive in time.
     TimedOut,
+    /// A newer version of the adapter was announced and the response head did not arrive soon after.
+    Outdated,
     /// The response belongs to another attempt, or lacks a signature or attempt id.
     Mismatch(String),
 }
@@ -63,6 +65,7 @@
             Self::NotRun(_) => "not_run",
             Self::Broken(_) => "broken",
             Self::TimedOut => "timed_out",
+            Self::Outdated => "outdated",
             Self::Mismatch(_) => "mismatch",
         }
     }
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the opaque ingress that need no network.
 
+mod adapter_versions;
 mod choice;
 mod head;
 mod health;
