Report ready only after the first list of the adapter versions

What callers could see: an instance that had just started served requests before it knew the announced versions, so a request could run on an outdated version of its adapter.

Cause: FleetState::is_complete required routes and upstreams only.

Change: it also requires that one list of the versions has been adopted. Until then the readiness probe and requests get 503, as without a configuration.

--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
     routes: Mutex<Option<Arc<RouteSet>>>,
     upstreams: Mutex<Option<Arc<UpstreamMap>>>,
     versions: Mutex<Arc<BTreeMap<ModelRef, u64>>>,
+    has_listed_versions: AtomicBool,
     /// Number of changes to the routes, upstreams and adapter versions.
     changes: watch::Sender<u64>,
     progress: [ReadProgress; 4],
@@ -59,6 +60,7 @@
             routes: Mutex::new(None),
             upstreams: Mutex::new(None),
             versions: Mutex::default(),
+            has_listed_versions: AtomicBool::new(false),
             changes: watch::channel(0).0,
             progress: std::array::from_fn(|_| ReadProgress::new()),
         }
@@ -130,10 +132,19 @@
         }
     }
 
-    /// Returns whether requests can be routed: both routes and upstreams have been received.
+    /// Records that all adapter versions of a list have been adopted.
+    pub fn record_versions_listed(&self) {
+        self.has_listed_versions.store(true, Ordering::Release);
+    }
+
+    /// Returns whether requests can be routed: routes, upstreams and adapter versions have been
+    /// received.
+    ///
+    /// Without the versions, a request could run on an outdated version of its adapter.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         self.routes().is_some()
+            && self.has_listed_versions.load(Ordering::Acquire)
             && self
                 .upstreams
                 .lock()
