--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
     routes: Mutex<Option<Arc<RouteSet>>>,
     upstreams: Mutex<Option<Arc<UpstreamMap>>>,
     versions: watch::Sender<Arc<VersionMap>>,
+    has_listed_versions: AtomicBool,
     /// Number of changes to the routes, upstreams and adapter versions.
     changes: watch::Sender<u64>,
     progress: [ReadProgress; 4],
@@ -60,6 +61,7 @@
             routes: Mutex::new(None),
             upstreams: Mutex::new(None),
             versions: watch::channel(Arc::default()).0,
+            has_listed_versions: AtomicBool::new(false),
             changes: watch::channel(0).0,
             progress: std::array::from_fn(|_| ReadProgress::new()),
         }
@@ -144,10 +146,19 @@
         let _versions = versions.wait_for(is_newer).await;
     }
 
-    /// Returns whether requests can be routed: both routes and upstreams have been received.
+    /// Records that all adapter versions of a list have been adopted.
+    pub fn record_versions_listed(&self) {
+        self.has_listed_versions.store(true, Ordering::Release);
+    }
+
+    /// Returns whether requests can be routed: routes, upstreams and adapter versions have been
+    /// received.
+    ///
+    /// Without the versions, a request could run on an outdated version of its adapter.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         self.routes().is_some()
+            && self.has_listed_versions.load(Ordering::Acquire)
             && self
                 .upstreams
                 .lock()
