Check the adapter version again after waiting for a load

A request for an adapter that is not resident waits up to two seconds, or longer on routes with a longer target, for a load of the version announced when it arrived. If a newer version was announced during that wait, the request was sent with the newer version in Expect-Version to an engine that held the older one. The engine answered 421. Callers saw a later response; each such request spent an attempt and one retry of the service's budget, and was refused when the budget was spent.

Cause: RequestRunner::place compared the resident version with the announced one only before the load.

place now compares them again when the load has ended, and chooses again if the resident version is outdated. This spends no attempt.

--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -73,8 +73,14 @@
             let loaded = timeout_at(until - LOAD_MARGIN / 2, request).await;
             run.load_wait += requested.elapsed();
             match loaded {
-                // The upstream may have started to drain during the load.
-                Ok(Ok(_)) if self.accepts_requests(&chosen.entry) => return Ok(chosen),
+                // During the load, the upstream may have started to drain, or a newer version may
+                // have been announced; the upstream would refuse to run the request.
+                Ok(Ok(version))
+                    if version >= self.fleet.min_version(model)
+                        && self.accepts_requests(&chosen.entry) =>
+                {
+                    return Ok(chosen);
+                }
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) if error.kind() == ErrorKind::Overloaded => {
                     return Err(unavailable("the load would be late", RETRY_AFTER_LOAD));
