Keep a request for a newer version waiting when an older load ends

A request that needs the announced version of an adapter was answered with an older version if a load of the older one was in progress at its engine. The instance then sent the request with Expect-Version to an engine that does not hold that version, which is answered 421. Callers saw a later response, or a refusal once the attempts or the retry budget were spent.

Cause: the ledger keeps one list of requests per adapter with the highest version that they need, but removed and answered the whole list whenever a load of that adapter was accepted or done, without comparing the versions. The same happened to a request that arrived between an order and its answer.

The list now stays until a load of a sufficient version is accepted or done.

--- a/src/residency/ledger_answers.rs
+++ b/src/residency/ledger_answers.rs
@@ -3,7 +3,8 @@
 use super::residency_ledger::{
     EvictingAdapter, FIRST_COLD_TIME, PendingLoad, REPORT_LAG, Resident, WARM_SPEEDUP,
 };
-use super::{EngineReport, OrderKind, OrderOutcome, ResidencyLedger};
+use super::waiting_load::WaitingLoad;
+use super::{EngineReport, LoadWaiter, OrderKind, OrderOutcome, ResidencyLedger};
 use crate::forward::ModelRef;
 
 /// Interval between checks of a load that is overdue; an eviction is checked every fourth interval.
@@ -168,11 +169,7 @@
         } else {
             self.cold_time / WARM_SPEEDUP
         };
-        let waiters = self
-            .waiting
-            .remove(model)
-            .map(|waiting| waiting.waiters)
-            .unwrap_or_default();
+        let waiters = self.take_waiters(model, version);
         self.pending.insert(
             model.clone(),
             PendingLoad {
@@ -186,11 +183,7 @@
     }
 
     pub(super) fn load_done(&mut self, model: &ModelRef, version: u64, now: Duration) {
-        let mut waiters = self
-            .waiting
-            .remove(model)
-            .map(|waiting| waiting.waiters)
-            .unwrap_or_default();
+        let mut waiters = self.take_waiters(model, version);
         if let Some(pending) = self.pending.remove(model) {
             waiters.extend(pending.waiters);
             if pending.is_fetch {
@@ -215,6 +208,19 @@
         }
     }
 
+    /// Removes and returns the requests that a load of `version` satisfies. They stay if one of them
+    /// needs a newer version, which has then been announced.
+    fn take_waiters(&mut self, model: &ModelRef, version: u64) -> Vec<LoadWaiter> {
+        let is_satisfied = |waiting: &WaitingLoad| waiting.min_version <= version;
+        if !self.waiting.get(model).is_some_and(is_satisfied) {
+            return Vec::new();
+        }
+        self.waiting
+            .remove(model)
+            .map(|waiting| waiting.waiters)
+            .unwrap_or_default()
+    }
+
     pub(super) fn evicted(&mut self, model: &ModelRef, now: Duration) {
         self.residents.remove(model);
         self.evicting = None;
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -354,3 +354,55 @@
 
     assert!(is_load(&action, &adapter(2)), "{action:?}");
 }
+
+/// Guards against a request for a newer version that is answered when a load of an older one ends.
+#[test]
+fn request_for_a_newer_version_waits_for_that_version() {
+    let mut ledger = ledger(4);
+    let (older, mut older_answer) = waiter(1, 10_000, 20_000);
+    let (newer, mut newer_answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 1, older, at(0));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        1,
+        OrderOutcome::Accepted,
+        at(1),
+    );
+    ledger.request_load(&adapter(1), 2, newer, at(100));
+
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        1,
+        OrderOutcome::Holds,
+        at(263),
+    );
+
+    assert_eq!(older_answer.try_recv(), Ok(Ok(1)));
+    newer_answer
+        .try_recv()
+        .expect_err("version 2 is not resident");
+}
+
+/// Guards against a request for a newer version that joins the load of an older one, because it
+/// arrived between the order and its answer.
+#[test]
+fn request_for_a_newer_version_does_not_join_an_order_for_an_older_one() {
+    let mut ledger = ledger(4);
+    let (older, _older_answer) = waiter(1, 10_000, 20_000);
+    let (newer, mut newer_answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 1, older, at(0));
+    let _order = ledger.next_action(at(0), true, &BTreeSet::new());
+    ledger.request_load(&adapter(1), 2, newer, at(1));
+
+    for (outcome, millis) in [(OrderOutcome::Accepted, 2), (OrderOutcome::Holds, 263)] {
+        ledger.order_answered(OrderKind::Load, &adapter(1), 1, outcome, at(millis));
+    }
+
+    newer_answer
+        .try_recv()
+        .expect_err("version 2 is not resident");
+    let action = ledger.next_action(at(264), true, &BTreeSet::new());
+    assert!(is_load(&action, &adapter(1)), "{action:?}");
+}
