Order a newer adapter version only after the older load has ended

If a newer version was requested while an older one was loading, the ledger ordered the newer one at once. An engine that accepts this order counts it, but the ledger took the answer for that of a check of the older load and did not. Its next order was then refused as a conflict, after which no load is ordered at that engine until a report is read (at least 280 ms); callers of all adapters that waited there could see that delay. The ledger also counted one slot for the two loads. The protocol does not state whether both occupy one; a load beyond the slots crashes the engine.

Cause: next_load did not skip adapters that have a load in progress.

It does so now; the newer version replaces the older one when its load has ended.

Measured with a new test: before, the ledger orders version 2 while version 1 is loading, with the same sequence number as a check; after, it waits and orders version 2 when version 1 is resident. How engines answer such an order was not tried.

--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -251,10 +251,13 @@
             return None;
         }
         let (warm, residents, cold) = (&self.warm, &self.residents, self.cold_time);
+        let pending = &self.pending;
         let best = self
             .waiting
             .iter_mut()
             .filter(|(model, _)| may_fetch || warm.contains_key(model))
+            // An older version is loading; a second load of the adapter would need another slot.
+            .filter(|(model, _)| !pending.contains_key(model))
             // An engine accepts no other order until the requests of a replaced adapter have ended.
             .filter(|(model, _)| !(residents.contains_key(model) && busy.contains(model)))
             .map(|(model, waiting)| {
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -406,3 +406,38 @@
     let action = ledger.next_action(at(264), true, &BTreeSet::new());
     assert!(is_load(&action, &adapter(1)), "{action:?}");
 }
+
+/// Guards against two loads of one adapter in progress. The ledger took the second one for a check
+/// of the first, so that its sequence number and its count of used slots differed from the engine's.
+#[test]
+fn newer_version_is_not_ordered_while_an_older_one_is_loading() {
+    let mut ledger = ledger(4);
+    let (older, _older_answer) = waiter(1, 10_000, 20_000);
+    let (newer, mut newer_answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 1, older, at(0));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        1,
+        OrderOutcome::Accepted,
+        at(1),
+    );
+    ledger.request_load(&adapter(1), 2, newer, at(100));
+
+    let loading = ledger.next_action(at(100), true, &BTreeSet::new());
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        1,
+        OrderOutcome::Holds,
+        at(263),
+    );
+    let loaded = ledger.next_action(at(263), true, &BTreeSet::new());
+
+    assert!(matches!(loading, LedgerAction::Wait(_)), "{loading:?}");
+    assert!(
+        matches!(loaded, LedgerAction::Order { version: 2, .. }),
+        "{loaded:?}"
+    );
+    newer_answer.try_recv().expect_err("no reply yet");
+}
