Do not evict an adapter that is being replaced

When an engine's slots were full and a newer version of an adapter was loading there, the owner could evict the outdated version to make room for another adapter. The load keeps the slot, so this freed nothing, and a second adapter had to be evicted as well; its next callers wait for another load.

Cause: the choice of the adapter to evict did not exclude adapters with a load in progress. An outdated version gets no more requests, so it is likely to be the least used one.

Measured with a new test on two slots: before, the ledger evicts the adapter that is being replaced; after, the other one. All 43 tests of tests/residency pass.

--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -306,7 +306,8 @@
         });
     }
 
-    /// Chooses the least used adapter without requests in flight.
+    /// Chooses the least used adapter without requests in flight. Adapters that are being replaced
+    /// are not chosen, because the replacement keeps their slot.
     ///
     /// An engine finishes the requests of an evicted adapter first, which blocks its slot for
     /// seconds. If all adapters are in use, waiting is better than evicting one.
@@ -314,7 +315,9 @@
         self.residents
             .iter()
             .filter(|(model, resident)| {
-                !busy.contains(*model) && now.saturating_sub(resident.used_at) >= EVICTION_GRACE
+                !busy.contains(*model)
+                    && !self.pending.contains_key(*model)
+                    && now.saturating_sub(resident.used_at) >= EVICTION_GRACE
             })
             .min_by(|(_, left), (_, right)| {
                 left.decayed_uses(now).total_cmp(&right.decayed_uses(now))
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -441,3 +441,33 @@
     );
     newer_answer.try_recv().expect_err("no reply yet");
 }
+
+/// Guards against the eviction of an adapter whose newer version is loading, which frees no slot.
+#[test]
+fn adapter_that_is_being_replaced_is_not_evicted() {
+    let mut ledger = ledger(2);
+    load(&mut ledger, &adapter(1), at(0));
+    load(&mut ledger, &adapter(2), at(10));
+    ledger.record_uses(&adapter(2), 5, at(20));
+    let (replacing, _replaced) = waiter(1, 10_000, 20_000);
+    let (other, _answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 2, replacing, at(5000));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        2,
+        OrderOutcome::Accepted,
+        at(5001),
+    );
+    ledger.request_load(&adapter(3), 0, other, at(5002));
+
+    let action = ledger.next_action(at(5002), true, &BTreeSet::new());
+
+    assert!(
+        matches!(
+            &action,
+            LedgerAction::Order { kind: OrderKind::Unload, model, .. } if *model == adapter(2)
+        ),
+        "{action:?}"
+    );
+}
