Answer requests for adapters that a report lists as resident

If the answer to an order was lost and the engine had executed it, a later report listed the adapter as resident, but the requests that waited for its load stayed in the list. Their load is not ordered while other requests use the adapter, because the ledger takes it for a replacement, so callers were refused with "the load would be late" although their version was resident. If nobody used the adapter, a needless order was sent first.

Cause: report_read queued again the requests of loads that the report does not list, but did not look at the requests that were waiting already.

Requests whose version is resident according to the report are now answered.

Measured with a new test (order lost, then a report with the ordered version): before, the request gets no answer; after, version 2.

--- a/src/residency/ledger_answers.rs
+++ b/src/residency/ledger_answers.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::residency_ledger::{
@@ -84,7 +85,8 @@
     /// Replaces the recorded state of the engine with a report.
     ///
     /// Use counts of adapters that stay resident are kept. Requests that wait for a load which the
-    /// report does not list are queued again.
+    /// report does not list are queued again, and those for adapters that it lists as resident are
+    /// answered.
     pub fn report_read(&mut self, report: &EngineReport, now: Duration) {
         self.sequence = Some(report.sequence);
         self.models.clone_from(&report.models);
@@ -127,6 +129,16 @@
                 self.request_load(&model, lost.version, waiter, now);
             }
         }
+        let is_resident = |model: &ModelRef, waiting: &mut WaitingLoad| {
+            let resident = self.residents.get(model);
+            resident.is_some_and(|resident| resident.version >= waiting.min_version)
+        };
+        let loaded: BTreeMap<_, _> = self.waiting.extract_if(.., is_resident).collect();
+        for (model, waiting) in loaded {
+            for waiter in waiting.waiters {
+                self.request_load(&model, waiting.min_version, waiter, now);
+            }
+        }
     }
 
     /// Handles a read of a report that failed or timed out; schedules the next read.
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -471,3 +471,22 @@
         "{action:?}"
     );
 }
+
+/// Guards against a request that waits for an adapter which a report lists as resident: while other
+/// requests use the adapter, its load is not ordered, so the request was refused in the end.
+#[test]
+fn report_of_a_resident_adapter_answers_waiting_requests() {
+    let mut ledger = ledger(4);
+    let (waiter, mut answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 2, waiter, at(0));
+    ledger.order_lost(OrderKind::Load, &adapter(1), at(200));
+    let report = EngineReport {
+        sequence: 1,
+        adapters: BTreeMap::from([(adapter(1), 2)]),
+        ..empty_report()
+    };
+
+    ledger.report_read(&report, at(900));
+
+    assert_eq!(answer.try_recv(), Ok(Ok(2)));
+}
