Order waiting loads in the version announced meanwhile

A load waits at its owner for a permit, a free slot or a report, up to some seconds. If a newer version was announced during that wait, the owner still ordered the older one. The load took a slot and a permit, and the callers that had waited for it needed a second load of the newer version: a later response, or a refusal if that load came too late.

Cause: the version of a waiting load was only raised by further requests for it, never by the announcement itself.

The owner now raises the versions of waiting loads to the announced ones before it chooses the next order.

--- a/src/residency/loader_task.rs
+++ b/src/residency/loader_task.rs
@@ -109,6 +109,7 @@
         let may_fetch = state.permits.has_free();
         let busy = state.running_at(upstream, now);
         let loader = state.loaders.get_mut(upstream)?;
+        loader.ledger.raise_versions(&self.fleet.versions());
         let step = match loader.ledger.next_action(now, may_fetch, &busy) {
             LedgerAction::Wait(until) => LoaderStep::Wait(until),
             LedgerAction::Report => LoaderStep::Report,
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -182,6 +182,15 @@
         waiting.waiters.push(waiter);
     }
 
+    /// Raises the versions of loads that have not been ordered yet to the announced ones.
+    pub fn raise_versions(&mut self, announced: &BTreeMap<ModelRef, u64>) {
+        for (model, waiting) in &mut self.waiting {
+            if let Some(version) = announced.get(model) {
+                waiting.min_version = waiting.min_version.max(*version);
+            }
+        }
+    }
+
     /// Adds uses to the count of a resident adapter, which decides the order of evictions.
     pub fn record_uses(&mut self, model: &ModelRef, count: u32, now: Duration) {
         if let Some(resident) = self.residents.get_mut(model) {
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -490,3 +490,21 @@
 
     assert_eq!(answer.try_recv(), Ok(Ok(2)));
 }
+
+/// Guards against a load of a version that became outdated while the load waited for a permit.
+#[test]
+fn waiting_load_orders_the_version_announced_meanwhile() {
+    let mut ledger = ledger(4);
+    let (waiter, _answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 1, waiter, at(0));
+    let without_permit = ledger.next_action(at(0), false, &BTreeSet::new());
+
+    ledger.raise_versions(&BTreeMap::from([(adapter(1), 2)]));
+    let action = ledger.next_action(at(500), true, &BTreeSet::new());
+
+    assert!(matches!(without_permit, LedgerAction::Wait(_)));
+    assert!(
+        matches!(action, LedgerAction::Order { version: 2, .. }),
+        "{action:?}"
+    );
+}
