Do not resume a stream within an event that was passed on in pieces

If an upstream sent more than 256 KiB without the end of an event and then reset the connection or went silent, a resumable stream was resumed at another upstream after its last complete event. Callers received the first part of one run's event, followed directly by the events of another run, and the answer looked complete.

Cause: an event of more than 256 KiB is passed on in pieces so that it is not buffered without a limit, but the relay still resumed the stream as if only complete events had been delivered. The id of such an event was not recorded either, so that it could be repeated after its end.

A stream with such an event is no longer resumed; if it breaks, it ends without the last chunk.

--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -20,8 +20,9 @@
 /// Relays a stream of events and resumes it at another upstream when it breaks or stalls.
 ///
 /// An incomplete event is held back until the rest arrives or the stream ends normally, unless it
-/// is longer than [`StreamSplitter::MAX_EVENT`]. A stream that can't be resumed ends with an error,
-/// so that it does not look complete to the caller.
+/// is longer than [`StreamSplitter::MAX_EVENT`]; a stream with such an event is no longer resumed. A
+/// broken stream that can't be resumed ends with an error, so that it does not look complete to the
+/// caller.
 pub struct RelayBody {
     source: RelaySource,
     splitter: StreamSplitter,
@@ -195,6 +196,9 @@
                     if let Ok(bytes) = frame.into_data() {
                         this.last_event_at = Instant::now();
                         let events = this.splitter.push(bytes);
+                        if this.splitter.has_split_event() {
+                            this.resume = None;
+                        }
                         if !events.is_empty() {
                             return Poll::Ready(Some(Ok(Frame::data(events))));
                         }
--- a/src/forward/stream_splitter.rs
+++ b/src/forward/stream_splitter.rs
@@ -8,6 +8,7 @@
 pub struct StreamSplitter {
     partial: BytesMut,
     last_id: Option<String>,
+    has_split_event: bool,
 }
 
 impl StreamSplitter {
@@ -64,8 +65,16 @@
         self.last_id.as_deref()
     }
 
+    /// Returns whether an event was passed on in pieces. The stream can then not be resumed: it may
+    /// have ended within the event, and the id of that event is not recorded.
+    #[must_use]
+    pub const fn has_split_event(&self) -> bool {
+        self.has_split_event
+    }
+
     fn overflow(&mut self) -> Bytes {
         if self.partial.len() > Self::MAX_EVENT {
+            self.has_split_event = true;
             return self.partial.split().freeze();
         }
         Bytes::new()
