--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -182,6 +182,15 @@
         waiting.waiters.push(waiter);
     }
 
+    /// Raises the versions of loads that have not been ordered yet to the announced ones.
+    pub fn raise_versions(&mut self, announced: &BTreeMap<ModelRef, u64>) {
+        for (model, waiting) in &mut self.waiting {
+            if let Some(version) = announced.get(model) {
+                waiting.min_version = waiting.min_version.max(*version);
+            }
+        }
+    }
+
     /// Adds uses to the count of a resident adapter, which decides the order of evictions.
     pub fn record_uses(&mut self, model: &ModelRef, count: u32, now: Duration) {
         if let Some(resident) = self.residents.get_mut(model) {
@@ -251,10 +260,13 @@
             return None;
         }
         let (warm, residents, cold) = (&self.warm, &self.residents, self.cold_time);
+        let pending = &self.pending;
         let best = self
             .waiting
             .iter_mut()
             .filter(|(model, _)| may_fetch || warm.contains_key(model))
+            // An older version is loading; a second load of the adapter would need another slot.
+            .filter(|(model, _)| !pending.contains_key(model))
             // An engine accepts no other order until the requests of a replaced adapter have ended.
             .filter(|(model, _)| !(residents.contains_key(model) && busy.contains(model)))
             .map(|(model, waiting)| {
@@ -303,7 +315,8 @@
         });
     }
 
-    /// Chooses the least used adapter without requests in flight.
+    /// Chooses the least used adapter without requests in flight. Adapters that are being replaced
+    /// are not chosen, because the replacement keeps their slot.
     ///
     /// An engine finishes the requests of an evicted adapter first, which blocks its slot for
     /// seconds. If all adapters are in use, waiting is better than evicting one.
@@ -311,7 +324,9 @@
         self.residents
             .iter()
             .filter(|(model, resident)| {
-                !busy.contains(*model) && now.saturating_sub(resident.used_at) >= EVICTION_GRACE
+                !busy.contains(*model)
+                    && !self.pending.contains_key(*model)
+                    && now.saturating_sub(resident.used_at) >= EVICTION_GRACE
             })
             .min_by(|(_, left), (_, right)| {
                 left.decayed_uses(now).total_cmp(&right.decayed_uses(now))
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -354,3 +354,157 @@
 
     assert!(is_load(&action, &adapter(2)), "{action:?}");
 }
+
+/// Guards against a request for a newer version that is answered when a load of an older one ends.
+#[test]
+fn request_for_a_newer_version_waits_for_that_version() {
+    let mut ledger = ledger(4);
+    let (older, mut older_answer) = waiter(1, 10_000, 20_000);
+    let (newer, mut newer_answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 1, older, at(0));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        1,
+        OrderOutcome::Accepted,
+        at(1),
+    );
+    ledger.request_load(&adapter(1), 2, newer, at(100));
+
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        1,
+        OrderOutcome::Holds,
+        at(263),
+    );
+
+    assert_eq!(older_answer.try_recv(), Ok(Ok(1)));
+    newer_answer
+        .try_recv()
+        .expect_err("version 2 is not resident");
+}
+
+/// Guards against a request for a newer version that joins the load of an older one, because it
+/// arrived between the order and its answer.
+#[test]
+fn request_for_a_newer_version_does_not_join_an_order_for_an_older_one() {
+    let mut ledger = ledger(4);
+    let (older, _older_answer) = waiter(1, 10_000, 20_000);
+    let (newer, mut newer_answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 1, older, at(0));
+    let _order = ledger.next_action(at(0), true, &BTreeSet::new());
+    ledger.request_load(&adapter(1), 2, newer, at(1));
+
+    for (outcome, millis) in [(OrderOutcome::Accepted, 2), (OrderOutcome::Holds, 263)] {
+        ledger.order_answered(OrderKind::Load, &adapter(1), 1, outcome, at(millis));
+    }
+
+    newer_answer
+        .try_recv()
+        .expect_err("version 2 is not resident");
+    let action = ledger.next_action(at(264), true, &BTreeSet::new());
+    assert!(is_load(&action, &adapter(1)), "{action:?}");
+}
+
+/// Guards against two loads of one adapter in progress. The ledger took the second one for a check
+/// of the first, so that its sequence number and its count of used slots differed from the engine's.
+#[test]
+fn newer_version_is_not_ordered_while_an_older_one_is_loading() {
+    let mut ledger = ledger(4);
+    let (older, _older_answer) = waiter(1, 10_000, 20_000);
+    let (newer, mut newer_answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 1, older, at(0));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        1,
+        OrderOutcome::Accepted,
+        at(1),
+    );
+    ledger.request_load(&adapter(1), 2, newer, at(100));
+
+    let loading = ledger.next_action(at(100), true, &BTreeSet::new());
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        1,
+        OrderOutcome::Holds,
+        at(263),
+    );
+    let loaded = ledger.next_action(at(263), true, &BTreeSet::new());
+
+    assert!(matches!(loading, LedgerAction::Wait(_)), "{loading:?}");
+    assert!(
+        matches!(loaded, LedgerAction::Order { version: 2, .. }),
+        "{loaded:?}"
+    );
+    newer_answer.try_recv().expect_err("no reply yet");
+}
+
+/// Guards against the eviction of an adapter whose newer version is loading, which frees no slot.
+#[test]
+fn adapter_that_is_being_replaced_is_not_evicted() {
+    let mut ledger = ledger(2);
+    load(&mut ledger, &adapter(1), at(0));
+    load(&mut ledger, &adapter(2), at(10));
+    ledger.record_uses(&adapter(2), 5, at(20));
+    let (replacing, _replaced) = waiter(1, 10_000, 20_000);
+    let (other, _answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 2, replacing, at(5000));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        2,
+        OrderOutcome::Accepted,
+        at(5001),
+    );
+    ledger.request_load(&adapter(3), 0, other, at(5002));
+
+    let action = ledger.next_action(at(5002), true, &BTreeSet::new());
+
+    assert!(
+        matches!(
+            &action,
+            LedgerAction::Order { kind: OrderKind::Unload, model, .. } if *model == adapter(2)
+        ),
+        "{action:?}"
+    );
+}
+
+/// Guards against a request that waits for an adapter which a report lists as resident: while other
+/// requests use the adapter, its load is not ordered, so the request was refused in the end.
+#[test]
+fn report_of_a_resident_adapter_answers_waiting_requests() {
+    let mut ledger = ledger(4);
+    let (waiter, mut answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 2, waiter, at(0));
+    ledger.order_lost(OrderKind::Load, &adapter(1), at(200));
+    let report = EngineReport {
+        sequence: 1,
+        adapters: BTreeMap::from([(adapter(1), 2)]),
+        ..empty_report()
+    };
+
+    ledger.report_read(&report, at(900));
+
+    assert_eq!(answer.try_recv(), Ok(Ok(2)));
+}
+
+/// Guards against a load of a version that became outdated while the load waited for a permit.
+#[test]
+fn waiting_load_orders_the_version_announced_meanwhile() {
+    let mut ledger = ledger(4);
+    let (waiter, _answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 1, waiter, at(0));
+    let without_permit = ledger.next_action(at(0), false, &BTreeSet::new());
+
+    ledger.raise_versions(&BTreeMap::from([(adapter(1), 2)]));
+    let action = ledger.next_action(at(500), true, &BTreeSet::new());
+
+    assert!(matches!(without_permit, LedgerAction::Wait(_)));
+    assert!(
+        matches!(action, LedgerAction::Order { version: 2, .. }),
+        "{action:?}"
+    );
+}
