Do not list an adapter as resident while it is replaced

While a newer version of an adapter replaced an older one at an engine, the owner still listed the older version as resident and answered requests for loads with it. The protocol states that the engine answers requests which an order concerns with 503, not executed, until the order is complete. Instances that the announcement had not reached yet would send requests there, each of which spends an attempt and a retry of the budget.

Cause: adapters that are being evicted were excluded, but not those with a load in progress.

Both are now excluded. A request for the adapter waits for the replacement.

Measured with a new test: before, the request is answered with the older version during the replacement; after, it is answered with the newer one when the replacement ends, and the adapter is not listed until then. The engine's answers during a replacement were not tried.

--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -153,12 +153,10 @@
         waiter: LoadWaiter,
         now: Duration,
     ) {
+        let is_usable = self.is_usable(model);
         if let Some(resident) = self.residents.get_mut(model)
             && resident.version >= min_version
-            && self
-                .evicting
-                .as_ref()
-                .is_none_or(|evicting| evicting.model != *model)
+            && is_usable
         {
             resident.record_use(1, now);
             let _result = waiter.reply.send(Ok(resident.version));
@@ -408,18 +406,25 @@
         &self.models
     }
 
-    /// Iterates over the resident adapters that are not being evicted, with their versions.
+    /// Iterates over the resident adapters that are not being evicted or replaced, with their
+    /// versions.
     pub fn residents(&self) -> impl Iterator<Item = (&ModelRef, u64)> {
         self.residents
             .iter()
-            .filter(|(model, _)| {
-                self.evicting
-                    .as_ref()
-                    .is_none_or(|evicting| evicting.model != **model)
-            })
+            .filter(|(model, _)| self.is_usable(model))
             .map(|(model, resident)| (model, resident.version))
     }
 
+    /// Returns whether an adapter, if resident, is not being evicted or replaced. During both, the
+    /// engine refuses new requests for it.
+    fn is_usable(&self, model: &ModelRef) -> bool {
+        let is_evicting = self
+            .evicting
+            .as_ref()
+            .is_some_and(|evicting| evicting.model == *model);
+        !is_evicting && !self.pending.contains_key(model)
+    }
+
     /// Returns the number of loads from the weight store that are in progress.
     #[must_use]
     pub fn fetches(&self) -> usize {
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -508,3 +508,34 @@
         "{action:?}"
     );
 }
+
+/// Guards against requests that are sent to an adapter while a newer version replaces it; the
+/// engine refuses them until the replacement ends.
+#[test]
+fn adapter_that_is_being_replaced_is_not_resident() {
+    let mut ledger = ledger(2);
+    load(&mut ledger, &adapter(1), at(0));
+    let (replacing, _replaced) = waiter(1, 10_000, 20_000);
+    let (other, mut answer) = waiter(1, 10_000, 20_000);
+    ledger.request_load(&adapter(1), 2, replacing, at(100));
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        2,
+        OrderOutcome::Accepted,
+        at(101),
+    );
+
+    ledger.request_load(&adapter(1), 0, other, at(102));
+
+    answer.try_recv().expect_err("the replacement is not done");
+    assert_eq!(ledger.residents().count(), 0);
+    ledger.order_answered(
+        OrderKind::Load,
+        &adapter(1),
+        2,
+        OrderOutcome::Holds,
+        at(150),
+    );
+    assert_eq!(answer.try_recv(), Ok(Ok(2)));
+}
