--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -263,7 +263,7 @@
             .waiting
             .iter_mut()
             .filter(|(model, _)| may_fetch || warm.contains_key(model))
-            // An older version is loading; a second load of the adapter would need another slot.
+            // An older version is loading; a second load of the adapter may need another slot.
             .filter(|(model, _)| !pending.contains_key(model))
             // An engine accepts no other order until the requests of a replaced adapter have ended.
             .filter(|(model, _)| !(residents.contains_key(model) && busy.contains(model)))
