Expect the resident version without adopting it

An instance that chose an upstream with a newer version than the announced one adopted that version as if it had been announced. Adopted versions are never lowered, so a report with a version that is too high would have kept the instance from serving the adapter until its restart.

The version that an attempt expects is now derived from the chosen upstream, and the announced versions come from the store alone.

Measured: engines::resident_version_is_expected_if_it_is_newer_than_the_announced_one and the other 68 tests of platform/tests/edge pass. No such report was seen.

--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -58,7 +58,7 @@
             .parts
             .model
             .as_ref()
-            .map_or(0, |model| self.fleet.min_version(model));
+            .map_or(0, |model| self.expected_version(&chosen.entry.id, model));
         let instances = self.tracker.live_instance_count(self.clock.now());
         let limit = usize::try_from(run.service.max_connections).unwrap_or(usize::MAX);
         let plan = AttemptPlan {
--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -72,9 +72,6 @@
             let requested = Instant::now();
             let loaded = timeout_at(until - LOAD_MARGIN / 2, request).await;
             run.load_wait += requested.elapsed();
-            if let Ok(Ok(version)) = loaded {
-                self.adopt_resident_version(model, version);
-            }
             match loaded {
                 // During the load, the upstream may have started to drain, or a newer version may
                 // have been announced; the upstream would refuse to run the request.
@@ -144,10 +141,6 @@
             .collect();
         let targets = self.load_targets(&usable, model, &residents, now);
         if let Some(entry) = self.select_least_loaded(run, &residents, &[], now) {
-            let version = self
-                .directory
-                .resident_version(&entry.id, model, min_version);
-            self.adopt_resident_version(model, version.unwrap_or(0));
             self.add_replicas(run, model, &residents, &targets, now);
             return Some(ChosenUpstream {
                 entry,
@@ -173,16 +166,6 @@
         })
     }
 
-    /// Adopts the version that is resident at a chosen upstream if it is newer than the announced
-    /// one known to this instance, whose announcement is then still on its way. The upstream would
-    /// refuse a request that expects the older version.
-    fn adopt_resident_version(&self, model: &ModelRef, version: u64) {
-        // Before the first announcement, requests don't expect a version.
-        if self.fleet.min_version(model) > 0 {
-            self.fleet.adopt_version(model, version);
-        }
-    }
-
     /// Returns the upstreams at which the adapter may be loaded, ordered by rendezvous hash.
     ///
     /// Upstreams with a live owner come first; within both groups, those without an outdated
--- a/src/forward/runner_versions.rs
+++ b/src/forward/runner_versions.rs
@@ -6,6 +6,7 @@
 use super::forward_run::{ForwardRun, millis};
 use super::upstream_attempt::AttemptPlan;
 use super::{AttemptFailure, ModelRef, RequestRunner, UpstreamResponse};
+use crate::id::UpstreamId;
 use crate::relay::ObjectKind;
 use crate::telemetry::{LogEvent, LogName, MetricName};
 
@@ -13,8 +14,23 @@
 /// on after a lost watch call has been detected.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_secs(1);
 
-/// The announcements of adapter versions during an attempt.
+/// The adapter versions that attempts expect, and their announcements during an attempt.
 impl RequestRunner {
+    /// Returns the version of an adapter that a request to an upstream has to expect, or zero for
+    /// any version.
+    ///
+    /// If the resident version is newer than the announced one, its announcement is still on its
+    /// way to this instance, and the upstream would refuse a request that expects the older one.
+    pub(super) fn expected_version(&self, upstream: &UpstreamId, model: &ModelRef) -> u64 {
+        let announced = self.fleet.min_version(model);
+        if announced == 0 {
+            return 0;
+        }
+        self.directory
+            .resident_version(upstream, model, announced)
+            .map_or(announced, |resident| resident.max(announced))
+    }
+
     /// Waits for the response of an attempt, and withdraws the attempt if the adapter version that
     /// it states has been outdated for too long.
     ///
