Do not withdraw plain requests that may run only once

A plain response begins when its request has ended, so that waiting for its head does not show that the request is still queued. A request that may run only once was closed while it ran if a newer version of its adapter was announced, and the caller got 502 with an unknown outcome.

Such requests are no longer withdrawn.

--- a/src/forward/runner_versions.rs
+++ b/src/forward/runner_versions.rs
@@ -5,7 +5,7 @@
 
 use super::forward_run::{ForwardRun, millis};
 use super::upstream_attempt::AttemptPlan;
-use super::{AttemptFailure, ModelRef, RequestRunner, UpstreamResponse};
+use super::{AttemptFailure, ModelRef, RequestRunner, RouteKind, UpstreamResponse};
 use crate::id::UpstreamId;
 use crate::relay::ObjectKind;
 use crate::telemetry::{LogEvent, LogName, MetricName};
@@ -34,16 +34,18 @@
     /// Waits for the response of an attempt, and withdraws the attempt if the adapter version that
     /// it states has been outdated for too long.
     ///
-    /// An upstream may queue a request after it has checked the version, and sends the response
-    /// head when the request starts. Dropping `sending` closes the connection, which removes the
-    /// request from the queue.
+    /// An upstream may queue a request after it has checked the version, and sends the head of a
+    /// stream when the request starts. Dropping `sending` closes the connection, which removes the
+    /// request from the queue. A plain response shows only the end of a request, so that one which
+    /// may run only once is not withdrawn: it would leave the caller with an unknown outcome.
     pub(super) async fn watch_version(
         &self,
         run: &ForwardRun,
         plan: &AttemptPlan,
         sending: impl Future<Output = Result<UpstreamResponse, AttemptFailure>>,
     ) -> Result<UpstreamResponse, AttemptFailure> {
-        let Some(model) = &run.parts.model else {
+        let can_withdraw = run.route.kind != RouteKind::NonIdempotent;
+        let Some(model) = run.parts.model.as_ref().filter(|_| can_withdraw) else {
             return sending.await;
         };
         let started = Instant::now();
