Give up silent connections to the store sooner when versions are due

What callers could see: a request could run on an outdated version of its adapter when the links between instances and the open connections to the store became silent at once, without a reset.

Cause: the link to the watcher is given up after 2 s. The instance then asks the store on a pooled connection that is silent too, and with the usual wait of 3 s for versions this call is given up only after another 3.6 s, followed by a pause of 0.25 s. Keep-alive probes of the kernel may end the call sooner; the stand-in's kernel answers them, so the tests do not cover that.

The other kinds keep their waits.

--- a/src/relay/object_kind.rs
+++ b/src/relay/object_kind.rs
@@ -48,6 +48,19 @@
         }
     }
 
+    /// Returns the wait of the watch call that follows a failed request to the watcher.
+    ///
+    /// Connections to the store may have become silent together with the link to the watcher. With
+    /// the usual wait for versions, a call on such a connection would time out only after a new
+    /// version is due.
+    #[must_use]
+    pub const fn fallback_watch_wait(self) -> Duration {
+        match self {
+            Self::Config | Self::Upstreams | Self::Instances => self.watch_wait(),
+            Self::Versions => Duration::from_millis(100),
+        }
+    }
+
     /// Returns the delay before the call that follows a change, so that several changes cost one
     /// call.
     ///
