--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -58,7 +58,7 @@
             .parts
             .model
             .as_ref()
-            .map_or(0, |model| self.fleet.min_version(model));
+            .map_or(0, |model| self.expected_version(&chosen.entry.id, model));
         let instances = self.tracker.live_instance_count(self.clock.now());
         let limit = usize::try_from(run.service.max_connections).unwrap_or(usize::MAX);
         let plan = AttemptPlan {
@@ -70,6 +70,7 @@
             last_event,
         };
         let sending = send_attempt(&self.pool, &self.tracker, &self.names, &run.parts, &plan);
+        let sending = self.watch_version(run, &plan, sending);
         if !can_repeat {
             return sending.await;
         }
@@ -106,6 +107,8 @@
                     self.directory.record_absent(upstream, model);
                 }
             }
+            // The upstream has only queued the request.
+            AttemptFailure::Outdated => {}
             AttemptFailure::NotRun(_) | AttemptFailure::Mismatch(_) => {
                 self.health.record_failure(upstream, now);
             }
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -3,8 +3,9 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
-use http::{Method, Request, StatusCode, Uri};
+use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use super::connection_body::InFlightGuard;
@@ -28,6 +29,8 @@
     pub body: ConnectionBody,
     /// Whether the response carries the signature header of an upstream.
     pub is_signed: bool,
+    /// The time from the start of the attempt until it had a connection.
+    pub connect_time: Duration,
 }
 
 /// Why an attempt yielded no response that can be forwarded.
@@ -41,6 +44,8 @@
     Broken(String),
     /// The response head did not arrive in time.
     TimedOut,
+    /// A newer version of the adapter was announced and the response head did not arrive soon after.
+    Outdated,
     /// The response belongs to another attempt, or lacks a signature or attempt id.
     Mismatch(String),
 }
@@ -60,6 +65,7 @@
             Self::NotRun(_) => "not_run",
             Self::Broken(_) => "broken",
             Self::TimedOut => "timed_out",
+            Self::Outdated => "outdated",
             Self::Mismatch(_) => "mismatch",
         }
     }
@@ -100,6 +106,7 @@
     parts: &RequestParts,
     plan: &AttemptPlan,
 ) -> Result<UpstreamResponse, AttemptFailure> {
+    let started = Instant::now();
     let guard = InFlightGuard::new(tracker, &plan.entry.id, parts.model.as_ref(), parts.load);
     let mut is_fresh = false;
     loop {
@@ -117,11 +124,13 @@
         let Some(sender) = connection.sender.as_mut() else {
             return Err(AttemptFailure::NotSent("no connection".to_owned()));
         };
+        let connect_time = started.elapsed();
         let sent = sender.try_send_request(build_request(names, parts, plan));
         match timeout_at(plan.head_deadline, sent).await {
             Err(_) => return Err(AttemptFailure::TimedOut),
             Ok(Ok(response)) => {
-                return validate_response(names, parts, plan, connection, guard, response);
+                let received = (connection, guard, response);
+                return validate_response(names, parts, plan, received, connect_time);
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
@@ -167,10 +176,10 @@
     names: &HeaderNames,
     parts: &RequestParts,
     plan: &AttemptPlan,
-    connection: PooledConnection,
-    guard: InFlightGuard,
-    response: http::Response<hyper::body::Incoming>,
+    received: (PooledConnection, InFlightGuard, Response<Incoming>),
+    connect_time: Duration,
 ) -> Result<UpstreamResponse, AttemptFailure> {
+    let (connection, guard, response) = received;
     let (head, body) = response.into_parts();
     let mut headers = head.headers;
     let idle = stated_idle(&headers);
@@ -207,6 +216,7 @@
         headers,
         body,
         is_signed,
+        connect_time,
     })
 }
 
--- a/src/residency/ledger_answers.rs
+++ b/src/residency/ledger_answers.rs
@@ -1,9 +1,11 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::residency_ledger::{
     EvictingAdapter, FIRST_COLD_TIME, PendingLoad, REPORT_LAG, Resident, WARM_SPEEDUP,
 };
-use super::{EngineReport, OrderKind, OrderOutcome, ResidencyLedger};
+use super::waiting_load::WaitingLoad;
+use super::{EngineReport, LoadWaiter, OrderKind, OrderOutcome, ResidencyLedger};
 use crate::forward::ModelRef;
 
 /// Interval between checks of a load that is overdue; an eviction is checked every fourth interval.
@@ -83,7 +85,8 @@
     /// Replaces the recorded state of the engine with a report.
     ///
     /// Use counts of adapters that stay resident are kept. Requests that wait for a load which the
-    /// report does not list are queued again.
+    /// report does not list are queued again, and those for adapters that it lists as resident are
+    /// answered.
     pub fn report_read(&mut self, report: &EngineReport, now: Duration) {
         self.sequence = Some(report.sequence);
         self.models.clone_from(&report.models);
@@ -126,6 +129,16 @@
                 self.request_load(&model, lost.version, waiter, now);
             }
         }
+        let is_resident = |model: &ModelRef, waiting: &mut WaitingLoad| {
+            let resident = self.residents.get(model);
+            resident.is_some_and(|resident| resident.version >= waiting.min_version)
+        };
+        let loaded: BTreeMap<_, _> = self.waiting.extract_if(.., is_resident).collect();
+        for (model, waiting) in loaded {
+            for waiter in waiting.waiters {
+                self.request_load(&model, waiting.min_version, waiter, now);
+            }
+        }
     }
 
     /// Handles a read of a report that failed or timed out; schedules the next read.
@@ -168,11 +181,7 @@
         } else {
             self.cold_time / WARM_SPEEDUP
         };
-        let waiters = self
-            .waiting
-            .remove(model)
-            .map(|waiting| waiting.waiters)
-            .unwrap_or_default();
+        let waiters = self.take_waiters(model, version);
         self.pending.insert(
             model.clone(),
             PendingLoad {
@@ -186,11 +195,7 @@
     }
 
     pub(super) fn load_done(&mut self, model: &ModelRef, version: u64, now: Duration) {
-        let mut waiters = self
-            .waiting
-            .remove(model)
-            .map(|waiting| waiting.waiters)
-            .unwrap_or_default();
+        let mut waiters = self.take_waiters(model, version);
         if let Some(pending) = self.pending.remove(model) {
             waiters.extend(pending.waiters);
             if pending.is_fetch {
@@ -215,6 +220,19 @@
         }
     }
 
+    /// Removes and returns the requests that a load of `version` satisfies. They stay if one of them
+    /// needs a newer version, which has then been announced.
+    fn take_waiters(&mut self, model: &ModelRef, version: u64) -> Vec<LoadWaiter> {
+        let is_satisfied = |waiting: &WaitingLoad| waiting.min_version <= version;
+        if !self.waiting.get(model).is_some_and(is_satisfied) {
+            return Vec::new();
+        }
+        self.waiting
+            .remove(model)
+            .map(|waiting| waiting.waiters)
+            .unwrap_or_default()
+    }
+
     pub(super) fn evicted(&mut self, model: &ModelRef, now: Duration) {
         self.residents.remove(model);
         self.evicting = None;
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -153,12 +153,10 @@
         waiter: LoadWaiter,
         now: Duration,
     ) {
+        let is_usable = self.is_usable(model);
         if let Some(resident) = self.residents.get_mut(model)
             && resident.version >= min_version
-            && self
-                .evicting
-                .as_ref()
-                .is_none_or(|evicting| evicting.model != *model)
+            && is_usable
         {
             resident.record_use(1, now);
             let _result = waiter.reply.send(Ok(resident.version));
@@ -182,6 +180,15 @@
         waiting.waiters.push(waiter);
     }
 
+    /// Raises the versions of loads that have not been ordered yet to the announced ones.
+    pub fn raise_versions(&mut self, announced: &BTreeMap<ModelRef, u64>) {
+        for (model, waiting) in &mut self.waiting {
+            if let Some(version) = announced.get(model) {
+                waiting.min_version = waiting.min_version.max(*version);
+            }
+        }
+    }
+
     /// Adds uses to the count of a resident adapter, which decides the order of evictions.
     pub fn record_uses(&mut self, model: &ModelRef, count: u32, now: Duration) {
         if let Some(resident) = self.residents.get_mut(model) {
@@ -251,10 +258,13 @@
             return None;
         }
         let (warm, residents, cold) = (&self.warm, &self.residents, self.cold_time);
+        let pending = &self.pending;
         let best = self
             .waiting
             .iter_mut()
             .filter(|(model, _)| may_fetch || warm.contains_key(model))
+            // An older version is loading; a second load of the adapter may need another slot.
+            .filter(|(model, _)| !pending.contains_key(model))
             // An engine accepts no other order until the requests of a replaced adapter have ended.
             .filter(|(model, _)| !(residents.contains_key(model) && busy.contains(model)))
             .map(|(model, waiting)| {
@@ -303,7 +313,8 @@
         });
     }
 
-    /// Chooses the least used adapter without requests in flight.
+    /// Chooses the least used adapter without requests in flight. Adapters that are being replaced
+    /// are not chosen, because the replacement keeps their slot.
     ///
     /// An engine finishes the requests of an evicted adapter first, which blocks its slot for
     /// seconds. If all adapters are in use, waiting is better than evicting one.
@@ -311,7 +322,9 @@
         self.residents
             .iter()
             .filter(|(model, resident)| {
-                !busy.contains(*model) && now.saturating_sub(resident.used_at) >= EVICTION_GRACE
+                !busy.contains(*model)
+                    && !self.pending.contains_key(*model)
+                    && now.saturating_sub(resident.used_at) >= EVICTION_GRACE
             })
             .min_by(|(_, left), (_, right)| {
                 left.decayed_uses(now).total_cmp(&right.decayed_uses(now))
@@ -393,18 +406,25 @@
         &self.models
     }
 
-    /// Iterates over the resident adapters that are not being evicted, with their versions.
+    /// Iterates over the resident adapters that are not being evicted or replaced, with their
+    /// versions.
     pub fn residents(&self) -> impl Iterator<Item = (&ModelRef, u64)> {
         self.residents
             .iter()
-            .filter(|(model, _)| {
-                self.evicting
-                    .as_ref()
-                    .is_none_or(|evicting| evicting.model != **model)
-            })
+            .filter(|(model, _)| self.is_usable(model))
             .map(|(model, resident)| (model, resident.version))
     }
 
+    /// Returns whether an adapter, if resident, is not being evicted or replaced. During both, the
+    /// engine refuses new requests for it.
+    fn is_usable(&self, model: &ModelRef) -> bool {
+        let is_evicting = self
+            .evicting
+            .as_ref()
+            .is_some_and(|evicting| evicting.model == *model);
+        !is_evicting && !self.pending.contains_key(model)
+    }
+
     /// Returns the number of loads from the weight store that are in progress.
     #[must_use]
     pub fn fetches(&self) -> usize {
