--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -70,6 +70,7 @@
             last_event,
         };
         let sending = send_attempt(&self.pool, &self.tracker, &self.names, &run.parts, &plan);
+        // Applies before and after the head timeout below.
         let sending = self.watch_version(run, &plan, sending);
         if !can_repeat {
             return sending.await;
--- a/src/forward/runner_versions.rs
+++ b/src/forward/runner_versions.rs
@@ -35,9 +35,9 @@
     /// it states has been outdated for too long.
     ///
     /// An upstream may queue a request after it has checked the version, and sends the head of a
-    /// stream when the request starts. Dropping `sending` closes the connection, which removes the
-    /// request from the queue. A plain response shows only the end of a request, so that one which
-    /// may run only once is not withdrawn: it would leave the caller with an unknown outcome.
+    /// stream when the request starts. Dropping `sending` closes the connection, upon which most
+    /// upstreams drop a queued request. A plain response shows only the end of a request, so that one
+    /// which may run only once is not withdrawn: it would leave the caller with an unknown outcome.
     pub(super) async fn watch_version(
         &self,
         run: &ForwardRun,
@@ -68,10 +68,13 @@
     /// Returns how long a request may still start on a version that this instance knows to be
     /// outdated.
     ///
-    /// The announcement may have been made up to one watch call earlier.
+    /// If the response that brings an announcement is lost, it is missed only at the end of the watch
+    /// call, so that this instance may learn of the announcement later by the duration of a call.
     fn withdrawal_delay(&self) -> Duration {
-        let announcement_age = ObjectKind::Versions.watch_wait() + WITHDRAWAL_MARGIN;
-        self.settings.version_limit.saturating_sub(announcement_age)
+        let max_announcement_age = ObjectKind::Versions.watch_wait() + WITHDRAWAL_MARGIN;
+        self.settings
+            .version_limit
+            .saturating_sub(max_announcement_age)
     }
 
     fn record_outdated(
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -129,8 +129,15 @@
         match timeout_at(plan.head_deadline, sent).await {
             Err(_) => return Err(AttemptFailure::TimedOut),
             Ok(Ok(response)) => {
-                let received = (connection, guard, response);
-                return validate_response(names, parts, plan, received, connect_time);
+                return validate_response(
+                    names,
+                    parts,
+                    plan,
+                    connection,
+                    guard,
+                    response,
+                    connect_time,
+                );
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
@@ -176,10 +183,11 @@
     names: &HeaderNames,
     parts: &RequestParts,
     plan: &AttemptPlan,
-    received: (PooledConnection, InFlightGuard, Response<Incoming>),
+    connection: PooledConnection,
+    guard: InFlightGuard,
+    response: Response<Incoming>,
     connect_time: Duration,
 ) -> Result<UpstreamResponse, AttemptFailure> {
-    let (connection, guard, response) = received;
     let (head, body) = response.into_parts();
     let mut headers = head.headers;
     let idle = stated_idle(&headers);
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -75,7 +75,7 @@
     RequestFailed,
     /// a request finished
     RequestFinished,
-    /// a request started on a version of its adapter that had become outdated meanwhile
+    /// the version of its adapter had become outdated before the response to a request began
     RequestOutdated,
     /// a request is retried on another upstream
     RequestRetried,
