Answer requests without a response before the process exits

A request that an engine still queued at the end of the grace period was cut off: its caller saw a closed connection without an answer.

Cause: whether a request can complete before the exit is decided once, when it arrives, with the typical duration of a stream. It may then wait for longer in the queue of an engine, and nothing looked at the time again.

Requests without a response are now answered 502 shortly before the exit; they may have been sent, so nothing is promised.

--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -6,7 +6,8 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::forward_head::strip_hop_headers;
 use super::forward_run::{
@@ -55,7 +56,7 @@
     /// Retry budgets by service.
     pub budgets: Mutex<BTreeMap<String, RetryBudget>>,
     /// The time at which this process exits, or `None` while it is not shutting down.
-    pub shutdown_deadline: Mutex<Option<Instant>>,
+    pub shutdown_deadline: watch::Sender<Option<Instant>>,
 }
 
 impl std::fmt::Debug for RequestRunner {
@@ -69,14 +70,44 @@
 /// Time within which nearly all streams complete, from the request to the last event.
 const TYPICAL_STREAM_DURATION: Duration = Duration::from_secs(5);
 
+/// Time before the exit of this process at which requests without a response are answered.
+const EXIT_MARGIN: Duration = Duration::from_millis(200);
+
 impl RequestRunner {
-    /// Rejects requests from now on that might not complete before this process exits.
+    /// Rejects requests from now on that might not complete before this process exits, and answers
+    /// those that are still without a response shortly before.
     pub fn set_shutdown_deadline(&self, shutdown_deadline: Instant) {
-        *lock(&self.shutdown_deadline) = Some(shutdown_deadline);
+        self.shutdown_deadline.send_replace(Some(shutdown_deadline));
     }
 
     /// Forwards one request and returns the response for the caller.
     pub async fn run(self: &Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
+        let attempt = request.headers().get(&self.names.attempt).cloned();
+        tokio::select! {
+            biased;
+            response = self.respond(request) => response,
+            () = self.wait_for_exit() => {
+                // The request may have been sent to an upstream.
+                let response = reject(StatusCode::BAD_GATEWAY, "the process exits");
+                self.metrics
+                    .add(MetricName::Refusals, "", response.reason, 1);
+                log_early_refusal(attempt.as_ref(), response)
+            }
+        }
+    }
+
+    /// Waits until requests without a response must be answered, because this process exits.
+    async fn wait_for_exit(&self) {
+        let mut shutdown = self.shutdown_deadline.subscribe();
+        // The wait can't fail, because this runner owns the sender.
+        let _is_stopping = shutdown.wait_for(Option::is_some).await.is_ok();
+        let deadline = *shutdown.borrow();
+        if let Some(deadline) = deadline {
+            sleep_until(deadline - EXIT_MARGIN).await;
+        }
+    }
+
+    async fn respond(self: &Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
         let arrived = Instant::now();
         let attempt = request.headers().get(&self.names.attempt).cloned();
         match self.prepare(request, arrived).await {
@@ -160,7 +191,8 @@
             RouteKind::Stream => route.timeout.min(TYPICAL_STREAM_DURATION),
             RouteKind::Idempotent | RouteKind::NonIdempotent => route.timeout,
         };
-        lock(&self.shutdown_deadline)
+        self.shutdown_deadline
+            .borrow()
             .is_none_or(|shutdown_deadline| arrived + need < shutdown_deadline)
     }
 
