Name missing versions in the refusal of an instance that is not ready

An instance refuses requests until it has listed the adapter versions as well, but the reason in its logs and metrics named the configuration only.

--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -129,7 +129,7 @@
             .fleet
             .routes()
             .filter(|_| self.fleet.is_complete())
-            .ok_or_else(|| unavailable("no configuration yet", RETRY_AFTER_START))?;
+            .ok_or_else(|| unavailable("no configuration or versions yet", RETRY_AFTER_START))?;
         let (head, body) = request.into_parts();
         let route = find_route(&routes, &head)?;
         let parsed = ForwardHead::from_headers(&head.headers, &self.names)
