Count streams that upstreams break off as crashes

Cause: only requests without a response head were charged with the crash of an upstream.

A stream that its upstream resets or ends early now counts as a crash, and a stream is not resumed once its request is refused. Ruled out as evidence of a crash: connections that time out and hosts that can't be reached, which is how a cut link ends, and streams that fall silent and are resumed elsewhere.

--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -143,8 +144,12 @@
             }
             Some(Err(error)) => {
                 this.connection = None;
-                let error = Error::new(ErrorKind::Truncated, error.to_string());
-                Poll::Ready(Some(Err(error)))
+                let kind = if is_lost_link(&error) {
+                    ErrorKind::Unavailable
+                } else {
+                    ErrorKind::Truncated
+                };
+                Poll::Ready(Some(Err(Error::new(kind, error.to_string()))))
             }
         }
     }
@@ -157,3 +162,21 @@
         self.body.size_hint()
     }
 }
+
+/// Returns whether a connection failed because the other side can't be reached. An upstream that
+/// crashes resets its connections instead.
+fn is_lost_link(error: &hyper::Error) -> bool {
+    let mut cause: Option<&(dyn std::error::Error + 'static)> = Some(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return matches!(
+                error.kind(),
+                io::ErrorKind::TimedOut
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::NetworkUnreachable
+            );
+        }
+        cause = error.source();
+    }
+    false
+}
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -14,6 +14,9 @@
 /// was delivered.
 pub type ResumeCall = Box<dyn FnMut(Option<String>) -> ResumeFuture + Send>;
 
+/// Records that an upstream broke a stream off, as it does when it crashes.
+pub type RecordBreak = Box<dyn Fn() + Send>;
+
 /// Resolves to the body with the rest of a stream.
 pub type ResumeFuture = Pin<Box<dyn Future<Output = Result<ConnectionBody>> + Send>>;
 
@@ -27,6 +30,7 @@
     source: RelaySource,
     splitter: StreamSplitter,
     resume: Option<ResumeCall>,
+    record_break: RecordBreak,
     stall_checks: Interval,
     last_event_at: Instant,
     /// A frame that a stalled body delivered while the stream was being resumed.
@@ -52,7 +56,11 @@
 impl RelayBody {
     /// Creates a relay of `body`; `resume` is `None` if the stream can't be resumed.
     #[must_use]
-    pub fn new(body: ConnectionBody, resume: Option<ResumeCall>) -> Self {
+    pub fn new(
+        body: ConnectionBody,
+        resume: Option<ResumeCall>,
+        record_break: RecordBreak,
+    ) -> Self {
         let now = Instant::now();
         let mut stall_checks = interval_at(now + STALL_CHECK_INTERVAL, STALL_CHECK_INTERVAL);
         stall_checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -60,6 +68,7 @@
             source: RelaySource::Reading(body),
             splitter: StreamSplitter::new(),
             resume,
+            record_break,
             stall_checks,
             last_event_at: now,
             pending_frame: None,
@@ -209,6 +218,10 @@
                         this.has_ended = true;
                         return Poll::Ready(Some(Err(error)));
                     }
+                    // A link that was cut says nothing about the request.
+                    if error.kind() == ErrorKind::Truncated {
+                        (this.record_break)();
+                    }
                     if let Err(error) = this.replace_broken(error) {
                         return Poll::Ready(Some(Err(error)));
                     }
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -7,7 +7,7 @@
 
 use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
 use super::local_response::LocalResponse;
-use super::relay_body::ResumeCall;
+use super::relay_body::{RecordBreak, ResumeCall};
 use super::request_runner::lock;
 use super::upstream_attempt::{AttemptPlan, drain, send_attempt};
 use super::{
@@ -15,7 +15,7 @@
     UpstreamResponse,
 };
 use crate::error::{Error, ErrorKind};
-use crate::policy::RetryBudget;
+use crate::policy::{RetryBudget, SuspectVerdict};
 use crate::telemetry::{LogEvent, LogName, MetricName};
 
 /// Pause before the next attempt after an upstream refused a request without running it, for
@@ -193,11 +193,16 @@
         let mut headers = received.headers;
         headers.remove(&self.names.upstream_load);
         let body = if is_stream {
+            let record_break = Arc::clone(self).record_break_call(&run);
             let resume = run
                 .route
                 .is_resumable
                 .then(|| Arc::clone(self).resume_call(run));
-            ReplyBody::Stream(Box::new(RelayBody::new(received.body, resume)))
+            ReplyBody::Stream(Box::new(RelayBody::new(
+                received.body,
+                resume,
+                record_break,
+            )))
         } else {
             ReplyBody::Plain(Box::new(received.body))
         };
@@ -207,6 +212,15 @@
         response
     }
 
+    /// Returns a call that counts a broken stream as a crash which the request may have caused.
+    fn record_break_call(self: Arc<Self>, run: &ForwardRun) -> RecordBreak {
+        let fingerprint = run.fingerprint;
+        Box::new(move || {
+            let now = self.clock.now();
+            lock(&self.suspects).record_crash(fingerprint, now);
+        })
+    }
+
     pub(super) fn resume_call(self: Arc<Self>, run: ForwardRun) -> ResumeCall {
         let run = Arc::new(tokio::sync::Mutex::new(run));
         Box::new(move |last_event| {
@@ -230,6 +244,10 @@
         }
         run.arrived = Instant::now();
         while run.attempts <= run.route.max_attempts {
+            let verdict = lock(&self.suspects).verdict(run.fingerprint, self.clock.now());
+            if verdict == SuspectVerdict::Refused {
+                return Err(fail("crashed upstreams"));
+            }
             if !self.spend_retry(&run.service.name) {
                 return Err(fail("the retry budget is spent"));
             }
