Serve base models after new weights are announced

Cause: instances knew which base models an engine holds, but not in which version, and asked for the announced one. Engines answered 421 and nobody ordered a load, so that requests without an adapter were refused for good.

Reports and gossip now carry the versions of base models. The owner orders an outdated one once, one engine of a domain after the other; requests go to engines with the announced version, or, while there is none, to those with the newest one.

--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -127,7 +127,7 @@
                 is_resident: true,
             });
         };
-        let min_version = self.fleet.min_version(model);
+        let min_version = self.served_version(model, &usable);
         let is_resident = |entry: &&&Arc<UpstreamEntry>| {
             self.directory
                 .resident_version(&entry.id, model, min_version)
@@ -166,6 +166,19 @@
         })
     }
 
+    /// Returns the lowest version of a model on which a request may run: the announced one, or for a
+    /// base model that no upstream holds in this version, the newest one that is held.
+    fn served_version(&self, model: &ModelRef, usable: &[&Arc<UpstreamEntry>]) -> u64 {
+        let announced = self.fleet.min_version(model);
+        if announced == 0 || model.has_adapter() {
+            return announced;
+        }
+        let held = usable
+            .iter()
+            .filter_map(|entry| self.directory.resident_version(&entry.id, model, 0));
+        held.max().map_or(announced, |newest| newest.min(announced))
+    }
+
     /// Returns the upstreams at which the adapter may be loaded, ordered by rendezvous hash.
     ///
     /// Upstreams with a live owner come first; within both groups, those without an outdated
--- a/src/forward/runner_versions.rs
+++ b/src/forward/runner_versions.rs
@@ -20,15 +20,19 @@
     /// any version.
     ///
     /// If the resident version is newer than the announced one, its announcement is still on its
-    /// way to this instance, and the upstream would refuse a request that expects the older one.
+    /// way to this instance, and the upstream would refuse a request that expects the older one. A
+    /// base model is served in the version that an upstream holds: engines may keep its weights when
+    /// a new version is announced.
     pub(super) fn expected_version(&self, upstream: &UpstreamId, model: &ModelRef) -> u64 {
         let announced = self.fleet.min_version(model);
         if announced == 0 {
             return 0;
         }
-        self.directory
-            .resident_version(upstream, model, announced)
-            .map_or(announced, |resident| resident.max(announced))
+        let resident = self.directory.resident_version(upstream, model, announced);
+        if resident.is_none() && !model.has_adapter() {
+            return 0;
+        }
+        resident.map_or(announced, |resident| resident.max(announced))
     }
 
     /// Waits for the response of an attempt, and withdraws the attempt if the adapter version that
@@ -45,7 +49,8 @@
         sending: impl Future<Output = Result<UpstreamResponse, AttemptFailure>>,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         let can_withdraw = run.route.kind != RouteKind::NonIdempotent;
-        let Some(model) = run.parts.model.as_ref().filter(|_| can_withdraw) else {
+        let model = run.parts.model.as_ref();
+        let Some(model) = model.filter(|model| can_withdraw && model.has_adapter()) else {
             return sending.await;
         };
         let started = Instant::now();
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -664,6 +664,9 @@
     /// Whether models and adapters are left out because the receiver has acknowledged them.
     #[prost(bool, tag = "6")]
     pub is_unchanged: bool,
+    /// Versions of the resident base models, in their order.
+    #[prost(uint64, repeated, tag = "7")]
+    pub model_versions: Vec<u64>,
 }
 
 /// Use of one adapter at one upstream.
--- a/src/residency/ledger_answers.rs
+++ b/src/residency/ledger_answers.rs
@@ -41,6 +41,10 @@
         now: Duration,
     ) {
         if !model.has_adapter() {
+            self.is_loading_model = outcome == OrderOutcome::Accepted;
+            if outcome == OrderOutcome::Holds {
+                self.kept_versions.insert(model.model.clone(), version);
+            }
             self.invalidate(now);
             return;
         }
@@ -93,6 +97,11 @@
         self.evicting = None;
         if report.is_busy {
             self.pause_until = now + BUSY_PAUSE;
+            if self.is_loading_model {
+                self.invalidate(now);
+            }
+        } else {
+            self.is_loading_model = false;
         }
         let residents = std::mem::take(&mut self.residents);
         for (model, version) in &report.adapters {
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -125,7 +125,8 @@
         let to_item = |(upstream, loader): (&UpstreamId, &UpstreamLoader)| OwnedUpstream {
             upstream: upstream.as_str().to_owned(),
             incarnation: loader.entry.incarnation,
-            models: loader.ledger.models().iter().cloned().collect(),
+            models: loader.ledger.models().keys().cloned().collect(),
+            model_versions: loader.ledger.models().values().copied().collect(),
             adapters: loader
                 .ledger
                 .residents()
--- a/src/residency/loader_task.rs
+++ b/src/residency/loader_task.rs
@@ -97,13 +97,13 @@
             holder: self.instance.clone(),
             fencing_token: epoch,
         };
-        if let Some(model) = missing {
+        if let Some((model, version)) = missing {
             let expected = loader.ledger.sequence();
             state
                 .model_loads
                 .retain(|at| now.saturating_sub(*at) < MODEL_LOAD_WINDOW);
             state.model_loads.push(now);
-            let order = order(OrderKind::Load, ModelRef::new(&model, ""), 0, expected);
+            let order = order(OrderKind::Load, model, version, expected);
             return Some((entry, LoaderStep::Order(order, false)));
         }
         let may_fetch = state.permits.has_free();
@@ -130,29 +130,34 @@
         Some((entry, step))
     }
 
-    /// Returns a base model that the upstream lacks, that fits into its memory, and that the rate
-    /// limit of the weight store allows to load now.
+    /// Returns a base model that the upstream lacks or holds in an outdated version, that fits into
+    /// its memory, and that the rate limit of the weight store allows to load now. The second value
+    /// is the version to load, or zero for the newest.
     pub(super) fn missing_model(
         &self,
         state: &OwnerState,
         upstream: &UpstreamId,
         entry: &UpstreamEntry,
         now: Duration,
-    ) -> Option<String> {
-        let loader = state.loaders.get(upstream)?;
+    ) -> Option<(ModelRef, u64)> {
+        let ledger = &state.loaders.get(upstream)?.ledger;
         if entry.is_draining {
             return None;
         }
         let routes = self.fleet.routes()?;
         let engine = routes.service(&entry.service)?.engine.as_ref()?;
-        let model = engine
-            .models
-            .iter()
-            .find(|model| loader.ledger.lacks_model(&model.name))?;
+        let model = engine.models.iter().find(|model| {
+            let version = self.fleet.min_version(&ModelRef::new(&model.name, ""));
+            ledger.lacks_model(&model.name, version)
+        })?;
+        let is_replacement = ledger.models().contains_key(&model.name);
+        if is_replacement && !may_replace_model(state, &entry.domain) {
+            return None;
+        }
         let held: f64 = engine
             .models
             .iter()
-            .filter(|known| loader.ledger.models().contains(&known.name))
+            .filter(|known| ledger.models().contains_key(&known.name) && known.name != model.name)
             .map(|known| known.weights_mb)
             .sum();
         if held + model.weights_mb > engine.weights_mb {
@@ -167,7 +172,13 @@
             .count();
         let allowed = (engine.loads_per_s * window / f64::from(domains)).max(1.0);
         let is_allowed = f64::from(u32::try_from(recent).unwrap_or(u32::MAX)) < allowed;
-        is_allowed.then(|| model.name.clone())
+        let model = ModelRef::new(&model.name, "");
+        let version = if is_replacement {
+            self.fleet.min_version(&model)
+        } else {
+            0
+        };
+        is_allowed.then_some((model, version))
     }
 
     pub(super) fn domain_count(&self) -> u32 {
@@ -231,6 +242,15 @@
     }
 }
 
+/// Returns whether an upstream of a domain may replace a base model by a new version now.
+///
+/// The upstreams of a domain replace a model one after the other, because parallel loads of base
+/// models slow each other down.
+fn may_replace_model(state: &OwnerState, domain: &DomainId) -> bool {
+    let mut loaders = state.loaders.values();
+    !loaders.any(|loader| loader.entry.domain == *domain && loader.ledger.is_loading_model())
+}
+
 fn log_lost_call(upstream: &UpstreamId, call: &str, reason: &str) {
     LogEvent::new(LogName::LoadFailed)
         .with("upstream", upstream)
--- a/src/residency/order_port.rs
+++ b/src/residency/order_port.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -60,8 +60,8 @@
     pub incarnation: u64,
     /// The number of orders that the engine has accepted since its start.
     pub sequence: u64,
-    /// The resident base models.
-    pub models: BTreeSet<String>,
+    /// The resident base models with their versions.
+    pub models: BTreeMap<String, u64>,
     /// Whether the engine executes an order and refuses others until it is done.
     pub is_busy: bool,
     /// The resident adapters with their versions.
--- a/src/residency/residency_directory.rs
+++ b/src/residency/residency_directory.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 struct DirectoryEntry {
     owner: InstanceId,
     refreshed_at: Duration,
-    models: BTreeSet<String>,
+    models: BTreeMap<String, u64>,
     adapters: BTreeMap<ModelRef, u64>,
     backlog: Duration,
 }
@@ -57,7 +57,7 @@
                 DirectoryEntry {
                     owner: owner.clone(),
                     refreshed_at: now,
-                    models: item.models.iter().cloned().collect(),
+                    models: models(item),
                     adapters: adapters.collect(),
                     backlog,
                 },
@@ -66,10 +66,15 @@
         unknown
     }
 
-    /// Records an adapter that has just become resident, ahead of the owner's next report.
+    /// Records an adapter or a base model that has just become resident, ahead of the owner's next
+    /// report.
     pub fn record_resident(&self, upstream: &UpstreamId, model: &ModelRef, version: u64) {
         if let Some(entry) = self.lock().get_mut(upstream) {
-            entry.adapters.insert(model.clone(), version);
+            if model.has_adapter() {
+                entry.adapters.insert(model.clone(), version);
+            } else {
+                entry.models.insert(model.model.clone(), version);
+            }
         }
     }
 
@@ -80,8 +85,7 @@
         }
     }
 
-    /// Returns the resident version of an adapter if it is at least `min_version`, or zero for a
-    /// resident base model.
+    /// Returns the resident version of an adapter or a base model if it is at least `min_version`.
     #[must_use]
     pub fn resident_version(
         &self,
@@ -92,7 +96,8 @@
         let entries = self.lock();
         let entry = entries.get(upstream)?;
         if !model.has_adapter() {
-            return entry.models.contains(&model.model).then_some(0);
+            let version = *entry.models.get(&model.model)?;
+            return (version >= min_version).then_some(version);
         }
         let version = *entry.adapters.get(model)?;
         (version >= min_version).then_some(version)
@@ -129,7 +134,7 @@
     pub fn may_have_model(&self, upstream: &UpstreamId, model: &str) -> bool {
         self.lock()
             .get(upstream)
-            .is_none_or(|entry| entry.models.contains(model))
+            .is_none_or(|entry| entry.models.contains_key(model))
     }
 
     /// Removes the upstreams for which `is_listed` is false.
@@ -142,6 +147,14 @@
     }
 }
 
+/// Returns the base models of an item with their versions. An instance of an older build states
+/// none, which count as zero.
+fn models(item: &OwnedUpstream) -> BTreeMap<String, u64> {
+    let versions = item.model_versions.iter().copied();
+    let versions = versions.chain(std::iter::repeat(0));
+    item.models.iter().cloned().zip(versions).collect()
+}
+
 fn parse_adapter(text: &str) -> Option<(ModelRef, u64)> {
     let (model, version) = text.rsplit_once('@')?;
     Some((ModelRef::from_text(model), version.parse().ok()?))
--- a/src/residency/residency_ledger.rs
+++ b/src/residency/residency_ledger.rs
@@ -18,7 +18,12 @@
     pub(super) sequence: Option<u64>,
     /// The time from which a report may be read while `sequence` is `None`.
     pub(super) report_at: Duration,
-    pub(super) models: BTreeSet<String>,
+    pub(super) models: BTreeMap<String, u64>,
+    /// Whether the engine loads a base model, as far as is known.
+    pub(super) is_loading_model: bool,
+    /// The newest version of each base model that the engine did not load in place of the one that
+    /// it holds, since it regarded the order as done.
+    pub(super) kept_versions: BTreeMap<String, u64>,
     pub(super) residents: BTreeMap<ModelRef, Resident>,
     /// Loads that the engine has accepted but not completed.
     pub(super) pending: BTreeMap<ModelRef, PendingLoad>,
@@ -129,7 +134,9 @@
             limits,
             sequence: None,
             report_at: now,
-            models: BTreeSet::new(),
+            models: BTreeMap::new(),
+            is_loading_model: false,
+            kept_versions: BTreeMap::new(),
             residents: BTreeMap::new(),
             pending: BTreeMap::new(),
             evicting: None,
@@ -359,6 +366,8 @@
         let pending = std::mem::take(&mut self.pending);
         self.residents.clear();
         self.models.clear();
+        self.is_loading_model = false;
+        self.kept_versions.clear();
         self.warm.clear();
         self.evicting = None;
         self.sequence = None;
@@ -382,10 +391,24 @@
         }
     }
 
-    /// Returns whether the engine is known not to hold the base model.
+    /// Returns whether the engine should load the base model: it is known not to hold it in at least
+    /// `min_version`, not known to load one, and has not kept its version when it was ordered to
+    /// load this one.
     #[must_use]
-    pub fn lacks_model(&self, model: &str) -> bool {
-        self.sequence.is_some() && !self.models.contains(model)
+    pub fn lacks_model(&self, model: &str, min_version: u64) -> bool {
+        let is_held = || {
+            let held = self.models.get(model);
+            let kept = self.kept_versions.get(model).filter(|_| held.is_some());
+            held.max(kept)
+                .is_some_and(|version| *version >= min_version)
+        };
+        self.sequence.is_some() && !self.is_loading_model && !is_held()
+    }
+
+    /// Returns whether the engine loads a base model, as far as is known.
+    #[must_use]
+    pub const fn is_loading_model(&self) -> bool {
+        self.is_loading_model
     }
 
     /// Returns whether the state of the engine is known from a report.
@@ -400,9 +423,9 @@
         self.sequence
     }
 
-    /// Returns the resident base models, as of the last report.
+    /// Returns the resident base models with their versions, as of the last report.
     #[must_use]
-    pub const fn models(&self) -> &BTreeSet<String> {
+    pub const fn models(&self) -> &BTreeMap<String, u64> {
         &self.models
     }
 
--- a/tests/residency/ack_tracker.rs
+++ b/tests/residency/ack_tracker.rs
@@ -20,6 +20,7 @@
             .collect(),
         backlog_ms: 0,
         is_unchanged: false,
+        model_versions: vec![1],
     };
     (0..ENGINES).map(item).collect()
 }
--- a/tests/residency/directory.rs
+++ b/tests/residency/directory.rs
@@ -15,6 +15,7 @@
         adapters: adapters.iter().map(|name| (*name).to_owned()).collect(),
         backlog_ms: 0,
         is_unchanged: false,
+        model_versions: vec![1],
     }
 }
 
@@ -38,6 +39,34 @@
     assert_eq!(directory.resident_version(&upstream, &model, 3), None);
 }
 
+/// Guards against requests for a base model that are sent to engines with outdated weights.
+#[test]
+fn older_base_model_does_not_count_as_resident() {
+    let directory = directory(&[]);
+    let (upstream, model) = (UpstreamId::from_name("engine-1"), ModelRef::new("base", ""));
+
+    assert_eq!(directory.resident_version(&upstream, &model, 1), Some(1));
+    assert_eq!(directory.resident_version(&upstream, &model, 2), None);
+    directory.record_resident(&upstream, &model, 2);
+    assert_eq!(directory.resident_version(&upstream, &model, 2), Some(2));
+}
+
+/// Guards against requests for a base model that are refused because its owner runs an older build,
+/// which states no versions of base models.
+#[test]
+fn base_model_without_a_version_serves_requests_for_any_version() {
+    let directory = ResidencyDirectory::new();
+    let owner = InstanceId::from_name("a");
+    let without_versions = OwnedUpstream {
+        model_versions: Vec::new(),
+        ..item(&[])
+    };
+    directory.merge(&owner, &[without_versions], Duration::ZERO);
+    let (upstream, model) = (UpstreamId::from_name("engine-1"), ModelRef::new("base", ""));
+
+    assert_eq!(directory.resident_version(&upstream, &model, 0), Some(0));
+}
+
 /// Guards against requests that are sent again to an upstream that has refused the adapter.
 #[test]
 fn refused_adapter_is_removed() {
--- a/tests/residency/ledger.rs
+++ b/tests/residency/ledger.rs
@@ -36,7 +36,7 @@
     EngineReport {
         incarnation: 1,
         sequence: 0,
-        models: BTreeSet::from(["base".to_owned()]),
+        models: BTreeMap::from([("base".to_owned(), 1)]),
         ..EngineReport::default()
     }
 }
@@ -539,3 +539,50 @@
     );
     assert_eq!(answer.try_recv(), Ok(Ok(2)));
 }
+
+/// Guards against new weights that are ordered again while the engine loads them.
+#[test]
+fn new_weights_are_ordered_once() {
+    let mut ledger = ledger(1);
+    let base = ModelRef::new("base", "");
+    let loading = EngineReport {
+        is_busy: true,
+        sequence: 1,
+        ..empty_report()
+    };
+    let loaded = EngineReport {
+        sequence: 1,
+        models: BTreeMap::from([("base".to_owned(), 2)]),
+        ..empty_report()
+    };
+
+    assert!(!ledger.lacks_model("base", 1));
+    assert!(ledger.lacks_model("base", 2));
+    ledger.order_answered(OrderKind::Load, &base, 2, OrderOutcome::Accepted, at(0));
+    ledger.report_read(&loading, at(300));
+    assert!(!ledger.lacks_model("base", 2));
+    ledger.report_read(&loaded, at(600));
+    assert!(!ledger.lacks_model("base", 2));
+    assert!(ledger.lacks_model("base", 3));
+}
+
+/// Guards against orders without end to an engine that keeps its weights when new ones are
+/// announced.
+#[test]
+fn engine_that_keeps_its_weights_is_not_ordered_again() {
+    let mut ledger = ledger(1);
+    let base = ModelRef::new("base", "");
+
+    ledger.order_answered(OrderKind::Load, &base, 2, OrderOutcome::Holds, at(0));
+    ledger.report_read(&empty_report(), at(300));
+    assert!(!ledger.lacks_model("base", 2));
+    assert!(ledger.lacks_model("base", 3));
+
+    ledger.restarted(at(400));
+    let without_model = EngineReport {
+        models: BTreeMap::new(),
+        ..empty_report()
+    };
+    ledger.report_read(&without_model, at(400));
+    assert!(ledger.lacks_model("base", 2));
+}
