Hold prompts back while they would make running streams late

The fourth figure of the load header, which tells of it, was dropped.

StatedLoad reads the header; what is malformed or implausible is ignored and counted (ignored_loads). UpstreamPace estimates how slow an upstream is from its last statement and from the gaps in the streams that this instance relays, only for upstreams that state it. The choice avoids engines whose streams would pause for longer than the route's target, and a request that finds no other is held for up to half of its latency target (hold_time).

--- a/src/forward/forward_route.rs
+++ b/src/forward/forward_route.rs
@@ -17,6 +17,8 @@
     pub timeout: Duration,
     /// The latency target; later responses have less value to the caller.
     pub target_latency: Duration,
+    /// Longest pause between two events of a stream that is still on time; zero if not stated.
+    pub gap_target: Duration,
     /// Maximum number of upstreams that one attempt of a caller may be sent to.
     pub max_attempts: u32,
     /// The priority rank of the requests; zero is the most urgent.
--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -32,6 +32,8 @@
     pub(super) attempts: u32,
     /// Total time spent waiting for adapter loads.
     pub(super) load_wait: Duration,
+    /// Total time for which the request was held so that it would not delay running streams.
+    pub(super) hold_wait: Duration,
 }
 
 /// The upstream chosen for a request, and whether the requested adapter is resident there.
@@ -57,6 +59,7 @@
             .with_count("target_ms", millis(self.route.target_latency))
             .with_count("head_ms", millis(self.arrived.elapsed()))
             .with_count("load_wait_ms", millis(self.load_wait))
+            .with_count("hold_ms", millis(self.hold_wait))
             .with_count("attempts", u64::from(self.attempts))
             .with_count("prompt_tokens", u64::from(self.parts.load.prompt_tokens))
             .send();
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -9,6 +9,7 @@
 
 use super::{ConnectionBody, StreamSplitter};
 use crate::error::{Error, ErrorKind, Result};
+use crate::id::UpstreamId;
 
 /// Opens the rest of a stream after the event with the given id, or the whole stream if no event
 /// was delivered.
@@ -17,6 +18,19 @@
 /// Records that an upstream broke a stream off, as it does when it crashes.
 pub type RecordBreak = Box<dyn Fn() + Send>;
 
+/// Records the time between two events of a stream from an upstream.
+pub type RecordGap = Box<dyn Fn(&UpstreamId, Duration) + Send>;
+
+/// The calls of a relayed stream to the parts that it belongs to.
+pub struct StreamHooks {
+    /// Resumes the stream; `None` if it can't be resumed.
+    pub resume: Option<ResumeCall>,
+    /// Is called when an upstream breaks the stream off.
+    pub record_break: RecordBreak,
+    /// Is called for each event after the first one of an upstream.
+    pub record_gap: RecordGap,
+}
+
 /// Resolves to the body with the rest of a stream.
 pub type ResumeFuture = Pin<Box<dyn Future<Output = Result<ConnectionBody>> + Send>>;
 
@@ -29,10 +43,11 @@
 pub struct RelayBody {
     source: RelaySource,
     splitter: StreamSplitter,
-    resume: Option<ResumeCall>,
-    record_break: RecordBreak,
+    hooks: StreamHooks,
     stall_checks: Interval,
     last_event_at: Instant,
+    /// Whether the present upstream has delivered an event.
+    has_event: bool,
     /// A frame that a stalled body delivered while the stream was being resumed.
     pending_frame: Option<Frame<Bytes>>,
     has_ended: bool,
@@ -53,24 +68,28 @@
 /// that.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1100);
 
+impl fmt::Debug for StreamHooks {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StreamHooks")
+            .field("is_resumable", &self.resume.is_some())
+            .finish_non_exhaustive()
+    }
+}
+
 impl RelayBody {
-    /// Creates a relay of `body`; `resume` is `None` if the stream can't be resumed.
+    /// Creates a relay of `body`.
     #[must_use]
-    pub fn new(
-        body: ConnectionBody,
-        resume: Option<ResumeCall>,
-        record_break: RecordBreak,
-    ) -> Self {
+    pub fn new(body: ConnectionBody, hooks: StreamHooks) -> Self {
         let now = Instant::now();
         let mut stall_checks = interval_at(now + STALL_CHECK_INTERVAL, STALL_CHECK_INTERVAL);
         stall_checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         Self {
             source: RelaySource::Reading(body),
             splitter: StreamSplitter::new(),
-            resume,
-            record_break,
+            hooks,
             stall_checks,
             last_event_at: now,
+            has_event: false,
             pending_frame: None,
             has_ended: false,
         }
@@ -83,7 +102,7 @@
     /// Returns `error` if the stream can't be resumed.
     fn replace_broken(&mut self, error: Error) -> Result<()> {
         self.splitter.discard_partial();
-        let Some(resume) = &mut self.resume else {
+        let Some(resume) = &mut self.hooks.resume else {
             self.has_ended = true;
             return Err(error);
         };
@@ -95,7 +114,7 @@
     /// Starts to resume a stalled stream at another upstream; whichever upstream delivers first
     /// continues it.
     fn hedge_stalled(&mut self) {
-        let Some(resume) = &mut self.resume else {
+        let Some(resume) = &mut self.hooks.resume else {
             return;
         };
         let last = self.splitter.last_id().map(str::to_owned);
@@ -115,6 +134,7 @@
         };
         match future.as_mut().poll(cx) {
             Poll::Ready(Ok(body)) => {
+                self.has_event = false;
                 self.splitter.discard_partial();
                 self.source = RelaySource::Reading(body);
             }
@@ -156,7 +176,7 @@
         while self.stall_checks.poll_tick(cx).is_ready() {
             is_due = true;
         }
-        is_due && self.resume.is_some() && self.last_event_at.elapsed() > STALL_TIMEOUT
+        is_due && self.hooks.resume.is_some() && self.last_event_at.elapsed() > STALL_TIMEOUT
     }
 }
 
@@ -185,7 +205,7 @@
             };
             let polled = match this.pending_frame.take() {
                 Some(frame) => Poll::Ready(Some(Ok(frame))),
-                None => Pin::new(body).poll_frame(cx),
+                None => Pin::new(&mut *body).poll_frame(cx),
             };
             match polled {
                 Poll::Pending => {
@@ -203,10 +223,15 @@
                 }
                 Poll::Ready(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
-                        this.last_event_at = Instant::now();
+                        let now = Instant::now();
+                        if this.has_event {
+                            (this.hooks.record_gap)(body.upstream(), now - this.last_event_at);
+                        }
+                        this.has_event = true;
+                        this.last_event_at = now;
                         let events = this.splitter.push(bytes);
                         if this.splitter.has_split_event() {
-                            this.resume = None;
+                            this.hooks.resume = None;
                         }
                         if !events.is_empty() {
                             return Poll::Ready(Some(Ok(Frame::data(events))));
@@ -220,7 +245,7 @@
                     }
                     // A link that was cut says nothing about the request.
                     if error.kind() == ErrorKind::Truncated {
-                        (this.record_break)();
+                        (this.hooks.record_break)();
                     }
                     if let Err(error) = this.replace_broken(error) {
                         return Poll::Ready(Some(Err(error)));
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -21,8 +21,8 @@
 use super::upstream_attempt::{RequestParts, drain};
 use super::{
     AttemptFailure, FleetState, ForwardHead, ForwardRoute, ForwardSettings, HeaderNames,
-    InFlightLoad, InFlightTracker, ReplyBody, RouteKind, UpstreamHealth, UpstreamPool,
-    UpstreamResponse,
+    InFlightLoad, InFlightTracker, ReplyBody, RouteKind, UpstreamHealth, UpstreamPace,
+    UpstreamPool, UpstreamResponse,
 };
 use crate::policy::{RetryBudget, SuspectList, SuspectVerdict};
 use crate::residency::{LoadClient, ResidencyDirectory};
@@ -45,6 +45,8 @@
     pub pool: Arc<UpstreamPool>,
     /// Recent failures of upstreams.
     pub health: Arc<UpstreamHealth>,
+    /// Recent pauses in the streams of upstreams.
+    pub pace: UpstreamPace,
     /// Where adapters are resident.
     pub directory: Arc<ResidencyDirectory>,
     /// Requests adapter loads from the owners of upstreams.
@@ -179,6 +181,7 @@
             tried: Vec::new(),
             attempts: 0,
             load_wait: Duration::ZERO,
+            hold_wait: Duration::ZERO,
         })
     }
 
@@ -277,6 +280,13 @@
         response: UpstreamResponse,
     ) -> Option<UpstreamResponse> {
         let now = self.clock.now();
+        if response.is_load_ignored {
+            let service = &run.service.name;
+            self.metrics.add(MetricName::IgnoredLoads, service, "", 1);
+        }
+        if let Some(slowdown) = response.load.and_then(|load| load.slowdown) {
+            self.pace.record_stated(&chosen.entry.id, slowdown, now);
+        }
         if !response.status.is_server_error() {
             self.health.record_success(&chosen.entry.id);
             return Some(response);
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -7,7 +7,7 @@
 
 use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
 use super::local_response::LocalResponse;
-use super::relay_body::{RecordBreak, ResumeCall};
+use super::relay_body::{RecordBreak, RecordGap, ResumeCall, StreamHooks};
 use super::request_runner::lock;
 use super::upstream_attempt::{AttemptPlan, drain, send_attempt};
 use super::{
@@ -185,23 +185,30 @@
             self.metrics
                 .record(MetricName::QueueWait, service, rank, run.load_wait);
         }
+        if !run.hold_wait.is_zero() {
+            self.metrics
+                .record(MetricName::HoldTime, service, rank, run.hold_wait);
+        }
         run.log_forwarded(received.status, received.body.upstream());
         if latency > run.route.target_latency {
             run.log_late(&received.body);
         }
         let is_stream = run.route.kind == RouteKind::Stream && received.status.is_success();
-        let mut headers = received.headers;
-        headers.remove(&self.names.upstream_load);
+        let headers = received.headers;
         let body = if is_stream {
             let record_break = Arc::clone(self).record_break_call(&run);
+            let record_gap = Arc::clone(self).record_gap_call(&run);
             let resume = run
                 .route
                 .is_resumable
                 .then(|| Arc::clone(self).resume_call(run));
             ReplyBody::Stream(Box::new(RelayBody::new(
                 received.body,
-                resume,
-                record_break,
+                StreamHooks {
+                    resume,
+                    record_break,
+                    record_gap,
+                },
             )))
         } else {
             ReplyBody::Plain(Box::new(received.body))
@@ -221,6 +228,15 @@
         })
     }
 
+    /// Returns a call that records the time between two events of a stream.
+    fn record_gap_call(self: Arc<Self>, run: &ForwardRun) -> RecordGap {
+        let service = Arc::clone(&run.service);
+        Box::new(move |upstream, gap| {
+            let now = self.clock.now();
+            self.pace.record_gap(&service.name, upstream, gap, now);
+        })
+    }
+
     pub(super) fn resume_call(self: Arc<Self>, run: ForwardRun) -> ResumeCall {
         let run = Arc::new(tokio::sync::Mutex::new(run));
         Box::new(move |last_event| {
--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -26,6 +26,9 @@
 /// first.
 const BACKLOG_MARGIN: Duration = Duration::from_millis(200);
 
+/// Pause before the engine of a held request is looked at again.
+const HOLD_PAUSE: Duration = Duration::from_millis(15);
+
 /// Time within which an additional replica of an adapter must be loaded; demand may have shifted
 /// after that.
 const REPLICA_LOAD_DEADLINE: Duration = Duration::from_millis(1200);
@@ -50,6 +53,10 @@
                 return Err(unavailable("no usable upstream", RETRY_AFTER_START));
             };
             let Some(model) = run.parts.model.as_ref().filter(|_| !chosen.is_resident) else {
+                if self.should_hold(run, &chosen) {
+                    hold(run).await;
+                    continue;
+                }
                 return Ok(chosen);
             };
             let first_event_timeout = FIRST_EVENT_TIMEOUT.max(run.route.target_latency * 4);
@@ -79,7 +86,14 @@
                     if version >= self.fleet.min_version(model)
                         && self.accepts_requests(&chosen.entry) =>
                 {
-                    return Ok(chosen);
+                    let chosen = ChosenUpstream {
+                        is_resident: true,
+                        ..chosen
+                    };
+                    if !self.should_hold(run, &chosen) {
+                        return Ok(chosen);
+                    }
+                    hold(run).await;
                 }
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) if error.kind() == ErrorKind::Overloaded => {
@@ -91,6 +105,14 @@
         }
     }
 
+    /// Returns whether a request should wait because the streams of the chosen engine would become
+    /// late, and can wait without becoming late itself.
+    fn should_hold(&self, run: &ForwardRun, chosen: &ChosenUpstream) -> bool {
+        let left = (run.route.target_latency / 2).saturating_sub(run.arrived.elapsed());
+        let option = || self.option(run, &chosen.entry, Duration::ZERO, self.clock.now());
+        run.parts.model.is_some() && !left.is_zero() && option().pauses_streams()
+    }
+
     /// Returns whether an upstream is still listed at the same address and is not draining.
     pub(super) fn accepts_requests(&self, entry: &UpstreamEntry) -> bool {
         self.fleet
@@ -245,6 +267,7 @@
         now: Duration,
     ) -> UpstreamOption {
         let load = self.tracker.total_load(&entry.id, now);
+        let pace = self.pace.estimate(&run.service.name, &entry.id, now);
         UpstreamOption {
             requests: load.requests,
             slots: entry.slots,
@@ -256,6 +279,10 @@
                 .as_ref()
                 .map_or(0, |engine| engine.memory_tokens),
             failures: self.health.failures(&entry.id, now),
+            slowdown: pace.slowdown,
+            usual_gap_ms: pace.usual_gap_ms,
+            request_tokens: run.parts.load.prompt_tokens,
+            gap_target_ms: run.route.gap_target.as_secs_f64() * 1000.0,
             load_time,
             is_remote: entry.domain != self.settings.domain,
         }
@@ -297,3 +324,8 @@
         });
     }
 }
+
+async fn hold(run: &mut ForwardRun) {
+    sleep(HOLD_PAUSE).await;
+    run.hold_wait += HOLD_PAUSE;
+}
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -12,8 +12,8 @@
 use super::forward_head::{millis_value, strip_hop_headers};
 use super::upstream_pool::PooledConnection;
 use super::{
-    ConnectionBody, HeaderNames, InFlightLoad, InFlightTracker, ModelRef, UpstreamEntry,
-    UpstreamPool,
+    ConnectionBody, HeaderNames, InFlightLoad, InFlightTracker, ModelRef, StatedLoad,
+    UpstreamEntry, UpstreamPool,
 };
 use crate::error::RunState;
 
@@ -31,6 +31,10 @@
     pub is_signed: bool,
     /// The time from the start of the attempt until it had a connection.
     pub connect_time: Duration,
+    /// The load that the upstream states; `None` if it states none or an implausible one.
+    pub load: Option<StatedLoad>,
+    /// Whether the upstream states a load that is malformed or implausible.
+    pub is_load_ignored: bool,
 }
 
 /// Why an attempt yielded no response that can be forwarded.
@@ -206,6 +210,8 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::BAD_REQUEST
     ) && headers.contains_key(&names.not_run);
     strip_hop_headers(&mut headers);
+    let load_header = headers.remove(&names.upstream_load);
+    let load = load_header.as_ref().and_then(StatedLoad::from_header);
     let mut body = ConnectionBody::new(body, connection, idle, guard, plan.deadline);
     if is_closing {
         body.close_after_use();
@@ -225,6 +231,8 @@
         body,
         is_signed,
         connect_time,
+        is_load_ignored: load_header.is_some() && load.is_none(),
+        load,
     })
 }
 
--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -15,6 +15,14 @@
     pub memory_limit: u32,
     /// Recent failures, decayed by age.
     pub failures: f64,
+    /// How many times as long as usual its work takes at the moment.
+    pub slowdown: f64,
+    /// The usual gap between the events of a stream in milliseconds; zero if not known.
+    pub usual_gap_ms: f64,
+    /// Prompt tokens of the request to be forwarded.
+    pub request_tokens: u32,
+    /// Longest pause between the events of a stream that is still on time, in milliseconds.
+    pub gap_target_ms: f64,
     /// Time until the adapter is resident; zero if it is resident already.
     pub load_time: Duration,
     /// Whether it is in another failure domain than this instance.
@@ -36,6 +44,13 @@
 /// Additional round-trip time to another failure domain, in milliseconds.
 const REMOTE_COST_MS: f64 = 2.0;
 
+/// Penalty in milliseconds if the prompt would make the streams that run there late.
+const PAUSE_COST_MS: f64 = 300.0;
+
+/// Fraction of the gap target that a predicted pause may reach: the prediction rests on loads that
+/// peers reported a quarter of a second ago.
+const PAUSE_SHARE: f64 = 0.9;
+
 /// Penalty in milliseconds if all slots are occupied, and the same again if the KV cache is full:
 /// the minimum wait in each case. With a full cache, an engine preempts requests and processes
 /// their prompts again.
@@ -46,6 +61,21 @@
 const MEMORY_SHARE: f64 = 0.85;
 
 impl UpstreamOption {
+    /// Returns whether the streams that run at an engine would pause for longer than their target
+    /// while it reads the prompt of the request and those that it has yet to read.
+    ///
+    /// Engines read prompts in pieces between the tokens of running streams. On a machine that is
+    /// slow for the moment, a few prompts make all of its streams late.
+    #[must_use]
+    pub fn pauses_streams(&self) -> bool {
+        if self.requests == 0 || self.gap_target_ms <= 0.0 || self.usual_gap_ms <= 0.0 {
+            return false;
+        }
+        let tokens = f64::from(self.prompt_tokens) + f64::from(self.request_tokens);
+        let pause_ms = (self.usual_gap_ms + tokens / PROMPT_TOKENS_PER_MS) * self.slowdown;
+        pause_ms > PAUSE_SHARE * self.gap_target_ms
+    }
+
     /// Predicts the time to the first byte of an answer, in milliseconds.
     ///
     /// Under concurrent load of many callers, engines are compared by the prompt tokens that they
@@ -56,7 +86,8 @@
         let is_engine = self.memory_limit > 0;
         let requests = f64::from(self.requests);
         let mut wait = if is_engine {
-            f64::from(self.prompt_tokens) / PROMPT_TOKENS_PER_MS + requests * RUNNING_COST_MS
+            let prefill_ms = f64::from(self.prompt_tokens) / PROMPT_TOKENS_PER_MS;
+            (prefill_ms + requests * RUNNING_COST_MS) * self.slowdown
         } else {
             let slots = f64::from(self.slots.max(1));
             // A service slows down when nearly all slots are occupied, so an idle one is preferred
@@ -71,6 +102,9 @@
             wait += FULL_COST_MS;
         }
         wait += self.failures * FAILURE_COST_MS;
+        if self.pauses_streams() {
+            wait += PAUSE_COST_MS;
+        }
         if self.is_remote {
             wait += REMOTE_COST_MS;
         }
@@ -123,8 +157,17 @@
 /// they were added one at a time, each would be full before the next had been loaded.
 #[must_use]
 pub fn extra_replicas(replicas: &[UpstreamOption], next: &UpstreamOption) -> usize {
-    let predicted = replicas.iter().map(UpstreamOption::predicted_ms);
-    let excess_ms = predicted.fold(f64::INFINITY, f64::min) - next.predicted_ms();
+    // A slowdown ends long before a load has paid off.
+    let lasting = |option: &UpstreamOption| {
+        let usual = UpstreamOption {
+            slowdown: 1.0,
+            usual_gap_ms: 0.0,
+            ..*option
+        };
+        usual.predicted_ms()
+    };
+    let predicted = replicas.iter().map(lasting);
+    let excess_ms = predicted.fold(f64::INFINITY, f64::min) - lasting(next);
     if !excess_ms.is_finite() {
         return 0;
     }
--- a/src/telemetry/metric_name.rs
+++ b/src/telemetry/metric_name.rs
@@ -13,6 +13,11 @@
     /// Time for which a newer version of the adapter had been known when a request started on an
     /// older one, by pool and rank.
     OutdatedStart,
+    /// Time for which a request was held, because its prompt would have made the streams of the
+    /// chosen upstream late, by pool and rank.
+    HoldTime,
+    /// Responses whose stated load was ignored because it is malformed or implausible, by pool.
+    IgnoredLoads,
     /// Running requests as a percentage of the maximum batch size, by pool.
     BatchOccupancy,
     /// Requests refused, by pool and reason.
@@ -33,12 +38,14 @@
 
 impl MetricName {
     /// All names, in declaration order.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 15] = [
         Self::Requests,
         Self::LoadStalls,
         Self::QueueWait,
         Self::FirstToken,
         Self::OutdatedStart,
+        Self::HoldTime,
+        Self::IgnoredLoads,
         Self::BatchOccupancy,
         Self::Refusals,
         Self::Retries,
@@ -58,6 +65,8 @@
             Self::QueueWait => "queue_wait",
             Self::FirstToken => "first_token",
             Self::OutdatedStart => "outdated_start",
+            Self::HoldTime => "hold_time",
+            Self::IgnoredLoads => "ignored_loads",
             Self::BatchOccupancy => "batch_occupancy",
             Self::Refusals => "refusals",
             Self::Retries => "retries",
--- a/tests/forward/choice.rs
+++ b/tests/forward/choice.rs
@@ -13,6 +13,10 @@
         prompt_tokens: 0,
         memory_tokens: 20_000,
         memory_limit: 140_000,
+        slowdown: 1.0,
+        usual_gap_ms: 0.0,
+        request_tokens: 0,
+        gap_target_ms: 0.0,
         failures: 0.0,
         load_time: Duration::ZERO,
         is_remote: false,
@@ -114,3 +118,47 @@
         prop_assert!(options[chosen].predicted_ms() <= best + 3.0);
     }
 }
+
+fn shared_engine() -> UpstreamOption {
+    UpstreamOption {
+        usual_gap_ms: 30.0,
+        request_tokens: 800,
+        gap_target_ms: 250.0,
+        ..engine()
+    }
+}
+
+/// Guards against prompts that are sent to an engine on a machine that is slow for the moment, where
+/// a few of them make all running streams late.
+#[test]
+fn slow_engine_takes_fewer_prompt_tokens() {
+    let slow = UpstreamOption {
+        slowdown: 2.5,
+        ..shared_engine()
+    };
+    let busy = UpstreamOption {
+        prompt_tokens: 3_000,
+        ..shared_engine()
+    };
+
+    let loaded = UpstreamOption {
+        prompt_tokens: 3_000,
+        ..slow
+    };
+    assert!(loaded.pauses_streams());
+    assert!(!busy.pauses_streams());
+    assert_eq!(choose_upstream(&[loaded, busy], 0.5), Some(1));
+}
+
+/// Guards against requests that are held for streams which do not exist.
+#[test]
+fn idle_engine_never_pauses_streams() {
+    let idle = UpstreamOption {
+        requests: 0,
+        slowdown: 4.0,
+        prompt_tokens: 50_000,
+        ..shared_engine()
+    };
+
+    assert!(!idle.pauses_streams());
+}
--- a/tests/forward/routes.rs
+++ b/tests/forward/routes.rs
@@ -14,6 +14,7 @@
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(100),
+        gap_target: Duration::ZERO,
         max_attempts: 2,
         rank: 1,
         is_resumable: false,
--- a/tests/forward/sudden_demand.rs
+++ b/tests/forward/sudden_demand.rs
@@ -67,6 +67,10 @@
         prompt_tokens: requests.saturating_sub(16) * 1200,
         memory_tokens: requests * 1500,
         memory_limit: 78_000,
+        slowdown: 1.0,
+        usual_gap_ms: 0.0,
+        request_tokens: 0,
+        gap_target_ms: 0.0,
         failures: 0.0,
         load_time: std::time::Duration::ZERO,
         is_remote: false,
@@ -147,3 +151,17 @@
     assert_eq!(extra_replicas(&[option(15)], &option(0)), 1);
     assert_eq!(extra_replicas(&[option(60)], &option(0)), 3);
 }
+
+/// Guards against loads of further replicas for a slowdown that is over before they are done.
+#[test]
+fn slowdown_leads_to_no_replicas() {
+    let slow = UpstreamOption {
+        slowdown: 4.0,
+        usual_gap_ms: 30.0,
+        gap_target_ms: 250.0,
+        prompt_tokens: 2_000,
+        ..option(10)
+    };
+
+    assert_eq!(extra_replicas(&[slow], &option(10)), 0);
+}
