Keep one link between two instances, and compute digests once

Each instance kept two links to every other one, one that each of the two dials, with heartbeats on both; owners encoded each of their upstreams anew for each peer and each confirmation; ranks, the list of others and the dialled peers were derived ten times a second from all instances.

DigestedItem holds an upstream with its digest, computed once a period for all peers. The ownership loop derives its view of the fleet only when instances or upstreams change, or every 500 ms.

Each instance still has a link to every other one, so that the cost is not flat yet.

--- a/src/peer/mesh_config.rs
+++ b/src/peer/mesh_config.rs
@@ -41,6 +41,10 @@
     /// the links among them. Other peers are dialled on demand, when a call or request is sent to
     /// them.
     pub max_persistent_links: Option<usize>,
+    /// Time without a link after which this instance dials a peer with a lower id itself. Until then
+    /// it relies on the link that the peer opens, so that two instances keep one link and not two.
+    /// `None` means that it dials all peers at once.
+    pub dial_grace: Option<Duration>,
 }
 
 impl MeshConfig {
@@ -66,6 +70,7 @@
             limits: LinkLimits::default(),
             full_rate_links: 16,
             max_persistent_links: None,
+            dial_grace: None,
         }
     }
 
--- a/src/peer/peer_entry.rs
+++ b/src/peer/peer_entry.rs
@@ -25,6 +25,8 @@
     pub(super) received_sequence: u64,
     /// Address from the last list that was passed to the mesh.
     pub(super) address: Option<SocketAddr>,
+    /// Since when the peer has been listed without a working link, as last checked.
+    pub(super) unlinked_since: Option<Instant>,
     /// Why the last link or attempt failed.
     pub(super) last_failure: Option<String>,
     pub(super) dialler: Option<PeerDialler>,
@@ -66,6 +68,16 @@
             .find(|link| !link.is_closed())
     }
 
+    /// Records whether a link works; returns whether none has for at least `grace`.
+    pub(super) fn lacks_link(&mut self, now: Instant, grace: Duration) -> bool {
+        if self.working_link().is_some() {
+            self.unlinked_since = None;
+            return false;
+        }
+        let since = *self.unlinked_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= grace
+    }
+
     /// Returns whether the link is the one that carries heartbeats with content.
     pub(super) fn is_primary(&self, core: &Arc<LinkCore>) -> bool {
         self.working_link()
--- a/src/peer/peer_mesh.rs
+++ b/src/peer/peer_mesh.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::mesh_core::MeshCore;
-use super::peer_entry::PeerDialler;
+use super::peer_entry::{PeerDialler, PeerEntry};
 use super::{
     CallEvents, CallOpen, LivePeer, MeshConfig, MeshHooks, PeerLink, PeerReply, PeerRequest,
     accept_task, dial_task,
@@ -95,13 +95,21 @@
             if let Some(dialler) = &mut entry.dialler {
                 let used_at = dialler.used_at.unwrap_or_else(Instant::now);
                 dialler.used_at = (!is_persistent).then_some(used_at);
-            } else if is_persistent {
+            } else if is_persistent && self.is_own_dial(id, entry) {
                 entry.dialler = Some(dial_task::spawn(&self.core, id, address, None));
             }
         }
         drop(entries);
     }
 
+    /// Returns whether this instance opens the link to a peer rather than the peer.
+    fn is_own_dial(&self, id: &InstanceId, entry: &mut PeerEntry) -> bool {
+        let grace = self.core.config.dial_grace;
+        grace.is_none_or(|grace| {
+            self.core.config.instance < *id || entry.lacks_link(Instant::now(), grace)
+        })
+    }
+
     /// Forwards a request to a peer.
     ///
     /// # Errors
--- a/src/residency/ack_tracker.rs
+++ b/src/residency/ack_tracker.rs
@@ -1,8 +1,6 @@
 use std::collections::BTreeMap;
 
-use prost::Message;
-use xxhash_rust::xxh3::xxh3_64;
-
+use super::DigestedItem;
 use crate::id::InstanceId;
 use crate::peer::OwnedUpstream;
 
@@ -30,11 +28,12 @@
     /// Returns the items to send to a peer; items that it has acknowledged carry only their backlog
     /// and are marked as unchanged.
     #[must_use]
-    pub fn items_for(&self, peer: &InstanceId, items: &[OwnedUpstream]) -> Vec<OwnedUpstream> {
+    pub fn items_for(&self, peer: &InstanceId, items: &[DigestedItem]) -> Vec<OwnedUpstream> {
         let acked = self.acked.get(peer);
-        let to_delta = |item: &OwnedUpstream| {
+        let to_delta = |entry: &DigestedItem| {
+            let item = &entry.item;
             let known = acked.and_then(|acked| acked.get(&item.upstream));
-            if known == Some(&digest(item)) {
+            if known == Some(&entry.digest) {
                 OwnedUpstream {
                     upstream: item.upstream.clone(),
                     backlog_ms: item.backlog_ms,
@@ -50,12 +49,19 @@
 
     /// Records that a peer acknowledged the items of a message, except for those of the `unknown`
     /// upstreams, for which the peer has no entry from this instance, for example after a restart.
-    pub fn record_acked(&mut self, peer: &InstanceId, items: &[OwnedUpstream], unknown: &[String]) {
-        let digests = items
-            .iter()
-            .filter(|item| !unknown.contains(&item.upstream))
-            .map(|item| (item.upstream.clone(), digest(item)));
-        self.acked.insert(peer.clone(), digests.collect());
+    pub fn record_acked(&mut self, peer: &InstanceId, items: &[DigestedItem], unknown: &[String]) {
+        let acked = self.acked.entry(peer.clone()).or_default();
+        acked.retain(|upstream, _| items.iter().any(|entry| entry.item.upstream == *upstream));
+        for entry in items {
+            let upstream = &entry.item.upstream;
+            if unknown.contains(upstream) {
+                acked.remove(upstream);
+            } else if let Some(digest) = acked.get_mut(upstream) {
+                *digest = entry.digest;
+            } else {
+                acked.insert(upstream.clone(), entry.digest);
+            }
+        }
     }
 
     /// Returns whether a peer has acknowledged these crash suspects since it started as
@@ -90,12 +96,3 @@
         self.suspects.retain(|peer, _| is_kept(peer));
     }
 }
-
-/// Returns a digest of the item without its backlog, which is sent in every message.
-fn digest(item: &OwnedUpstream) -> u64 {
-    let resident = OwnedUpstream {
-        backlog_ms: 0,
-        ..item.clone()
-    };
-    xxh3_64(&resident.encode_to_vec())
-}
--- a/src/residency/load_gossip.rs
+++ b/src/residency/load_gossip.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use super::ownership_loop::lock;
-use super::{AckTracker, GossipScope, GossipTree, OwnershipLoop};
+use super::{AckTracker, DigestedItem, GossipScope, GossipTree, OwnershipLoop};
 use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::peer::{
-    AdapterUsage, GossipReply, LivePeer, LoadGossip, OwnedDomain, OwnedUpstream, PeerReply,
-    PeerRequest, ask, reply,
+    AdapterUsage, GossipReply, LivePeer, LoadGossip, OwnedDomain, PeerReply, PeerRequest, ask,
+    reply,
 };
 use crate::relay::{ObjectKind, elect_watcher};
 use crate::time::TimerService;
@@ -52,7 +52,8 @@
                 for peer in aggregators {
                     let mut message = self.load_message(&tree, &peer.id, now);
                     message.is_load_only = true;
-                    self.send_gossip(peer, message, &[], (&pending, &acks));
+                    let no_items = Arc::new(Vec::new());
+                    self.send_gossip(peer, message, no_items, (&pending, &acks));
                 }
                 continue;
             }
@@ -63,9 +64,12 @@
             self.owner.record_uses(&self.instance, &own.used);
             self.owner
                 .record_holders(&self.instance, to_domains(&own.owned_domains), now);
+            let owned = own.owned.iter().cloned().map(DigestedItem::new);
+            let owned = Arc::new(owned.collect::<Vec<_>>());
+            let used = self.with_owners(&own.used, now);
             for peer in &peers {
                 let load = self.load_message(&tree, &peer.id, now);
-                let message = self.full_message(load, peer, &own, &lock(&acks), now);
+                let message = Self::full_message(load, peer, &own, &owned, &used, &lock(&acks));
                 let had_uses = if message.used.is_empty() {
                     peers_with_uses.remove(&peer.id)
                 } else {
@@ -77,7 +81,7 @@
                     || !message.owned_domains.is_empty()
                     || !message.suspects.is_empty();
                 if has_content {
-                    self.send_gossip(peer, message, &own.owned, (&pending, &acks));
+                    self.send_gossip(peer, message, Arc::clone(&owned), (&pending, &acks));
                 }
             }
         }
@@ -89,14 +93,14 @@
         self: &Arc<Self>,
         peer: &LivePeer,
         message: LoadGossip,
-        own_items: &[OwnedUpstream],
+        own_items: Arc<Vec<DigestedItem>>,
         (pending, acks): (&PendingReplies, &Arc<Mutex<AckTracker>>),
     ) {
         let slot = (peer.id.clone(), message.is_load_only);
         if !lock(pending).insert(slot.clone()) {
             return;
         }
-        let (this, peer, own_items) = (Arc::clone(self), peer.clone(), own_items.to_vec());
+        let (this, peer) = (Arc::clone(self), peer.clone());
         let (pending, acks) = (Arc::clone(pending), Arc::clone(acks));
         tokio::spawn(async move {
             let (claims, suspects) = (message.owned_domains.clone(), message.suspects.clone());
@@ -123,42 +127,45 @@
         });
     }
 
-    /// Returns the adapter uses at upstreams that the peer owns or may be about to own.
-    fn uses_for(
+    /// Pairs adapter uses with the owners of their upstreams.
+    fn with_owners<'a>(
         &self,
-        peer: &InstanceId,
-        used: &[AdapterUsage],
+        used: &'a [AdapterUsage],
         now: Duration,
-    ) -> Vec<AdapterUsage> {
-        let is_relevant = |upstream: &str| {
-            let owner = self
-                .directory
-                .owner_of(&UpstreamId::from_name(upstream), now);
-            // Any peer may be taking over an upstream without a known owner.
-            owner.is_none_or(|owner| owner == *peer)
+    ) -> Vec<(&'a AdapterUsage, Option<InstanceId>)> {
+        let owner_of = |item: &AdapterUsage| {
+            let upstream = UpstreamId::from_name(&item.upstream);
+            self.directory.owner_of(&upstream, now)
         };
-        let used = used.iter().filter(|item| is_relevant(&item.upstream));
-        used.cloned().collect()
+        used.iter().map(|item| (item, owner_of(item))).collect()
     }
 
     /// Adds residency, claims, adapter uses and crash suspects to a load message for a peer.
     fn full_message(
-        &self,
         load: LoadGossip,
         peer: &LivePeer,
         own: &LoadGossip,
+        owned: &[DigestedItem],
+        used: &[(&AdapterUsage, Option<InstanceId>)],
         acks: &AckTracker,
-        now: Duration,
     ) -> LoadGossip {
+        // Any peer may be taking over an upstream without a known owner.
+        let is_for_peer = |known: &Option<InstanceId>| {
+            let known = known.as_ref();
+            known.is_none_or(|known| *known == peer.id)
+        };
+        let used = used.iter().filter(|(_, known)| is_for_peer(known));
+        let used = used.map(|(item, _)| (*item).clone()).collect();
+
         let suspects = if acks.has_acked_suspects(&peer.id, peer.incarnation, &own.suspects) {
             BTreeMap::new()
         } else {
             own.suspects.clone()
         };
         LoadGossip {
-            owned: acks.items_for(&peer.id, &own.owned),
+            owned: acks.items_for(&peer.id, owned),
             owned_domains: own.owned_domains.clone(),
-            used: self.uses_for(&peer.id, &own.used, now),
+            used,
             suspects,
             ..load
         }
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -9,6 +9,7 @@
 //! [`OwnershipLoop`] renews the leases and exchanges gossip messages with the peers.
 
 mod ack_tracker;
+mod digested_item;
 mod domain_lease;
 mod fetch_permits;
 mod fetch_pool;
@@ -30,6 +31,7 @@
 mod waiting_load;
 
 pub use ack_tracker::AckTracker;
+pub use digested_item::DigestedItem;
 pub use domain_lease::{DomainLease, LeaseStep};
 pub use fetch_pool::FetchPool;
 pub use gossip_tree::{GossipScope, GossipTree};
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -5,8 +5,8 @@
 
 use super::{LeaseStep, LeaseWrite, LoadOwner, ResidencyDirectory, StorePort};
 use crate::error::Result;
-use crate::forward::{FleetState, InFlightTracker};
-use crate::id::{DomainId, InstanceId};
+use crate::forward::{FleetState, InFlightTracker, UpstreamEntry};
+use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::member::rendezvous_score;
 use crate::peer::PeerMesh;
 use crate::platform_client::ListedInstance;
@@ -66,12 +66,26 @@
 /// and process pauses.
 const DEAD_AGE: Duration = Duration::from_secs(8);
 
+/// Interval at which the instances are passed to the links again although none has changed.
+const SYNC_PERIOD: Duration = Duration::from_millis(500);
+
+/// What the checks of the leases derive from the instances and upstreams. Deriving it takes time in
+/// proportion to the size of the fleet, so it is not done at each check.
+#[derive(Debug, Default)]
+struct FleetView {
+    synced_at: Option<Duration>,
+    instances: Vec<ListedInstance>,
+    upstreams: Arc<BTreeMap<UpstreamId, Arc<UpstreamEntry>>>,
+    ranks: Vec<(DomainId, u32)>,
+}
+
 impl OwnershipLoop {
     /// Checks the leases and sends gossip messages until the process ends.
     pub async fn run(self: Arc<Self>, timers: TimerService) {
         tokio::spawn(Arc::clone(&self).run_gossip(timers.clone()));
         let mut ticks = timers.subscribe(LEASE_PERIOD);
         let mut last = self.clock.now();
+        let mut view = FleetView::default();
         let mut unreachable_since = BTreeMap::new();
         let mut paused_until: BTreeMap<DomainId, Duration> = BTreeMap::new();
         loop {
@@ -82,10 +96,12 @@
             // takeover timeout.
             let must_wait = now.saturating_sub(last) > PAUSE_LIMIT || !self.is_listed();
             last = now;
-            self.sync_instances();
-            self.remove_dead_instances(&mut unreachable_since, now)
-                .await;
-            for (domain, rank) in self.candidate_ranks() {
+            if self.refresh(&mut view, now) {
+                self.remove_dead_instances(&mut unreachable_since, now)
+                    .await;
+            }
+            for (domain, rank) in &view.ranks {
+                let (domain, rank) = (domain.clone(), *rank);
                 if must_wait {
                     self.owner
                         .with_lease(&domain, rank, |lease, _| lease.resume_after_pause(now));
@@ -242,19 +258,31 @@
         listed.iter().any(|listed| listed.id == self.instance)
     }
 
-    fn sync_instances(&self) {
-        let instances = self
-            .instances
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
+    /// Updates a view if the fleet has changed or the view is old; returns whether it did.
+    fn refresh(&self, view: &mut FleetView, now: Duration) -> bool {
+        let upstreams = self.fleet.upstreams();
+        let is_fresh = view.synced_at.is_some_and(|at| now < at + SYNC_PERIOD)
+            && Arc::ptr_eq(&view.upstreams, &upstreams)
+            && view.instances == *lock(&self.instances);
+        if is_fresh {
+            return false;
+        }
+        view.synced_at = Some(now);
+        view.upstreams = upstreams;
+        view.instances.clone_from(&lock(&self.instances));
+        self.sync_instances(&view.instances);
+        view.ranks = self.candidate_ranks();
+        true
+    }
+
+    fn sync_instances(&self, instances: &[ListedInstance]) {
         let others: BTreeSet<InstanceId> = instances
             .iter()
             .filter(|other| other.id != self.instance)
             .map(|other| other.id.clone())
             .collect();
         self.owner.set_others(others);
-        self.mesh.dial(&instances);
+        self.mesh.dial(instances);
     }
 }
 
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod codec;
+mod dial_grace;
 mod failures;
 mod fixture;
 mod handshake;
--- a/tests/residency/ack_tracker.rs
+++ b/tests/residency/ack_tracker.rs
@@ -5,7 +5,7 @@
 use comfreychute::forward::ModelRef;
 use comfreychute::id::{InstanceId, UpstreamId};
 use comfreychute::peer::OwnedUpstream;
-use comfreychute::residency::{AckTracker, ResidencyDirectory};
+use comfreychute::residency::{AckTracker, DigestedItem, ResidencyDirectory};
 use prost::Message;
 
 const ENGINES: usize = 23;
@@ -25,6 +25,10 @@
     (0..ENGINES).map(item).collect()
 }
 
+fn digested(items: &[OwnedUpstream]) -> Vec<DigestedItem> {
+    items.iter().cloned().map(DigestedItem::new).collect()
+}
+
 fn instance(name: &str) -> InstanceId {
     InstanceId::from_name(name)
 }
@@ -39,9 +43,9 @@
 fn acknowledged_items_are_repeated_without_names() {
     let (mut acks, items, peer) = (AckTracker::new(), items("a"), instance("peer"));
 
-    let first = acks.items_for(&peer, &items);
-    acks.record_acked(&peer, &items, &[]);
-    let second = acks.items_for(&peer, &items);
+    let first = acks.items_for(&peer, &digested(&items));
+    acks.record_acked(&peer, &digested(&items), &[]);
+    let second = acks.items_for(&peer, &digested(&items));
 
     assert_eq!(first, items);
     assert!(size(&second) * 5 < size(&first));
@@ -56,12 +60,12 @@
 #[test]
 fn changed_items_are_complete_and_others_are_not() {
     let (mut acks, items, peer) = (AckTracker::new(), items("a"), instance("peer"));
-    acks.record_acked(&peer, &items, &[]);
+    acks.record_acked(&peer, &digested(&items), &[]);
     let mut changed = items;
     changed[3].adapters[0] = "base/b7@1".to_owned();
     changed[4].backlog_ms = 40;
 
-    let sent = acks.items_for(&peer, &changed);
+    let sent = acks.items_for(&peer, &digested(&changed));
 
     assert_eq!(sent[3], changed[3]);
     let complete = sent.iter().filter(|item| !item.is_unchanged).count();
@@ -74,12 +78,16 @@
 fn items_unknown_to_a_peer_are_sent_again() {
     let (mut acks, items) = (AckTracker::new(), items("a"));
     let (owner, peer) = (instance("owner"), instance("peer"));
-    acks.record_acked(&peer, &items, &[]);
+    acks.record_acked(&peer, &digested(&items), &[]);
     let restarted = ResidencyDirectory::new();
 
-    let unknown = restarted.merge(&owner, &acks.items_for(&peer, &items), Duration::ZERO);
-    acks.record_acked(&peer, &items, &unknown);
-    let sent = acks.items_for(&peer, &items);
+    let unknown = restarted.merge(
+        &owner,
+        &acks.items_for(&peer, &digested(&items)),
+        Duration::ZERO,
+    );
+    acks.record_acked(&peer, &digested(&items), &unknown);
+    let sent = acks.items_for(&peer, &digested(&items));
     let still_unknown = restarted.merge(&owner, &sent, Duration::ZERO);
 
     assert_eq!(unknown.len(), ENGINES);
@@ -93,8 +101,8 @@
 fn unchanged_items_refresh_only_entries_of_their_sender() {
     let (directory, items) = (ResidencyDirectory::new(), items("a"));
     let mut acks = AckTracker::new();
-    acks.record_acked(&instance("peer"), &items, &[]);
-    let unchanged = acks.items_for(&instance("peer"), &items);
+    acks.record_acked(&instance("peer"), &digested(&items), &[]);
+    let unchanged = acks.items_for(&instance("peer"), &digested(&items));
     let late = Duration::from_secs(3);
     let _complete = directory.merge(&instance("new"), &items, Duration::ZERO);
 
