--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -53,7 +53,11 @@
     /// Nothing is due.
     Idle,
     /// Read the record from the store.
-    Read,
+    Read {
+        /// Whether the record may be some seconds old: each write is conditional on the revision
+        /// that was read, and the first read of all instances of a large fleet is a burst of calls.
+        may_be_stale: bool,
+    },
     /// Write the record if its revision in the store is still the given one, or create it if the
     /// revision is `None`.
     Write(LeaseRecord, Option<u64>),
@@ -167,7 +171,9 @@
             // restarted and it reacquires the lease at once.
             let is_due = !self.has_read || now.saturating_sub(self.holder_seen_at) >= wait;
             return if is_due {
-                LeaseStep::Read
+                LeaseStep::Read {
+                    may_be_stale: !self.has_read,
+                }
             } else {
                 LeaseStep::Idle
             };
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -124,7 +124,8 @@
             lease.next_step(now, acked_at)
         });
         let step = match step {
-            LeaseStep::Read => match (self.store.read)(domain).await {
+            LeaseStep::Read { may_be_stale } => match (self.store.read)(domain, may_be_stale).await
+            {
                 Ok(found) => {
                     let now = self.clock.now();
                     self.owner
--- a/src/residency/store_port.rs
+++ b/src/residency/store_port.rs
@@ -16,14 +16,15 @@
 /// A record with its revision, or `None` if there is no record.
 type FoundLease = Option<(LeaseRecord, u64)>;
 
-type ReadLease = dyn Fn(&DomainId) -> PortFuture<Result<FoundLease>> + Send + Sync;
+type ReadLease = dyn Fn(&DomainId, bool) -> PortFuture<Result<FoundLease>> + Send + Sync;
 type WriteLease = dyn Fn(LeaseRecord, Option<u64>) -> PortFuture<Result<LeaseWrite>> + Send + Sync;
 
 type RemoveInstance = dyn Fn(&InstanceId) -> PortFuture<Result<()>> + Send + Sync;
 
 /// The calls to the store that ownership of failure domains needs.
 pub struct StorePort {
-    /// Reads the lease record of a domain with its revision.
+    /// Reads the lease record of a domain with its revision. The second argument tells whether the
+    /// record may be some seconds old, which costs the store less.
     pub read: Box<ReadLease>,
     /// Writes a record if its revision is still the given one, or creates it if the revision is
     /// `None`.
--- a/tests/residency/lease.rs
+++ b/tests/residency/lease.rs
@@ -247,7 +247,7 @@
                 let is_up = store_down_until <= now;
                 let instance = &mut instances[index];
                 let mut step = instance.lease.next_step(now, acked_at);
-                if step == LeaseStep::Read && is_up {
+                if matches!(step, LeaseStep::Read { .. }) && is_up {
                     step = instance.lease.read_completed(stored.clone(), now);
                 }
                 if let LeaseStep::Write(record, expected) = step {
