Refuse requests that were sent nowhere as not run when the process exits

Cause: a request without a response shortly before the exit was answered 502, also if it still waited for an adapter load and had been sent to no upstream, so that callers of requests that may run only once could not send it again.

The run records its first attempt; without one, the answer is 503 with a time to come back. After a refused attempt it stays 502.

--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -34,6 +35,8 @@
     pub(super) load_wait: Duration,
     /// Total time for which the request was held so that it would not delay running streams.
     pub(super) hold_wait: Duration,
+    /// Whether an attempt was made, after which the request may have run.
+    pub(super) was_sent: Arc<AtomicBool>,
 }
 
 /// The upstream chosen for a request, and whether the requested adapter is resident there.
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -85,12 +86,16 @@
     /// Forwards one request and returns the response for the caller.
     pub async fn run(self: &Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
         let attempt = request.headers().get(&self.names.attempt).cloned();
+        let was_sent = Arc::new(AtomicBool::new(false));
         tokio::select! {
             biased;
-            response = self.respond(request) => response,
+            response = self.respond(request, &was_sent) => response,
             () = self.wait_for_exit() => {
-                // The request may have been sent to an upstream.
-                let response = reject(StatusCode::BAD_GATEWAY, "the process exits");
+                let response = if was_sent.load(Ordering::Acquire) {
+                    reject(StatusCode::BAD_GATEWAY, "the process exits")
+                } else {
+                    unavailable("the process exits", RETRY_AFTER_SHUTDOWN)
+                };
                 self.metrics
                     .add(MetricName::Refusals, "", response.reason, 1);
                 log_early_refusal(attempt.as_ref(), response)
@@ -109,11 +114,19 @@
         }
     }
 
-    async fn respond(self: &Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
+    /// Answers a request; `was_sent` is set before it is first sent to an upstream.
+    async fn respond(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        was_sent: &Arc<AtomicBool>,
+    ) -> Response<ReplyBody> {
         let arrived = Instant::now();
         let attempt = request.headers().get(&self.names.attempt).cloned();
         match self.prepare(request, arrived).await {
-            Ok(run) => self.forward(run).await,
+            Ok(mut run) => {
+                run.was_sent = Arc::clone(was_sent);
+                self.forward(run).await
+            }
             Err(response) => {
                 self.metrics
                     .add(MetricName::Refusals, "", response.reason, 1);
@@ -182,6 +195,7 @@
             attempts: 0,
             load_wait: Duration::ZERO,
             hold_wait: Duration::ZERO,
+            was_sent: Arc::default(),
         })
     }
 
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -1,5 +1,6 @@
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Response, StatusCode};
@@ -50,6 +51,7 @@
         last_event: Option<String>,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         run.attempts += 1;
+        run.was_sent.store(true, Ordering::Release);
         let can_repeat = run.route.kind == RouteKind::Stream
             && run.route.is_repeatable()
             && run.attempts < run.route.max_attempts;
