Send heartbeats less often on links that carry nothing else

Cause: most links of a large fleet join instances of different failure domains and carry only heartbeats, two frames a second on each of 194 links of an instance at 195.

A link without any other frame for five seconds is idle: both sides send a heartbeat every four seconds and accept eight seconds of silence. The first frame after that makes it active again, and a check after the usual link timeout closes it if the peer has not been heard since. Owners, the first instances of domains and watchers use their links more often than that.

--- a/src/peer/link_core.rs
+++ b/src/peer/link_core.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::call_state::CallState;
+use super::link_activity::LinkActivity;
 use super::link_streams::{CallSlot, LinkStreams};
 use super::outgoing_frame::OutgoingFrame;
 use super::{FrameCodec, LinkLimits, PeerFrame, PeerIdentity, PeerReply, frame};
@@ -31,6 +32,7 @@
     queued_bytes: Arc<Semaphore>,
     start: Instant,
     last_received_ms: AtomicU64,
+    activity: Mutex<LinkActivity>,
     close_reason: OnceLock<String>,
 }
 
@@ -48,6 +50,7 @@
         identity: PeerIdentity,
         is_dialled: bool,
         limits: LinkLimits,
+        idle_factor: u32,
     ) -> (Arc<Self>, LinkQueues) {
         // Sufficient for a peer that reads: each call has at most one cancellation, one refusal and
         // a few credits in the queue.
@@ -69,6 +72,7 @@
             queued_bytes: Arc::new(Semaphore::new(limits.queued_bytes as usize)),
             start: Instant::now(),
             last_received_ms: AtomicU64::new(0),
+            activity: Mutex::new(LinkActivity::new(idle_factor, Instant::now())),
             close_reason: OnceLock::new(),
         });
         let queues = LinkQueues {
@@ -156,6 +160,28 @@
         self.last_received_ms.store(millis, Ordering::Release);
     }
 
+    /// Records a frame other than a heartbeat; returns whether the link was idle before.
+    pub(super) fn record_activity(&self) -> bool {
+        self.activity().record(Instant::now())
+    }
+
+    /// Returns the number of heartbeat intervals between two heartbeats.
+    pub(super) fn heartbeat_factor(&self) -> u32 {
+        self.activity().heartbeat_factor(Instant::now())
+    }
+
+    /// Returns whether the peer has been silent for too long, given the limit of a link that is not
+    /// idle.
+    pub(super) fn is_overdue(&self, limit: Duration) -> bool {
+        let received_at = self.last_received_at();
+        self.activity()
+            .is_overdue(received_at, limit, Instant::now())
+    }
+
+    fn activity(&self) -> MutexGuard<'_, LinkActivity> {
+        self.activity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns when the last frame was received.
     pub(super) fn last_received_at(&self) -> Instant {
         self.start + Duration::from_millis(self.last_received_ms.load(Ordering::Acquire))
--- a/src/peer/link_heartbeats.rs
+++ b/src/peer/link_heartbeats.rs
@@ -43,6 +43,11 @@
     /// Only the primary link of a peer carries content; other links send an occasional keep-alive
     /// without content.
     pub(super) fn next(&mut self, heartbeat: &NodeHeartbeat) -> Option<PeerFrame> {
+        let factor = self.core.heartbeat_factor();
+        if self.skipped.saturating_add(1) < factor {
+            self.skipped += 1;
+            return None;
+        }
         let sequence = self
             .mesh
             .peers()
@@ -61,7 +66,7 @@
         } else {
             self.sender.reset();
             self.skipped = self.skipped.saturating_add(1);
-            if self.skipped < self.mesh.config.heartbeats_per_keepalive() {
+            if self.skipped < self.mesh.config.heartbeats_per_keepalive() * factor {
                 return None;
             }
             HeartbeatBody::default()
--- a/src/peer/link_reader.rs
+++ b/src/peer/link_reader.rs
@@ -46,17 +46,13 @@
             self.handle_frame(first)?;
         }
         loop {
-            let next = timeout(self.link_timeout, self.frames.next()).await;
-            let frame = next.ok().ok_or_else(|| {
-                Error::new(
-                    ErrorKind::Peer,
-                    format!(
-                        "nothing was received for {} ms",
-                        self.link_timeout.as_millis()
-                    ),
-                )
-            })?;
-            let frame = frame
+            let Ok(next) = timeout(self.link_timeout, self.frames.next()).await else {
+                if self.core.is_overdue(self.link_timeout) {
+                    return Err(silence_error(self.link_timeout));
+                }
+                continue;
+            };
+            let frame = next
                 .transpose()?
                 .ok_or_else(|| Error::new(ErrorKind::Peer, "the peer closed the connection"))?;
             self.core.record_received();
@@ -67,6 +63,9 @@
 
     fn handle_frame(&self, frame: PeerFrame) -> Result<()> {
         let stream = frame.stream;
+        if !matches!(frame.body, Some(frame::Body::Heartbeat(_))) {
+            self.core.record_activity();
+        }
         match frame.body {
             Some(frame::Body::Heartbeat(body)) => self.mesh.handle_heartbeat(&self.core, body),
             Some(frame::Body::Open(open)) => self.handle_open(stream, open)?,
@@ -216,3 +215,9 @@
 fn violation(detail: &str) -> Error {
     Error::new(ErrorKind::Protocol, detail)
 }
+
+/// Returns the error of a link on which the peer has been silent for too long.
+pub(super) fn silence_error(limit: Duration) -> Error {
+    let detail = format!("nothing was received for {} ms", limit.as_millis());
+    Error::new(ErrorKind::Peer, detail)
+}
--- a/src/peer/link_writer.rs
+++ b/src/peer/link_writer.rs
@@ -4,13 +4,14 @@
 use futures_util::SinkExt;
 use tokio::io::AsyncWrite;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::codec::FramedWrite;
 
 use super::FrameCodec;
 use super::frame_codec::shrink_empty;
 use super::link_core::{LinkCore, LinkQueues};
 use super::link_heartbeats::{LinkHeartbeats, NodeHeartbeat};
+use super::link_reader::silence_error;
 use super::outgoing_frame::OutgoingFrame;
 use crate::error::{Error, ErrorKind, Result};
 
@@ -69,9 +70,24 @@
         if outgoing.call.is_some_and(|call| !call.begin_write()) {
             return Ok(());
         }
+        if self.core.record_activity() {
+            self.check_silence_later();
+        }
         with_timeout(self.write_timeout, self.frames.feed(outgoing.frame)).await
     }
 
+    /// Closes the link if nothing is received within the link timeout. The reader of a link that was
+    /// idle looks for a silence too rarely.
+    fn check_silence_later(&self) {
+        let (core, limit) = (Arc::clone(&self.core), self.write_timeout);
+        tokio::spawn(async move {
+            sleep(limit).await;
+            if core.is_overdue(limit) {
+                core.close(silence_error(limit).detail());
+            }
+        });
+    }
+
     async fn feed_heartbeat(&mut self) -> Result<()> {
         let heartbeat = Arc::clone(&self.ticks.borrow_and_update());
         if let Some(frame) = self.heartbeats.next(&heartbeat) {
--- a/src/peer/mesh_config.rs
+++ b/src/peer/mesh_config.rs
@@ -45,6 +45,9 @@
     /// it relies on the link that the peer opens, so that two instances keep one link and not two.
     /// `None` means that it dials all peers at once.
     pub dial_grace: Option<Duration>,
+    /// Factor by which heartbeats are rarer, and the link timeout longer, on links that carry
+    /// nothing else. It must be the same on all instances; one treats all links alike.
+    pub idle_factor: u32,
 }
 
 impl MeshConfig {
@@ -71,6 +74,7 @@
             full_rate_links: 16,
             max_persistent_links: None,
             dial_grace: None,
+            idle_factor: 1,
         }
     }
 
--- a/src/peer/mesh_core.rs
+++ b/src/peer/mesh_core.rs
@@ -94,7 +94,12 @@
         let mut reader = FramedRead::new(read_half, FrameCodec::new(FrameCodec::MAX_LEN));
         // The buffer may already contain frames that followed the handshake.
         *reader.read_buffer_mut() = parts.read_buf;
-        let (core, queues) = LinkCore::new(identity, is_dialled, self.config.limits);
+        let (core, queues) = LinkCore::new(
+            identity,
+            is_dialled,
+            self.config.limits,
+            self.config.idle_factor,
+        );
         core.record_received();
         if let Err(error) = self.add_link(&core) {
             log::warn!(
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -14,6 +14,7 @@
 mod frame_codec;
 mod frame_limit;
 mod handshake;
+mod link_activity;
 mod link_core;
 mod link_heartbeats;
 mod link_limits;
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -6,6 +6,7 @@
 mod failures;
 mod fixture;
 mod handshake;
+mod idle_links;
 mod link_rules;
 mod raw_peer;
 mod test_proxy;
