--- a/src/forward/stated_load.rs
+++ b/src/forward/stated_load.rs
@@ -1,3 +1,5 @@
+use std::ops::RangeInclusive;
+
 use http::HeaderValue;
 
 /// The load that an upstream states in its responses.
@@ -18,7 +20,7 @@
 const MAX_COUNT: u32 = 100_000;
 
 /// The slowdowns that are believed, in hundredths; others say nothing about a machine.
-const SLOWDOWNS: std::ops::RangeInclusive<u32> = 10..=10_000;
+const SLOWDOWNS: RangeInclusive<u32> = 10..=10_000;
 
 impl StatedLoad {
     /// Parses a header value: the numbers of running and waiting requests and of slots, separated by
--- a/src/residency/digested_item.rs
+++ b/src/residency/digested_item.rs
@@ -5,8 +5,8 @@
 
 /// An owned upstream with the digest by which acknowledgements of it are compared.
 ///
-/// The digest is computed once for all peers: encoding each upstream for each peer several times a
-/// second took most of an owner's processor time in a fleet of 195 instances.
+/// The digest is computed once for all peers. To encode each upstream for each peer several times a
+/// second would cost an owner time in proportion to the size of the fleet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DigestedItem {
     /// The upstream with its resident models and adapters.
