Log and count how the streams of upstreams end

What callers saw: streams that were broken off and look complete; no line or metric named them.

Change: the end of each stream is counted (stream_ends, by outcome), and one that ends early or within an event is logged (answer_truncated with framing, partial bytes, last event and error). No decision changes.

--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::upstream_pool::PooledConnection;
-use super::{InFlightLoad, InFlightTracker, ModelRef};
+use super::{BodyFraming, InFlightLoad, InFlightTracker, ModelRef};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::UpstreamId;
 
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub struct ConnectionBody {
     body: Incoming,
+    framing: BodyFraming,
     connection: Option<PooledConnection>,
     idle: Option<Duration>,
     guard: InFlightGuard,
@@ -81,6 +82,7 @@
 impl ConnectionBody {
     pub(super) fn new(
         body: Incoming,
+        framing: BodyFraming,
         connection: PooledConnection,
         idle: Option<Duration>,
         guard: InFlightGuard,
@@ -88,6 +90,7 @@
     ) -> Self {
         let mut this = Self {
             body,
+            framing,
             connection: Some(connection),
             idle,
             guard,
@@ -105,6 +108,11 @@
         &self.guard.upstream
     }
 
+    /// Returns how the upstream marks the end of the body.
+    pub(super) const fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     /// Closes the connection after this response instead of reusing it.
     pub(super) fn close_after_use(&mut self) {
         self.idle = Some(Duration::ZERO);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! and [`InFlightTracker`] the load that this instance and its peers have in flight. Header names
 //! come from [`HeaderNames`], so that this module is independent of a deployment's wire format.
 
+mod body_framing;
 mod connection_body;
 mod engine_spec;
 mod fleet_state;
@@ -29,6 +30,7 @@
 mod runner_placement;
 mod runner_versions;
 mod stated_load;
+mod stream_end;
 mod stream_splitter;
 mod tracked_body;
 mod upstream_attempt;
@@ -37,6 +39,7 @@
 mod upstream_pace;
 mod upstream_pool;
 
+pub use body_framing::BodyFraming;
 pub use connection_body::ConnectionBody;
 pub use engine_spec::{EngineSpec, ModelSpec};
 pub use fleet_state::FleetState;
@@ -54,6 +57,7 @@
 pub use route_kind::RouteKind;
 pub use route_set::{CallerLimits, RouteSet};
 pub use stated_load::StatedLoad;
+pub use stream_end::StreamEnd;
 pub use stream_splitter::StreamSplitter;
 use tracked_body::TrackedBody;
 pub use upstream_attempt::{AttemptFailure, UpstreamResponse};
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -7,7 +7,7 @@
 use http_body::{Body, Frame};
 use tokio::time::{Instant, Interval, MissedTickBehavior, interval_at};
 
-use super::{ConnectionBody, StreamSplitter};
+use super::{ConnectionBody, StreamEnd, StreamSplitter};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::UpstreamId;
 
@@ -15,8 +15,8 @@
 /// was delivered.
 pub type ResumeCall = Box<dyn FnMut(Option<String>) -> ResumeFuture + Send>;
 
-/// Records that an upstream broke a stream off, as it does when it crashes.
-pub type RecordBreak = Box<dyn Fn() + Send>;
+/// Records how the stream of an upstream ended.
+pub type RecordEnd = Box<dyn Fn(&StreamEnd<'_>) + Send>;
 
 /// Records the time between two events of a stream from an upstream.
 pub type RecordGap = Box<dyn Fn(&UpstreamId, Duration) + Send>;
@@ -25,8 +25,8 @@
 pub struct StreamHooks {
     /// Resumes the stream; `None` if it can't be resumed.
     pub resume: Option<ResumeCall>,
-    /// Is called when an upstream breaks the stream off.
-    pub record_break: RecordBreak,
+    /// Is called at the end of the stream of each upstream.
+    pub record_end: RecordEnd,
     /// Is called for each event after the first one of an upstream.
     pub record_gap: RecordGap,
 }
@@ -216,6 +216,7 @@
                 }
                 Poll::Ready(None) => {
                     this.has_ended = true;
+                    (this.hooks.record_end)(&stream_end(body, &this.splitter, None));
                     let rest = this.splitter.finish();
                     if !rest.is_empty() {
                         return Poll::Ready(Some(Ok(Frame::data(rest))));
@@ -239,14 +240,11 @@
                     }
                 }
                 Poll::Ready(Some(Err(error))) => {
+                    (this.hooks.record_end)(&stream_end(body, &this.splitter, Some(&error)));
                     if error.kind() == ErrorKind::DeadlineExceeded {
                         this.has_ended = true;
                         return Poll::Ready(Some(Err(error)));
                     }
-                    // A link that was cut says nothing about the request.
-                    if error.kind() == ErrorKind::Truncated {
-                        (this.hooks.record_break)();
-                    }
                     if let Err(error) = this.replace_broken(error) {
                         return Poll::Ready(Some(Err(error)));
                     }
@@ -256,6 +254,21 @@
     }
 }
 
+/// Describes the end of the stream that `body` delivered.
+fn stream_end<'a>(
+    body: &'a ConnectionBody,
+    splitter: &'a StreamSplitter,
+    fault: Option<&'a Error>,
+) -> StreamEnd<'a> {
+    StreamEnd {
+        upstream: body.upstream(),
+        framing: body.framing(),
+        fault,
+        partial_bytes: splitter.partial_bytes(),
+        last_event: splitter.last_id(),
+    }
+}
+
 impl fmt::Debug for RelayBody {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("RelayBody")
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -8,11 +8,11 @@
 
 use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
 use super::local_response::LocalResponse;
-use super::relay_body::{RecordBreak, RecordGap, ResumeCall, StreamHooks};
+use super::relay_body::{RecordEnd, RecordGap, ResumeCall, StreamHooks};
 use super::request_runner::lock;
 use super::upstream_attempt::{AttemptPlan, drain, send_attempt};
 use super::{
-    AttemptFailure, ConnectionBody, RelayBody, ReplyBody, RequestRunner, RouteKind,
+    AttemptFailure, ConnectionBody, RelayBody, ReplyBody, RequestRunner, RouteKind, StreamEnd,
     UpstreamResponse,
 };
 use crate::error::{Error, ErrorKind};
@@ -198,7 +198,7 @@
         let is_stream = run.route.kind == RouteKind::Stream && received.status.is_success();
         let headers = received.headers;
         let body = if is_stream {
-            let record_break = Arc::clone(self).record_break_call(&run);
+            let record_end = Arc::clone(self).record_end_call(&run);
             let record_gap = Arc::clone(self).record_gap_call(&run);
             let resume = run
                 .route
@@ -208,7 +208,7 @@
                 received.body,
                 StreamHooks {
                     resume,
-                    record_break,
+                    record_end,
                     record_gap,
                 },
             )))
@@ -221,12 +221,23 @@
         response
     }
 
-    /// Returns a call that counts a broken stream as a crash which the request may have caused.
-    fn record_break_call(self: Arc<Self>, run: &ForwardRun) -> RecordBreak {
+    /// Returns a call that counts and logs how a stream ended, and counts a broken one as a crash
+    /// which the request may have caused.
+    fn record_end_call(self: Arc<Self>, run: &ForwardRun) -> RecordEnd {
         let fingerprint = run.fingerprint;
-        Box::new(move || {
-            let now = self.clock.now();
-            lock(&self.suspects).record_crash(fingerprint, now);
+        let service = Arc::clone(&run.service);
+        let attempt = run.parts.attempt.clone();
+        Box::new(move |end| {
+            self.metrics
+                .add(MetricName::StreamEnds, &service.name, end.as_str(), 1);
+            // A link that was cut says nothing about the request.
+            if end.fault.map(Error::kind) == Some(ErrorKind::Truncated) {
+                let now = self.clock.now();
+                lock(&self.suspects).record_crash(fingerprint, now);
+            }
+            if end.fault.is_some() || end.partial_bytes > 0 {
+                log_truncated(&attempt, end);
+            }
         })
     }
 
@@ -290,3 +301,17 @@
         Err(fail("no upstream went on with the stream"))
     }
 }
+
+/// Logs a stream that ended early or within an event.
+fn log_truncated(attempt: &str, end: &StreamEnd<'_>) {
+    let detail = end.fault.map(ToString::to_string);
+    LogEvent::new(LogName::AnswerTruncated)
+        .with("attempt", attempt)
+        .with("upstream", end.upstream)
+        .with("reason", end.as_str())
+        .with("framing", end.framing.as_str())
+        .with("after_event", end.last_event.unwrap_or("none"))
+        .with_count("partial_bytes", end.partial_bytes as u64)
+        .with("detail", detail.unwrap_or_default())
+        .send();
+}
--- a/src/forward/stream_splitter.rs
+++ b/src/forward/stream_splitter.rs
@@ -59,6 +59,12 @@
         self.partial.clear();
     }
 
+    /// Returns the number of buffered bytes of an incomplete event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns the id of the last complete event.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -12,7 +12,7 @@
 use super::forward_head::{millis_value, strip_hop_headers};
 use super::upstream_pool::PooledConnection;
 use super::{
-    ConnectionBody, HeaderNames, InFlightLoad, InFlightTracker, ModelRef, StatedLoad,
+    BodyFraming, ConnectionBody, HeaderNames, InFlightLoad, InFlightTracker, ModelRef, StatedLoad,
     UpstreamEntry, UpstreamPool,
 };
 use crate::error::RunState;
@@ -209,10 +209,11 @@
         head.status,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::BAD_REQUEST
     ) && headers.contains_key(&names.not_run);
+    let framing = BodyFraming::from_headers(&headers);
     strip_hop_headers(&mut headers);
     let load_header = headers.remove(&names.upstream_load);
     let load = load_header.as_ref().and_then(StatedLoad::from_header);
-    let mut body = ConnectionBody::new(body, connection, idle, guard, plan.deadline);
+    let mut body = ConnectionBody::new(body, framing, connection, idle, guard, plan.deadline);
     if is_closing {
         body.close_after_use();
     }
--- a/src/telemetry/metric_name.rs
+++ b/src/telemetry/metric_name.rs
@@ -16,6 +16,8 @@
     /// Time for which a request was held, because its prompt would have made the streams of the
     /// chosen upstream late, by pool and rank.
     HoldTime,
+    /// Ends of streams from upstreams, by pool and outcome.
+    StreamEnds,
     /// Responses whose stated load was ignored because it is malformed or implausible, by pool.
     IgnoredLoads,
     /// Running requests as a percentage of the maximum batch size, by pool.
@@ -38,13 +40,14 @@
 
 impl MetricName {
     /// All names, in declaration order.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Requests,
         Self::LoadStalls,
         Self::QueueWait,
         Self::FirstToken,
         Self::OutdatedStart,
         Self::HoldTime,
+        Self::StreamEnds,
         Self::IgnoredLoads,
         Self::BatchOccupancy,
         Self::Refusals,
@@ -66,6 +69,7 @@
             Self::FirstToken => "first_token",
             Self::OutdatedStart => "outdated_start",
             Self::HoldTime => "hold_time",
+            Self::StreamEnds => "stream_ends",
             Self::IgnoredLoads => "ignored_loads",
             Self::BatchOccupancy => "batch_occupancy",
             Self::Refusals => "refusals",
