Treat a stream that ends within an event as broken

Cause: an answer may have neither a length nor chunks and end with its connection. An upstream that crashes and closes its connection in order then looks like one that has finished; the relay passed on the partial event that it held and ended the answer. The class of fault: the end of the transport is taken as the end of the content.

Evidence: three tests of the commit before failed on this: the partial event was passed on with the last chunk, a stream that may be resumed was not resumed, and after an event longer than the buffer nothing was held that would have shown the break.

Fix: the splitter knows whether the bytes so far end within an event, also of an event that was passed on in pieces, and the relay treats such an end as a break: the stream is resumed where its route allows it, and otherwise ends without its last chunk. Framing is no longer needed to tell. Empty lines and comments after the last event belong to no event and are passed on as before.

Two tests of the splitter are new.

--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -36,9 +36,9 @@
 
 /// Relays a stream of events and resumes it at another upstream when it breaks or stalls.
 ///
-/// An incomplete event is held back until the rest arrives or the stream ends normally, unless it
-/// is longer than [`StreamSplitter::MAX_EVENT`]; a stream with such an event is no longer resumed. A
-/// broken stream that can't be resumed ends with an error, so that it does not look complete to the
+/// An incomplete event is held back until the rest arrives, unless it is longer than
+/// [`StreamSplitter::MAX_EVENT`]; a stream with such an event is no longer resumed. A stream that ends
+/// within an event is broken, whatever its framing states. A broken stream that can't be resumed ends with an error, so that it does not look complete to the
 /// caller.
 pub struct RelayBody {
     source: RelaySource,
@@ -215,8 +215,17 @@
                     this.hedge_stalled();
                 }
                 Poll::Ready(None) => {
+                    let fault = this.splitter.is_within_event().then(|| {
+                        Error::new(ErrorKind::Truncated, "the stream ended within an event")
+                    });
+                    (this.hooks.record_end)(&stream_end(body, &this.splitter, fault.as_ref()));
+                    if let Some(error) = fault {
+                        if let Err(error) = this.replace_broken(error) {
+                            return Poll::Ready(Some(Err(error)));
+                        }
+                        continue;
+                    }
                     this.has_ended = true;
-                    (this.hooks.record_end)(&stream_end(body, &this.splitter, None));
                     let rest = this.splitter.finish();
                     if !rest.is_empty() {
                         return Poll::Ready(Some(Ok(Frame::data(rest))));
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -235,8 +235,8 @@
                 let now = self.clock.now();
                 lock(&self.suspects).record_crash(fingerprint, now);
             }
-            if end.fault.is_some() || end.partial_bytes > 0 {
-                log_truncated(&attempt, end);
+            if let Some(fault) = end.fault {
+                log_truncated(&attempt, end, fault);
             }
         })
     }
@@ -302,9 +302,8 @@
     }
 }
 
-/// Logs a stream that ended early or within an event.
-fn log_truncated(attempt: &str, end: &StreamEnd<'_>) {
-    let detail = end.fault.map(ToString::to_string);
+/// Logs a stream that ended early.
+fn log_truncated(attempt: &str, end: &StreamEnd<'_>, fault: &Error) {
     LogEvent::new(LogName::AnswerTruncated)
         .with("attempt", attempt)
         .with("upstream", end.upstream)
@@ -312,6 +311,6 @@
         .with("framing", end.framing.as_str())
         .with("after_event", end.last_event.unwrap_or("none"))
         .with_count("partial_bytes", end.partial_bytes as u64)
-        .with("detail", detail.unwrap_or_default())
+        .with("detail", fault)
         .send();
 }
--- a/src/forward/stream_end.rs
+++ b/src/forward/stream_end.rs
@@ -9,7 +9,7 @@
     pub upstream: &'a UpstreamId,
     /// How the upstream marks the end of the stream.
     pub framing: BodyFraming,
-    /// Why the stream ended early; `None` if it ended as its framing states.
+    /// Why the stream ended early; `None` if it is complete.
     pub fault: Option<&'a Error>,
     /// The number of bytes after the last complete event.
     pub partial_bytes: usize,
@@ -22,7 +22,6 @@
     #[must_use]
     pub fn as_str(&self) -> &'static str {
         match self.fault.map(Error::kind) {
-            None if self.partial_bytes > 0 => "within_event",
             None => "complete",
             Some(ErrorKind::DeadlineExceeded) => "deadline",
             Some(_) => "broken",
--- a/src/forward/stream_splitter.rs
+++ b/src/forward/stream_splitter.rs
@@ -9,6 +9,8 @@
     partial: BytesMut,
     last_id: Option<String>,
     has_split_event: bool,
+    /// Whether the start of the present event was passed on before its end arrived.
+    has_open_event: bool,
 }
 
 impl StreamSplitter {
@@ -35,7 +37,7 @@
             let mut bytes = bytes;
             let complete = bytes.split_to(end);
             self.partial.extend_from_slice(&bytes);
-            self.record_last_id(&complete);
+            self.record_complete(&complete);
             return complete;
         }
         self.partial.extend_from_slice(&bytes);
@@ -43,7 +45,7 @@
             None => self.overflow(),
             Some(end) => {
                 let complete = self.partial.split_to(end).freeze();
-                self.record_last_id(&complete);
+                self.record_complete(&complete);
                 complete
             }
         }
@@ -59,6 +61,15 @@
         self.partial.clear();
     }
 
+    /// Returns whether the bytes so far end within an event. Empty lines and comments between events
+    /// belong to none.
+    #[must_use]
+    pub fn is_within_event(&self) -> bool {
+        let is_event_line = |line: &[u8]| !line.is_empty() && line[0] != b':';
+        let is_line_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+        self.has_open_event || self.partial[..].split(is_line_end).any(is_event_line)
+    }
+
     /// Returns the number of buffered bytes of an incomplete event.
     #[must_use]
     pub fn partial_bytes(&self) -> usize {
@@ -79,14 +90,20 @@
     }
 
     fn overflow(&mut self) -> Bytes {
-        if self.partial.len() > Self::MAX_EVENT {
-            self.has_split_event = true;
-            return self.partial.split().freeze();
+        if self.partial.len() <= Self::MAX_EVENT {
+            return Bytes::new();
         }
-        Bytes::new()
+        self.has_split_event = true;
+        self.has_open_event = true;
+        // A line end stays buffered, because an empty line after it ends the event.
+        let is_line_end = |byte: &&u8| matches!(byte, b'\n' | b'\r');
+        let line_ends = self.partial.iter().rev().take(3).take_while(is_line_end);
+        let passed = self.partial.len() - line_ends.count();
+        self.partial.split_to(passed).freeze()
     }
 
-    fn record_last_id(&mut self, complete: &[u8]) {
+    fn record_complete(&mut self, complete: &[u8]) {
+        self.has_open_event = false;
         for line in complete.rsplit(|byte| *byte == b'\n') {
             if let Some(id) = line.strip_prefix(b"id:") {
                 let id = String::from_utf8_lossy(id).trim().to_owned();
--- a/tests/forward/splitter.rs
+++ b/tests/forward/splitter.rs
@@ -42,6 +42,45 @@
     assert_eq!(splitter.last_id(), Some("7"));
 }
 
+/// Guards against a stream that ended within an event and counts as complete.
+#[test]
+fn stream_ends_within_an_event_until_its_empty_line() {
+    let cases: [(&[&str], bool); 8] = [
+        (&[], false),
+        (&["id: 1\ndata: x\n\n"], false),
+        (&["id: 1\r\ndata: x\r\n", "\r\n"], false),
+        (&["id: 1\ndata: x\n\n", "\n", ": comment\n"], false),
+        (&["id: 1\ndata: x\n\nid"], true),
+        (&["id: 1\ndata: x\n"], true),
+        (&["id: 1\ndata: x"], true),
+        (&["id: 1\ndata: x\n\n: comment\ndata: y\n"], true),
+    ];
+    for (pieces, is_within) in cases {
+        let mut splitter = StreamSplitter::new();
+
+        for piece in pieces {
+            let _events = splitter.push(Bytes::from_static(piece.as_bytes()));
+        }
+
+        assert_eq!(splitter.is_within_event(), is_within, "{pieces:?}");
+    }
+}
+
+/// Guards against an event boundary that is missed because the event is longer than the buffer.
+#[test]
+fn long_event_ends_with_its_empty_line() {
+    let mut splitter = StreamSplitter::new();
+    let long = format!("data: {}\n", "x".repeat(StreamSplitter::MAX_EVENT));
+
+    let start = splitter.push(Bytes::from(long.clone()));
+    let is_within = splitter.is_within_event();
+    let end = splitter.push(Bytes::from_static(b"\n"));
+
+    assert!(is_within);
+    assert_eq!([start, end].concat(), format!("{long}\n").into_bytes());
+    assert!(!splitter.is_within_event());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
