Believe only responses that carry the id of their attempt

What callers saw: a faulty upstream wrote an earlier refusal once more on a kept connection, and the request that was sent next was answered "not run" or sent to a second upstream, while the first one ran it (REFUSED, TWICE). Reported by other operators; shown here by a test.

Cause: a response with the id of another attempt was dropped, but one without an id was believed, unless it was a success. A refusal that is written by mistake and bears no id was taken for one of the present request.

Ruled out: reading on for the proper response. The connection is in doubt from then on and is closed.

Fix: a response that does not carry the id of its attempt counts as no response: the request may have run, so that it is repeated only where its route allows it, and fails with 502 otherwise. Upstreams state the id in all responses. Requests without an id can't be checked and are handled as before.

--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -198,10 +198,11 @@
     let is_closing = headers
         .get(CONNECTION)
         .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+    // Without the id, a response may be a late copy of one to an earlier request.
     let echoed = headers.get(&names.attempt).map(HeaderValue::as_bytes);
-    if echoed.is_some_and(|echoed| echoed != parts.attempt.as_bytes()) {
+    if !parts.attempt.is_empty() && echoed != Some(parts.attempt.as_bytes()) {
         return Err(AttemptFailure::Mismatch(
-            "the response carries the id of another attempt".to_owned(),
+            "the response does not carry the id of this attempt".to_owned(),
         ));
     }
     let is_signed = headers.contains_key(&names.signature);
