Use a new connection for a repeated attempt at the same upstream

Cause: if an upstream refuses a request and no other can take it, the request is sent there again, over the kept connection. All attempts carry the id of the caller, so that a late copy of the refusal passes for the response to the next attempt, which the upstream runs.

Ruled out: ids of our own per attempt. The upstream must receive the caller's id.

Fix: an attempt at an upstream that has received the request before opens a connection. At the limit of connections, an idle one is closed for it, so that the limit does not refuse the attempt.

--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -55,6 +55,7 @@
         let can_repeat = run.route.kind == RouteKind::Stream
             && run.route.is_repeatable()
             && run.attempts < run.route.max_attempts;
+        let is_repeat = run.tried.contains(&chosen.entry.id);
         run.tried.push(chosen.entry.id.clone());
         let version = run
             .parts
@@ -69,6 +70,7 @@
             head_deadline: run.deadline,
             deadline: run.deadline,
             max_connections: (limit / instances).max(4),
+            is_repeat,
             last_event,
         };
         let sending = send_attempt(&self.pool, &self.tracker, &self.names, &run.parts, &plan);
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -98,6 +98,9 @@
     /// The deadline for the whole response.
     pub(super) deadline: Instant,
     pub(super) max_connections: usize,
+    /// Whether the upstream has received an attempt of the same request. A late copy of its response
+    /// would carry the same id, so that the connection of that attempt can't be used.
+    pub(super) is_repeat: bool,
     /// The last event that the caller has received, or `None` to keep the caller's own header.
     pub(super) last_event: Option<String>,
 }
@@ -112,7 +115,7 @@
 ) -> Result<UpstreamResponse, AttemptFailure> {
     let started = Instant::now();
     let guard = InFlightGuard::new(tracker, &plan.entry.id, parts.model.as_ref(), parts.load);
-    let mut is_fresh = false;
+    let mut is_fresh = plan.is_repeat;
     loop {
         let connecting = pool.acquire(
             &plan.entry.id,
--- a/src/forward/upstream_pool.rs
+++ b/src/forward/upstream_pool.rs
@@ -61,7 +61,8 @@
         Self::default()
     }
 
-    /// Returns an idle connection or opens a new one; if `is_fresh` is set, always opens a new one.
+    /// Returns an idle connection or opens a new one; if `is_fresh` is set, always opens a new one, in
+    /// place of an idle one at the limit.
     ///
     /// # Errors
     ///
@@ -117,10 +118,14 @@
         self.lock().retain(|_, pool| pool.open > 0);
     }
 
-    /// Counts one more open connection unless `max_open` is reached; returns whether it did.
+    /// Counts one more open connection unless `max_open` are in use; returns whether it did. At the
+    /// limit, it closes an idle connection.
     fn count_open(&self, upstream: &UpstreamId, max_open: usize) -> bool {
         let mut state = self.lock();
         let pool = state.entry(upstream.clone()).or_default();
+        if pool.open >= max_open && pool.idle.pop().is_some() {
+            pool.open -= 1;
+        }
         let is_allowed = pool.open < max_open;
         if is_allowed {
             pool.open += 1;
