Promise that a request has not run only if its upstream states it

What callers saw: a 408, 429 or 503 of an upstream was passed on even if the upstream did not state that it had not run the request. Callers take these statuses as a promise and repeat the request, so that one which may run once at most could run twice (REFUSED).

Cause: only the statement of the upstream was checked to decide on a retry; without it the response was passed on like any failure.

Fix: such a response counts as an attempt with an unknown outcome (`unconfirmed`). The request is repeated where its route allows it and fails with 502 otherwise.

doubtful_answers::refusal_that_does_not_state_that_the_request_did_not_run_promises_nothing failed before (408 passed on) and passes.

--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -114,7 +114,9 @@
             }
             // The upstream has only queued the request.
             AttemptFailure::Outdated => {}
-            AttemptFailure::NotRun(_) | AttemptFailure::Mismatch(_) => {
+            AttemptFailure::NotRun(_)
+            | AttemptFailure::Unconfirmed(_)
+            | AttemptFailure::Mismatch(_) => {
                 self.health.record_failure(upstream, now);
             }
             AttemptFailure::Broken(_) => {
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -44,6 +44,8 @@
     NotSent(String),
     /// The upstream refused to run the request and responded with this status.
     NotRun(StatusCode),
+    /// The upstream refused the request with this status without stating that it did not run.
+    Unconfirmed(StatusCode),
     /// The connection failed after the request was sent.
     Broken(String),
     /// The response head did not arrive in time.
@@ -67,6 +69,7 @@
         match self {
             Self::NotSent(_) => "not_sent",
             Self::NotRun(_) => "not_run",
+            Self::Unconfirmed(_) => "unconfirmed",
             Self::Broken(_) => "broken",
             Self::TimedOut => "timed_out",
             Self::Outdated => "outdated",
@@ -225,6 +228,10 @@
         drain(body);
         return Err(AttemptFailure::NotRun(head.status));
     }
+    if is_promise(head.status) {
+        drain(body);
+        return Err(AttemptFailure::Unconfirmed(head.status));
+    }
     if head.status.is_success() && (!is_signed || is_attempt_missing(&headers, names)) {
         return Err(AttemptFailure::Mismatch(
             "the response carries no signature or no attempt id".to_owned(),
@@ -241,6 +248,16 @@
     })
 }
 
+/// Returns whether callers take a status to mean that the request did not run.
+const fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn is_attempt_missing(headers: &HeaderMap, names: &HeaderNames) -> bool {
     !headers.contains_key(&names.attempt)
 }
