Relay only event streams as streams

Cause: on a route for streams, each success counted as a stream, whatever its content type states. For the same reason a success of another type was split at empty lines and held back until its end.

Fix: a success is a stream if it states no content type or text/event-stream. Others are passed on unchanged, and don't resume a stream.

--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -199,7 +199,7 @@
         if latency > run.route.target_latency {
             run.log_late(&received.body);
         }
-        let is_stream = run.route.kind == RouteKind::Stream && received.status.is_success();
+        let is_stream = run.route.kind == RouteKind::Stream && received.is_event_stream;
         let headers = received.headers;
         let body = if is_stream {
             let record_end = Arc::clone(self).record_end_call(&run);
@@ -289,7 +289,7 @@
                 .await
                 .map_err(|response| fail(response.reason))?;
             match self.attempt(run, &chosen, last_event.clone()).await {
-                Ok(response) if response.status == StatusCode::OK => {
+                Ok(response) if response.status == StatusCode::OK && response.is_event_stream => {
                     LogEvent::new(LogName::RequestRetried)
                         .with("attempt", &run.parts.attempt)
                         .with("upstream", &chosen.entry.id)
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -29,6 +29,9 @@
     pub body: ConnectionBody,
     /// Whether the response carries the signature header of an upstream.
     pub is_signed: bool,
+    /// Whether the response is a successful event stream. A success without a content type counts as
+    /// one.
+    pub is_event_stream: bool,
     /// The time from the start of the attempt until it had a connection.
     pub connect_time: Duration,
     /// The load that the upstream states; `None` if it states none or an implausible one.
@@ -238,6 +241,7 @@
         ));
     }
     Ok(UpstreamResponse {
+        is_event_stream: head.status.is_success() && may_be_event_stream(&headers),
         status: head.status,
         headers,
         body,
@@ -248,6 +252,13 @@
     })
 }
 
+fn may_be_event_stream(headers: &HeaderMap) -> bool {
+    headers.get(CONTENT_TYPE).is_none_or(|value| {
+        let media_type = value.as_bytes().split(|byte| *byte == b';').next();
+        media_type.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+    })
+}
+
 /// Returns whether callers take a status to mean that the request did not run.
 const fn is_promise(status: StatusCode) -> bool {
     matches!(
