Reset the connection of an HTTP/1.0 caller whose response is cut off

What callers saw: for a caller that speaks HTTP/1.0, a response without a length ends with its connection.

Cause: the class of the incident on the callers' side: the end of the transport is the end of the content, and the transport was ended in the same way in both cases.

Fix: a response body that fails and has no other end makes the connection end with a reset. Responses with a length or with chunks are closed as before, since their ends can be told apart.

doubtful_answers::broken_answer_resets_the_connection_of_an_http_1_0_caller failed before and passes.

--- a/src/forward/forward_server.rs
+++ b/src/forward/forward_server.rs
@@ -111,8 +111,9 @@
         let token = phase.begin_request();
         let runner = Arc::clone(&runner);
         async move {
+            let version = request.version();
             let response = runner.run(request).await;
-            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, token)))
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, token, version)))
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
--- a/src/forward/head_timeout_stream.rs
+++ b/src/forward/head_timeout_stream.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 pub(super) struct HeadPhase {
     is_head: AtomicBool,
+    /// Whether a response whose end is the end of the connection was cut off.
+    must_reset: AtomicBool,
 }
 
 /// Marks a request as in progress until the token is dropped with the response body.
@@ -37,6 +39,7 @@
     pub(super) fn new() -> Arc<Self> {
         Arc::new(Self {
             is_head: AtomicBool::new(true),
+            must_reset: AtomicBool::new(false),
         })
     }
 
@@ -49,6 +52,14 @@
     }
 }
 
+impl RequestToken {
+    /// Resets the connection at its end instead of closing it in order, which would complete the
+    /// response for the caller.
+    pub(super) fn reset_connection(&self) {
+        self.phase.must_reset.store(true, Ordering::Release);
+    }
+}
+
 impl Drop for RequestToken {
     fn drop(&mut self) {
         self.phase.is_head.store(true, Ordering::Release);
@@ -70,6 +81,16 @@
     }
 }
 
+impl Drop for HeadTimeoutStream {
+    fn drop(&mut self) {
+        if self.phase.must_reset.load(Ordering::Acquire)
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::warn!("failed to reset a caller's connection: {error}");
+        }
+    }
+}
+
 impl AsyncRead for HeadTimeoutStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -126,6 +147,11 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        if this.phase.must_reset.load(Ordering::Acquire) {
+            // The reset follows when the connection is dropped.
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut this.stream).poll_shutdown(cx)
     }
 }
--- a/src/forward/tracked_body.rs
+++ b/src/forward/tracked_body.rs
@@ -2,6 +2,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use http::Version;
 use http_body::{Body, Frame, SizeHint};
 
 use super::ReplyBody;
@@ -12,14 +13,20 @@
 #[derive(Debug)]
 pub(super) struct TrackedBody {
     body: ReplyBody,
-    _token: RequestToken,
+    token: RequestToken,
+    /// Whether the end of the connection marks the end of the body for the caller.
+    ends_with_connection: bool,
 }
 
 impl TrackedBody {
-    pub(super) const fn new(body: ReplyBody, token: RequestToken) -> Self {
+    /// Creates the body of a response to a request of the given HTTP version.
+    pub(super) fn new(body: ReplyBody, token: RequestToken, version: Version) -> Self {
+        let ends_with_connection =
+            version <= Version::HTTP_10 && body.size_hint().exact().is_none();
         Self {
             body,
-            _token: token,
+            token,
+            ends_with_connection,
         }
     }
 }
@@ -32,7 +39,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.body).poll_frame(cx);
+        if this.ends_with_connection && matches!(polled, Poll::Ready(Some(Err(_)))) {
+            this.token.reset_connection();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
