Promise nothing after an attempt that failed at an upstream

What callers saw: an upstream ran a request and answered with a server error, the request was repeated, the next upstreams refused it, and the caller got 503, which states that the request has not run.

Cause: an attempt whose server error was retried was not counted among those that may have run. Only routes that may be repeated are concerned, so that nothing ran twice that may not.

Fix: it is counted, and such a request fails with 502.

doubtful_answers::refusal_after_a_failure_promises_nothing failed before (503) and passes.

--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -268,6 +268,7 @@
             let failure = match self.attempt(&mut run, &chosen, None).await {
                 Ok(response) => {
                     let Some(accepted) = self.accept_response(&mut run, &chosen, response) else {
+                        may_have_run = true;
                         continue;
                     };
                     return self.reply(run, accepted);
