Avoid upstreams that say they leave or want no requests for a time

What callers saw: neither header was read. Requests went on to an upstream that had said that it leaves until the store listed it as draining, which it may never do, or not while it is away (DRAIN); and requests were sent over and over to upstreams that had asked for time, and spent the retry budget on being turned away (BUDGET).

Change: an answer that carries the id of its attempt, or one to an order or report, can mark its upstream. The mark stands in the record that the choice of an upstream reads (UpstreamHealth), belongs to an incarnation, and is checked again when a request is about to be written. docs/platform.md, section 8, has the ways weighed: last resort, who learns, trials after a pause, spread of returns.

Tests that failed before (run on with the new tests): 7 of 11 in notices.rs: leaving said in success, failure, refusal, stream head and order, with the store away, after a restart, while a request waits for a load; a new incarnation used at once; a service refused at once. Four passed before: doubtful marks, doubtful times, one of two upstreams that asks for time (its failures made it the worse choice), and the retry budget.

Property test: 500 random orders of statements, successes, incarnations, requests and clock jumps. The check of the backoff in tests/forward/health.rs goes through the new choice with the same times.

--- a/src/forward/forward_settings.rs
+++ b/src/forward/forward_settings.rs
@@ -15,6 +15,8 @@
     pub retry_reserve: f64,
     /// The window over which `retry_ratio` and `retry_reserve` apply.
     pub retry_window: Duration,
+    /// Time after an upstream has said that it leaves from which it must get no more requests.
+    pub drain_limit: Duration,
     /// Time after the announcement of an adapter version from which no request may start on an
     /// older one.
     pub version_limit: Duration,
--- a/src/forward/header_names.rs
+++ b/src/forward/header_names.rs
@@ -25,6 +25,8 @@
     pub rank: HeaderName,
     /// The upstream's load: its running requests, its waiting requests and its slots.
     pub upstream_load: HeaderName,
+    /// Has the value `1` on the responses of an upstream that is leaving.
+    pub leaving: HeaderName,
     /// The id of the last event of a stream that the caller has received.
     pub last_event: HeaderName,
     /// Headers that only the ingress may set; they are removed from callers' requests.
--- a/src/forward/local_response.rs
+++ b/src/forward/local_response.rs
@@ -64,9 +64,15 @@
     let mut response = Response::new(ReplyBody::Local(Full::new(text)));
     *response.status_mut() = local.status;
     if let Some(pause) = local.retry_after
-        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", pause.as_secs_f64()))
+        && let Ok(value) = HeaderValue::from_str(&to_seconds(pause))
     {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
     response
 }
+
+/// Formats a duration as seconds with three decimals, rounded up so that nobody returns too early.
+fn to_seconds(pause: Duration) -> String {
+    let millis = pause.as_micros().div_ceil(1000);
+    format!("{}.{:03}", millis / 1000, millis % 1000)
+}
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -22,8 +22,8 @@
 use super::upstream_attempt::{RequestParts, drain};
 use super::{
     AttemptFailure, FleetState, ForwardHead, ForwardRoute, ForwardSettings, HeaderNames,
-    InFlightLoad, InFlightTracker, ReplyBody, RouteKind, UpstreamHealth, UpstreamPace,
-    UpstreamPool, UpstreamResponse,
+    InFlightLoad, InFlightTracker, NoticeRecorder, ReplyBody, RouteKind, UpstreamHealth,
+    UpstreamPace, UpstreamPool, UpstreamResponse,
 };
 use crate::policy::{RetryBudget, SuspectList, SuspectVerdict};
 use crate::residency::{LoadClient, ResidencyDirectory};
@@ -46,6 +46,8 @@
     pub pool: Arc<UpstreamPool>,
     /// Recent failures of upstreams.
     pub health: Arc<UpstreamHealth>,
+    /// Records what upstreams state about the requests that they want.
+    pub notices: NoticeRecorder,
     /// Recent pauses in the streams of upstreams.
     pub pace: UpstreamPace,
     /// Where adapters are resident.
@@ -273,6 +275,8 @@
                     };
                     return self.reply(run, accepted);
                 }
+                // Another upstream is chosen; the request was not sent, which costs no retry.
+                Err(AttemptFailure::Withheld) => continue,
                 Err(failure) => failure,
             };
             self.record_failure(&run, &chosen, &failure);
@@ -303,7 +307,7 @@
             self.pace.record_stated(&chosen.entry.id, slowdown, now);
         }
         if !response.status.is_server_error() {
-            self.health.record_success(&chosen.entry.id);
+            self.notices.record_success(&chosen.entry.id);
             return Some(response);
         }
         self.health.record_failure(&chosen.entry.id, now);
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -10,10 +10,10 @@
 use super::local_response::LocalResponse;
 use super::relay_body::{RecordEnd, RecordGap, ResumeCall, StreamHooks};
 use super::request_runner::lock;
-use super::upstream_attempt::{AttemptPlan, drain, send_attempt};
+use super::upstream_attempt::{AttemptHooks, AttemptPlan, drain, send_attempt};
 use super::{
     AttemptFailure, ConnectionBody, RelayBody, ReplyBody, RequestRunner, RouteKind, StreamEnd,
-    UpstreamResponse,
+    UpstreamEntry, UpstreamResponse,
 };
 use crate::error::{Error, ErrorKind};
 use crate::policy::{RetryBudget, SuspectVerdict};
@@ -51,7 +51,7 @@
         last_event: Option<String>,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         run.attempts += 1;
-        run.was_sent.store(true, Ordering::Release);
+        let was_sent = run.was_sent.swap(true, Ordering::AcqRel);
         let can_repeat = run.route.kind == RouteKind::Stream
             && run.route.is_repeatable()
             && run.attempts < run.route.max_attempts;
@@ -73,9 +73,31 @@
             is_repeat,
             last_event,
         };
-        let sending = send_attempt(&self.pool, &self.tracker, &self.names, &run.parts, &plan);
+        let outcome = self.send(run, &plan, can_repeat).await;
+        if matches!(outcome, Err(AttemptFailure::Withheld)) {
+            run.attempts -= 1;
+            run.tried.pop();
+            run.was_sent.store(was_sent, Ordering::Release);
+        }
+        outcome
+    }
+
+    /// Sends an attempt and waits for the head of the response; `can_repeat` states that the request
+    /// may be sent to another upstream instead if the head is late.
+    async fn send(
+        &self,
+        run: &ForwardRun,
+        plan: &AttemptPlan,
+        can_repeat: bool,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        let hooks = AttemptHooks {
+            admit: &|| self.admit(run, &plan.entry),
+            record_notice: &|notice| self.notices.record(&plan.entry, notice),
+        };
+        let (pool, tracker, names) = (&self.pool, &self.tracker, &self.names);
+        let sending = send_attempt(pool, tracker, names, &run.parts, plan, &hooks);
         // Applies before and after the head timeout below.
-        let sending = self.watch_version(run, &plan, sending);
+        let sending = self.watch_version(run, plan, sending);
         if !can_repeat {
             return sending.await;
         }
@@ -112,8 +134,8 @@
                     self.directory.record_absent(upstream, model);
                 }
             }
-            // The upstream has only queued the request.
-            AttemptFailure::Outdated => {}
+            // The request was not sent, or the upstream has only queued it.
+            AttemptFailure::Withheld | AttemptFailure::Outdated => {}
             AttemptFailure::NotRun(_)
             | AttemptFailure::Unconfirmed(_)
             | AttemptFailure::Mismatch(_) => {
@@ -149,11 +171,9 @@
     }
 
     pub(super) fn has_other_upstream(&self, run: &ForwardRun) -> bool {
-        self.fleet.upstreams().values().any(|entry| {
-            entry.service == run.service.name
-                && !entry.is_draining
-                && !run.tried.contains(&entry.id)
-        })
+        let upstreams = self.fleet.upstreams();
+        let untried = |entry: &&Arc<UpstreamEntry>| !run.tried.contains(&entry.id);
+        !self.screen(run, &upstreams, untried).usable.is_empty()
     }
 
     pub(super) fn spend_retry(&self, service: &str) -> bool {
@@ -299,6 +319,7 @@
                     return Ok(response.body);
                 }
                 Ok(response) => drain(response.body),
+                Err(AttemptFailure::Withheld) => {}
                 Err(failure) => self.record_failure(run, &chosen, &failure),
             }
         }
--- /dev/null
+++ b/src/forward/runner_notices.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::forward_run::ForwardRun;
+use super::{RequestRunner, ScreenedUpstreams, UpstreamEntry};
+use crate::id::UpstreamId;
+use crate::policy::StandingVerdict;
+use crate::time::TimerService;
+
+/// Interval at which records of upstreams that have left are removed.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// What upstreams state about the requests that they want.
+impl RequestRunner {
+    /// Returns the upstreams of the request's service that may receive it and for which `is_wanted`
+    /// returns `true`.
+    pub(super) fn screen<'a>(
+        &self,
+        run: &ForwardRun,
+        upstreams: &'a BTreeMap<UpstreamId, Arc<UpstreamEntry>>,
+        is_wanted: impl Fn(&&Arc<UpstreamEntry>) -> bool,
+    ) -> ScreenedUpstreams<'a> {
+        let listed: Vec<&Arc<UpstreamEntry>> = upstreams
+            .values()
+            .filter(|entry| entry.service == run.service.name && !entry.is_draining)
+            .filter(is_wanted)
+            .collect();
+        let (arrived, now) = self.arrival_time(run);
+        self.health
+            .screen(&listed, arrived, self.settings.drain_limit, now)
+    }
+
+    /// Returns whether an upstream may receive a request that is about to be sent. One that leaves may
+    /// only receive it if no other upstream may.
+    pub(super) fn admit(&self, run: &ForwardRun, entry: &UpstreamEntry) -> bool {
+        match self.health.begin_attempt(entry, self.clock.now()) {
+            StandingVerdict::Open | StandingVerdict::Trial => true,
+            StandingVerdict::Paused(_) => false,
+            StandingVerdict::Leaving(_) => {
+                let upstreams = self.fleet.upstreams();
+                let screened = self.screen(run, &upstreams, |_| true);
+                screened.usable.iter().any(|usable| usable.id == entry.id)
+            }
+        }
+    }
+
+    /// Returns when the request arrived and the present time, both on the clock of this runner.
+    fn arrival_time(&self, run: &ForwardRun) -> (Duration, Duration) {
+        let now = self.clock.now();
+        (now.saturating_sub(run.arrived.elapsed()), now)
+    }
+
+    /// Removes the records of upstreams that have left; never returns.
+    pub async fn remove_departed(self: Arc<Self>, timers: TimerService) {
+        let mut ticks = timers.subscribe(CLEANUP_INTERVAL);
+        loop {
+            ticks.next().await;
+            let upstreams = self.fleet.upstreams();
+            let is_listed = |upstream: &UpstreamId| upstreams.contains_key(upstream);
+            self.notices.remove_departed(is_listed);
+        }
+    }
+}
--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -49,9 +49,7 @@
             if Instant::now() >= run.deadline {
                 return Err(unavailable("no time is left", RETRY_AFTER_LOAD));
             }
-            let Some(chosen) = self.choose(run) else {
-                return Err(unavailable("no usable upstream", RETRY_AFTER_START));
-            };
+            let chosen = self.choose(run)?;
             let Some(model) = run.parts.model.as_ref().filter(|_| !chosen.is_resident) else {
                 if self.should_hold(run, &chosen) {
                     hold(run).await;
@@ -121,20 +119,31 @@
             .is_some_and(|known| !known.is_draining && known.address == entry.address)
     }
 
-    pub(super) fn choose(&self, run: &ForwardRun) -> Option<ChosenUpstream> {
-        let now = self.clock.now();
+    /// Chooses an upstream for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the request if no upstream may receive it.
+    pub(super) fn choose(&self, run: &ForwardRun) -> Result<ChosenUpstream, LocalResponse> {
         let upstreams = self.fleet.upstreams();
-        let listed: Vec<&Arc<UpstreamEntry>> = upstreams
-            .values()
-            .filter(|entry| entry.service == run.service.name && !entry.is_draining)
-            .collect();
-        let is_usable = |entry: &&Arc<UpstreamEntry>| self.health.is_usable(&entry.id, now);
-        let mut usable: Vec<_> = listed.iter().copied().filter(is_usable).collect();
-        if usable.is_empty() {
-            // All upstreams are in backoff. Trying one of them is better than rejecting the
-            // request.
-            usable = listed;
+        let screened = self.screen(run, &upstreams, |_| true);
+        match (screened.usable.is_empty(), screened.shortest_pause) {
+            (true, Some(pause)) => Err(unavailable(
+                "every upstream wants no requests for a time",
+                spread_return(pause, rand::random()),
+            )),
+            _ => self
+                .choose_among(run, screened.usable)
+                .ok_or_else(|| unavailable("no usable upstream", RETRY_AFTER_START)),
         }
+    }
+
+    fn choose_among(
+        &self,
+        run: &ForwardRun,
+        usable: Vec<&Arc<UpstreamEntry>>,
+    ) -> Option<ChosenUpstream> {
+        let now = self.clock.now();
         let untried = |entry: &&&Arc<UpstreamEntry>| !run.tried.contains(&entry.id);
         let Some(model) = &run.parts.model else {
             let remaining: Vec<_> = usable.iter().filter(untried).copied().collect();
@@ -325,6 +334,12 @@
     }
 }
 
+/// Prolongs the time after which callers may return by up to a quarter, so that those that were
+/// refused during a pause don't return in one moment. `draw` is a random number from 0 to 1.
+fn spread_return(pause: Duration, draw: f64) -> Duration {
+    pause + pause.mul_f64(draw / 4.0)
+}
+
 async fn hold(run: &mut ForwardRun) {
     sleep(HOLD_PAUSE).await;
     run.hold_wait += HOLD_PAUSE;
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -13,7 +13,7 @@
 use super::upstream_pool::PooledConnection;
 use super::{
     BodyFraming, ConnectionBody, HeaderNames, InFlightLoad, InFlightTracker, ModelRef, StatedLoad,
-    UpstreamEntry, UpstreamPool,
+    UpstreamEntry, UpstreamNotice, UpstreamPool,
 };
 use crate::error::RunState;
 
@@ -45,6 +45,8 @@
 pub enum AttemptFailure {
     /// No byte of the request was written, for example because connecting failed.
     NotSent(String),
+    /// The upstream has meanwhile said that it wants no such request, which was therefore not sent.
+    Withheld,
     /// The upstream refused to run the request and responded with this status.
     NotRun(StatusCode),
     /// The upstream refused the request with this status without stating that it did not run.
@@ -63,7 +65,7 @@
     /// Returns whether the request certainly did not run.
     #[must_use]
     pub const fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::NotRun(_))
+        matches!(self, Self::NotSent(_) | Self::Withheld | Self::NotRun(_))
     }
 
     /// Returns the name of the failure in logs and metrics.
@@ -71,6 +73,7 @@
     pub const fn as_str(&self) -> &'static str {
         match self {
             Self::NotSent(_) => "not_sent",
+            Self::Withheld => "withheld",
             Self::NotRun(_) => "not_run",
             Self::Unconfirmed(_) => "unconfirmed",
             Self::Broken(_) => "broken",
@@ -111,6 +114,14 @@
     pub(super) last_event: Option<String>,
 }
 
+/// The calls of an attempt to the state of its upstream.
+pub(super) struct AttemptHooks<'a> {
+    /// Returns whether the request may be sent, as of now.
+    pub(super) admit: &'a (dyn Fn() -> bool + Sync),
+    /// Records what the upstream states in a response that certainly is one to this attempt.
+    pub(super) record_notice: &'a (dyn Fn(UpstreamNotice) + Sync),
+}
+
 /// Sends a request to one upstream and waits for the head of the response.
 pub(super) async fn send_attempt(
     pool: &Arc<UpstreamPool>,
@@ -118,6 +129,7 @@
     names: &HeaderNames,
     parts: &RequestParts,
     plan: &AttemptPlan,
+    hooks: &AttemptHooks<'_>,
 ) -> Result<UpstreamResponse, AttemptFailure> {
     let started = Instant::now();
     let guard = InFlightGuard::new(tracker, &plan.entry.id, parts.model.as_ref(), parts.load);
@@ -138,10 +150,20 @@
             return Err(AttemptFailure::NotSent("no connection".to_owned()));
         };
         let connect_time = started.elapsed();
+        // Opening a connection takes time, in which the upstream may have said that it leaves.
+        if !(hooks.admit)() {
+            connection.release(None);
+            return Err(AttemptFailure::Withheld);
+        }
         let sent = sender.try_send_request(build_request(names, parts, plan));
         match timeout_at(plan.head_deadline, sent).await {
             Err(_) => return Err(AttemptFailure::TimedOut),
             Ok(Ok(response)) => {
+                if is_of_attempt(&response, names, parts) && !parts.attempt.is_empty() {
+                    let (status, headers) = (response.status(), response.headers());
+                    let notice = UpstreamNotice::from_response(status, headers, names);
+                    (hooks.record_notice)(notice);
+                }
                 return validate_response(
                     names,
                     parts,
@@ -201,19 +223,17 @@
     response: Response<Incoming>,
     connect_time: Duration,
 ) -> Result<UpstreamResponse, AttemptFailure> {
+    if !is_of_attempt(&response, names, parts) {
+        return Err(AttemptFailure::Mismatch(
+            "the response does not carry the id of this attempt".to_owned(),
+        ));
+    }
     let (head, body) = response.into_parts();
     let mut headers = head.headers;
     let idle = stated_idle(&headers);
     let is_closing = headers
         .get(CONNECTION)
         .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-    // Without the id, a response may be a late copy of one to an earlier request.
-    let echoed = headers.get(&names.attempt).map(HeaderValue::as_bytes);
-    if !parts.attempt.is_empty() && echoed != Some(parts.attempt.as_bytes()) {
-        return Err(AttemptFailure::Mismatch(
-            "the response does not carry the id of this attempt".to_owned(),
-        ));
-    }
     let is_signed = headers.contains_key(&names.signature);
     let is_refused = matches!(
         head.status,
@@ -269,6 +289,13 @@
     )
 }
 
+/// Returns whether a response carries the id of its attempt. Without it, it may be a late copy of one
+/// to an earlier request. Requests without an id can't be checked.
+fn is_of_attempt(response: &Response<Incoming>, names: &HeaderNames, parts: &RequestParts) -> bool {
+    let echoed = response.headers().get(&names.attempt);
+    parts.attempt.is_empty() || echoed.map(HeaderValue::as_bytes) == Some(parts.attempt.as_bytes())
+}
+
 fn is_attempt_missing(headers: &HeaderMap, names: &HeaderNames) -> bool {
     !headers.contains_key(&names.attempt)
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 mod rank_queue;
 mod residency_policy;
 mod retry_budget;
+mod return_point;
 mod running_item;
 mod schedule_action;
 mod scheduler_admission;
@@ -34,6 +35,7 @@
 mod suspect_verdict;
 mod upstream_choice;
 mod upstream_scheduler;
+mod upstream_standing;
 mod waiting_group;
 mod work_item;
 
@@ -52,6 +54,7 @@
 pub use rank_queue::RankQueue;
 pub use residency_policy::ResidencyPolicy;
 pub use retry_budget::RetryBudget;
+pub use return_point::return_point;
 pub use schedule_action::ScheduleAction;
 pub use scheduler_config::SchedulerConfig;
 pub use slot_state::SlotState;
@@ -61,4 +64,5 @@
     ChoiceDraws, UpstreamOption, choose_upstream, extra_replicas, sample_upstream,
 };
 pub use upstream_scheduler::UpstreamScheduler;
+pub use upstream_standing::{StandingVerdict, UpstreamStanding};
 pub use work_item::WorkItem;
--- /dev/null
+++ b/src/policy/upstream_standing.rs
@@ -0,0 +1,119 @@
+use std::time::Duration;
+
+/// What an upstream has stated about itself: that it leaves, or that it wants no requests for a time.
+///
+/// Statements belong to one incarnation of the upstream. A newer incarnation starts without any, and
+/// an older one, as in a late record of the store, does not take them back.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UpstreamStanding {
+    leaving: Option<LeavingMark>,
+    pause: Option<PauseMark>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct LeavingMark {
+    incarnation: u64,
+    since: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PauseMark {
+    incarnation: u64,
+    since: Duration,
+    until: Duration,
+    /// When the last request after the end of the pause was admitted.
+    trial_at: Option<Duration>,
+}
+
+/// Whether an upstream may receive a request, as far as its own statements go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StandingVerdict {
+    /// It may receive requests.
+    Open,
+    /// It may receive one request, which shows whether the pause has ended.
+    Trial,
+    /// It wants no requests for this time.
+    Paused(Duration),
+    /// It has been leaving since this time.
+    Leaving(Duration),
+}
+
+/// Time after which another request is admitted if the first one after a pause has shown nothing.
+/// Healthy upstreams answer within this time.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
+impl UpstreamStanding {
+    /// Records that an incarnation of the upstream leaves; returns whether this was not known.
+    pub fn record_leaving(&mut self, incarnation: u64, now: Duration) -> bool {
+        let is_new = self
+            .leaving
+            .is_none_or(|mark| incarnation > mark.incarnation);
+        if is_new {
+            self.leaving = Some(LeavingMark {
+                incarnation,
+                since: now,
+            });
+        }
+        is_new
+    }
+
+    /// Records that an incarnation of the upstream wants no requests before `until`; returns whether
+    /// a pause began, rather than being extended.
+    ///
+    /// A later statement replaces an earlier one only if it ends later, because responses may arrive
+    /// out of order.
+    pub fn record_pause(&mut self, incarnation: u64, until: Duration, now: Duration) -> bool {
+        let former = self.pause.filter(|mark| mark.incarnation >= incarnation);
+        if former.is_some_and(|mark| mark.incarnation > incarnation) {
+            return false;
+        }
+        self.pause = Some(PauseMark {
+            incarnation,
+            since: former.map_or(now, |mark| mark.since),
+            until: former.map_or(until, |mark| mark.until.max(until)),
+            trial_at: None,
+        });
+        former.is_none()
+    }
+
+    /// Records a successful response; returns how long the upstream was avoided if this ends a pause.
+    ///
+    /// A success during the pause may belong to a request that was sent before it, and ends nothing.
+    pub fn record_success(&mut self, now: Duration) -> Option<Duration> {
+        let mark = self.pause.filter(|mark| now >= mark.until)?;
+        self.pause = None;
+        Some(now.saturating_sub(mark.since))
+    }
+
+    /// Returns whether an incarnation of the upstream may receive a request at the time `now`.
+    #[must_use]
+    pub fn verdict(&self, incarnation: u64, now: Duration) -> StandingVerdict {
+        let leaving = self.leaving.filter(|mark| incarnation <= mark.incarnation);
+        if let Some(mark) = leaving {
+            return StandingVerdict::Leaving(mark.since);
+        }
+        let Some(mark) = self.pause.filter(|mark| incarnation <= mark.incarnation) else {
+            return StandingVerdict::Open;
+        };
+        let next = mark
+            .trial_at
+            .map_or(mark.until, |trial_at| trial_at + TRIAL_INTERVAL);
+        match next.checked_sub(now) {
+            Some(left) if !left.is_zero() => StandingVerdict::Paused(left),
+            _ => StandingVerdict::Trial,
+        }
+    }
+
+    /// Records that a request is sent on a verdict of [`StandingVerdict::Trial`].
+    pub fn begin_trial(&mut self, now: Duration) {
+        if let Some(mark) = &mut self.pause {
+            mark.trial_at = Some(now);
+        }
+    }
+
+    /// Returns whether the upstream has stated nothing that is still in force.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.leaving.is_none() && self.pause.is_none()
+    }
+}
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -57,6 +57,10 @@
     UpstreamRestarted,
     /// an upstream is draining
     UpstreamDraining,
+    /// an upstream gets no new requests, because it leaves or wants none for a time
+    UpstreamAvoided,
+    /// an upstream gets requests again
+    UpstreamReadmitted,
     /// an adapter load was ordered
     LoadOrdered,
     /// an adapter load failed; check the weight store
@@ -105,7 +109,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 48] = [
+    pub const ALL: [Self; 50] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -132,6 +136,8 @@
         Self::UpstreamRecovered,
         Self::UpstreamRestarted,
         Self::UpstreamDraining,
+        Self::UpstreamAvoided,
+        Self::UpstreamReadmitted,
         Self::LoadOrdered,
         Self::LoadFailed,
         Self::EvictOrdered,
@@ -186,6 +192,8 @@
             Self::UpstreamRecovered => "upstream_recovered",
             Self::UpstreamRestarted => "upstream_restarted",
             Self::UpstreamDraining => "upstream_draining",
+            Self::UpstreamAvoided => "upstream_avoided",
+            Self::UpstreamReadmitted => "upstream_readmitted",
             Self::LoadOrdered => "load_ordered",
             Self::LoadFailed => "load_failed",
             Self::EvictOrdered => "evict_ordered",
--- a/src/telemetry/metric_name.rs
+++ b/src/telemetry/metric_name.rs
@@ -18,6 +18,9 @@
     HoldTime,
     /// Ends of streams from upstreams, by pool and outcome.
     StreamEnds,
+    /// Responses in which an upstream says that it leaves or wants no requests for a time, by pool and
+    /// cause.
+    Notices,
     /// Responses whose stated load was ignored because it is malformed or implausible, by pool.
     IgnoredLoads,
     /// Running requests as a percentage of the maximum batch size, by pool.
@@ -40,7 +43,7 @@
 
 impl MetricName {
     /// All names, in declaration order.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Requests,
         Self::LoadStalls,
         Self::QueueWait,
@@ -48,6 +51,7 @@
         Self::OutdatedStart,
         Self::HoldTime,
         Self::StreamEnds,
+        Self::Notices,
         Self::IgnoredLoads,
         Self::BatchOccupancy,
         Self::Refusals,
@@ -70,6 +74,7 @@
             Self::OutdatedStart => "outdated_start",
             Self::HoldTime => "hold_time",
             Self::StreamEnds => "stream_ends",
+            Self::Notices => "notices",
             Self::IgnoredLoads => "ignored_loads",
             Self::BatchOccupancy => "batch_occupancy",
             Self::Refusals => "refusals",
--- a/tests/forward/head.rs
+++ b/tests/forward/head.rs
@@ -5,7 +5,7 @@
 use comfreychute::forward::{ForwardHead, HeaderNames, ModelRef};
 use http::{HeaderMap, HeaderName, HeaderValue};
 
-fn names() -> HeaderNames {
+pub(crate) fn names() -> HeaderNames {
     let name = HeaderName::from_static;
     HeaderNames {
         attempt: name("x-attempt"),
@@ -19,6 +19,7 @@
         expect_version: name("x-expect-version"),
         rank: name("x-rank"),
         upstream_load: name("x-load"),
+        leaving: name("x-leaving"),
         last_event: name("last-event-id"),
         reserved: Vec::new(),
     }
