Search only new bytes for the end of an event

Cause: each piece of an incomplete event made the splitter search the whole buffer again, up to 256 KiB. An upstream that sends an event in pieces of a few bytes costs a time that grows with the square of its length.

Found while testing streams that trickle: beside a build, the event of 4-byte pieces in endless_event_is_cut_off_at_the_deadline did not reach the limit of the buffer within 1.1 s.

Fix: the search starts three bytes before the new ones, where the end of an event may begin. The property test of the splitter covers all splits of reads.

--- a/src/forward/stream_splitter.rs
+++ b/src/forward/stream_splitter.rs
@@ -40,10 +40,13 @@
             self.record_complete(&complete);
             return complete;
         }
+        // The buffer contains no end of an event, but may end with the start of one.
+        let searched = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(&bytes);
-        match last_event_end(&self.partial) {
+        match last_event_end(&self.partial[searched..]) {
             None => self.overflow(),
             Some(end) => {
+                let end = searched + end;
                 let complete = self.partial.split_to(end).freeze();
                 self.record_complete(&complete);
                 complete
