Count events, not bytes, as the progress of a stream

What callers saw: an upstream that stalls but sends a byte, a comment or an empty line now and then kept its stream open until the deadline, although the route allows to resume it elsewhere.

Cause: any frame of a stream counted as progress, and while a stalled stream was being resumed, any frame of it cancelled the resumption.

Ruled out: a limit on the time of an event. A slow stream whose events arrive steadily in pieces, or for which no other upstream can take over, must go on.

Fix: only lines of complete events are progress, or pieces of an event that is longer than the buffer. While a stream is being resumed, the stalled upstream goes on being read, and wins only with an event.

--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -48,8 +48,6 @@
     last_event_at: Instant,
     /// Whether the present upstream has delivered an event.
     has_event: bool,
-    /// A frame that a stalled body delivered while the stream was being resumed.
-    pending_frame: Option<Frame<Bytes>>,
     has_ended: bool,
 }
 
@@ -90,7 +88,6 @@
             stall_checks,
             last_event_at: now,
             has_event: false,
-            pending_frame: None,
             has_ended: false,
         }
     }
@@ -127,10 +124,12 @@
         }
     }
 
-    /// Polls the resumption and the stalled body, and continues with whichever is ready first.
-    fn poll_resume(&mut self, cx: &mut Context<'_>) -> Poll<Result<()>> {
+    /// Polls the resumption and the stalled body, and continues with whichever delivers an event first.
+    ///
+    /// Returns complete events of the stalled body, if there are any.
+    fn poll_resume(&mut self, cx: &mut Context<'_>) -> Poll<Result<Bytes>> {
         let RelaySource::Resuming(future, stalled) = &mut self.source else {
-            return Poll::Ready(Ok(()));
+            return Poll::Ready(Ok(Bytes::new()));
         };
         match future.as_mut().poll(cx) {
             Poll::Ready(Ok(body)) => {
@@ -144,29 +143,72 @@
                 None => return Poll::Ready(Err(error)),
             },
             Poll::Pending => {
-                let Some(body) = stalled else {
-                    return Poll::Pending;
-                };
-                let Poll::Ready(frame) = Pin::new(body).poll_frame(cx) else {
+                let Some(mut body) = stalled.take() else {
                     return Poll::Pending;
                 };
-                match frame {
-                    Some(Ok(frame)) => self.pending_frame = Some(frame),
-                    // The body has ended; polling it as the source yields the end again.
-                    None => {}
-                    Some(Err(error)) => {
-                        log::debug!("stalled stream failed while it was being resumed: {error}");
-                        *stalled = None;
-                        return Poll::Pending;
-                    }
-                }
-                if let Some(body) = stalled.take() {
-                    self.source = RelaySource::Reading(body);
-                }
+                let polled = Pin::new(&mut body).poll_frame(cx);
+                return self.continue_stalled(body, polled, cx);
             }
         }
         self.last_event_at = Instant::now();
-        Poll::Ready(Ok(()))
+        Poll::Ready(Ok(Bytes::new()))
+    }
+
+    /// Goes on with a stalled body if it has delivered an event or has ended, and keeps it beside the
+    /// resumption otherwise.
+    fn continue_stalled(
+        &mut self,
+        body: ConnectionBody,
+        polled: Poll<Option<Result<Frame<Bytes>>>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Bytes>> {
+        let mut events = Bytes::new();
+        let mut has_progress = false;
+        match polled {
+            Poll::Pending => {}
+            Poll::Ready(Some(Ok(frame))) => {
+                if let Ok(bytes) = frame.into_data() {
+                    (events, has_progress) = self.split_events(body.upstream(), bytes);
+                }
+                // Further frames may be waiting, which wake nobody.
+                cx.waker().wake_by_ref();
+            }
+            // The body has ended; polling it as the source yields the end again.
+            Poll::Ready(None) => has_progress = true,
+            Poll::Ready(Some(Err(error))) => {
+                log::debug!("stalled stream failed while it was being resumed: {error}");
+                return Poll::Pending;
+            }
+        }
+        if has_progress {
+            self.source = RelaySource::Reading(body);
+        } else if let RelaySource::Resuming(_, stalled) = &mut self.source {
+            *stalled = Some(body);
+        }
+        if has_progress || !events.is_empty() {
+            return Poll::Ready(Ok(events));
+        }
+        Poll::Pending
+    }
+
+    /// Splits off the events that the bytes of an upstream complete, and returns whether they are
+    /// progress. Comments and empty lines are none, nor are bytes of an incomplete event, unless it is
+    /// longer than the buffer.
+    fn split_events(&mut self, upstream: &UpstreamId, bytes: Bytes) -> (Bytes, bool) {
+        let events = self.splitter.push(bytes);
+        if self.splitter.has_split_event() {
+            self.hooks.resume = None;
+        }
+        let has_progress = has_event_line(&events);
+        if has_progress {
+            let now = Instant::now();
+            if self.has_event {
+                (self.hooks.record_gap)(upstream, now - self.last_event_at);
+            }
+            self.has_event = true;
+            self.last_event_at = now;
+        }
+        (events, has_progress)
     }
 
     /// Returns whether a stall check is due and finds that a resumable stream has delivered nothing
@@ -194,20 +236,17 @@
                 return Poll::Ready(None);
             }
             let body = match &mut this.source {
-                RelaySource::Resuming(..) => {
-                    if let Err(error) = ready!(this.poll_resume(cx)) {
+                RelaySource::Resuming(..) => match ready!(this.poll_resume(cx)) {
+                    Ok(events) if events.is_empty() => continue,
+                    Ok(events) => return Poll::Ready(Some(Ok(Frame::data(events)))),
+                    Err(error) => {
                         this.has_ended = true;
                         return Poll::Ready(Some(Err(error)));
                     }
-                    continue;
-                }
+                },
                 RelaySource::Reading(body) => body,
             };
-            let polled = match this.pending_frame.take() {
-                Some(frame) => Poll::Ready(Some(Ok(frame))),
-                None => Pin::new(&mut *body).poll_frame(cx),
-            };
-            match polled {
+            match Pin::new(&mut *body).poll_frame(cx) {
                 Poll::Pending => {
                     if !this.is_stalled(cx) {
                         return Poll::Pending;
@@ -233,16 +272,8 @@
                 }
                 Poll::Ready(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
-                        let now = Instant::now();
-                        if this.has_event {
-                            (this.hooks.record_gap)(body.upstream(), now - this.last_event_at);
-                        }
-                        this.has_event = true;
-                        this.last_event_at = now;
-                        let events = this.splitter.push(bytes);
-                        if this.splitter.has_split_event() {
-                            this.hooks.resume = None;
-                        }
+                        let upstream = body.upstream().clone();
+                        let (events, _) = this.split_events(&upstream, bytes);
                         if !events.is_empty() {
                             return Poll::Ready(Some(Ok(Frame::data(events))));
                         }
@@ -263,6 +294,13 @@
     }
 }
 
+/// Returns whether a line of a stream belongs to an event.
+fn has_event_line(events: &[u8]) -> bool {
+    let is_line_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+    let mut lines = events.split(is_line_end);
+    lines.any(|line| line.first().is_some_and(|byte| *byte != b':'))
+}
+
 /// Describes the end of the stream that `body` delivered.
 fn stream_end<'a>(
     body: &'a ConnectionBody,
