Don't believe plain answers without an attempt from services that state it

What callers could see, on the product's own ingress: a late copy of another answer, which bears no attempt, was delivered to the call that used the connection next.

Cause: an answer that states no attempt was believed always, since plain services need not state it.

Fix: a service that has stated the attempt in an answer is expected to state it in all. The same class as in the opaque ingress, where upstreams state the id in all responses.

The new test fails without the check of `states_attempts` by reading: the former condition accepted every answer without the header. No process test provokes it.

--- a/src/owner/plain_runner.rs
+++ b/src/owner/plain_runner.rs
@@ -54,9 +54,8 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default()
     };
-    let stated = header(ATTEMPT_HEADER);
-    if !stated.is_empty() && stated != call.attempt.to_string() {
-        log_mismatch(owner, call, stated);
+    if !plain.is_answer_to(&answer, call.attempt) {
+        log_mismatch(owner, call, header(ATTEMPT_HEADER));
         let detail = format!("upstream {} answered another attempt", owner.upstream());
         return CallOutcome::Failed(
             Error::new(ErrorKind::Upstream, detail).with_run_state(RunState::Unknown),
--- a/src/upstream/plain_client.rs
+++ b/src/upstream/plain_client.rs
@@ -1,4 +1,6 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
@@ -7,6 +9,7 @@
 
 use super::{ATTEMPT_HEADER, PlainAnswer, PlainCall};
 use crate::error::{ErrorKind, Result, RunState};
+use crate::id::AttemptId;
 use crate::transport::HttpTransport;
 
 /// The maximum size of a response, which is held in memory as a whole.
@@ -16,6 +19,8 @@
 #[derive(Debug, Clone)]
 pub struct PlainClient {
     transport: HttpTransport,
+    /// Whether the service has stated the attempt in an answer.
+    states_attempts: Arc<AtomicBool>,
 }
 
 impl PlainClient {
@@ -24,9 +29,23 @@
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self {
             transport: HttpTransport::new(address, timeout, ErrorKind::Unavailable),
+            states_attempts: Arc::default(),
         }
     }
 
+    /// Returns whether an answer may be one to `attempt`.
+    ///
+    /// A service need not state the attempt. Once it has done so, an answer without it may be a late
+    /// copy of another one.
+    #[must_use]
+    pub fn is_answer_to(&self, answer: &PlainAnswer, attempt: AttemptId) -> bool {
+        let Some(stated) = answer.headers.get(ATTEMPT_HEADER) else {
+            return !self.states_attempts.load(Ordering::Acquire);
+        };
+        self.states_attempts.store(true, Ordering::Release);
+        stated.as_bytes() == attempt.to_string().as_bytes()
+    }
+
     /// Dispatches a call; a response with an error status counts as a success.
     ///
     /// # Errors
--- a/tests/boundaries/control.rs
+++ b/tests/boundaries/control.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreychute::upstream::{PlainAnswer, PlainCall, PlainClient};
+use comfreychute::upstream::{ATTEMPT_HEADER, PlainAnswer, PlainCall, PlainClient};
 use comfreychute_standins::engine::{EngineCounters, EngineSettings};
 use comfreychute_standins::journal::JournalEntry;
 use comfreychute_standins::plain::{PlainCounters, PlainSettings};
@@ -123,3 +123,27 @@
     let journal: Vec<JournalEntry> = read(address, "/control/journal").await;
     assert_eq!(journal.len(), 1);
 }
+
+/// Guards against a late copy of another answer that does not state its attempt, from a service that
+/// states it otherwise, and against the answers of a service that never does.
+#[test]
+fn answer_without_an_attempt_is_believed_until_the_service_has_stated_one() {
+    let client = PlainClient::new(([127, 0, 0, 1], 9).into(), LONG);
+    let answer = |stated: Option<u128>| PlainAnswer {
+        status: StatusCode::OK,
+        headers: stated
+            .map(|number| (ATTEMPT_HEADER, attempt(number)))
+            .map(|(name, id)| (name.parse().unwrap(), id.to_string().parse().unwrap()))
+            .into_iter()
+            .collect(),
+        body: Bytes::new(),
+    };
+
+    let unstated_first = client.is_answer_to(&answer(None), attempt(1));
+    let own = client.is_answer_to(&answer(Some(1)), attempt(1));
+    let other = client.is_answer_to(&answer(Some(2)), attempt(1));
+    let unstated_later = client.is_answer_to(&answer(None), attempt(1));
+
+    assert!(unstated_first && own);
+    assert!(!other && !unstated_later);
+}
