Start tasks that panicked again

What callers could see: a fault in one message made the task that follows upstreams, configuration, versions or instances, checks the leases, sends the load or loads adapters panic, and the process went on without it: with a list of upstreams that no longer changed, or leases that were no longer renewed, while it counted as ready.

Cause: a panic ends its tokio task, and nothing waits for these tasks.

Panics are counted by the metric `panics`. The gossip is a task of its own beside the check of the leases, so that neither ends the other.

Ruled out: ending the process on a panic. The requests in progress would be lost, and a message that provokes the panic would end one process after another.

Tasks that serve one connection or one request still end with their panic.

--- a/src/residency/load_gossip.rs
+++ b/src/residency/load_gossip.rs
@@ -28,7 +28,7 @@
 
 impl OwnershipLoop {
     /// Sends gossip messages to the peers until the process ends.
-    pub(super) async fn run_gossip(self: Arc<Self>, timers: TimerService) {
+    pub async fn run_gossip(self: Arc<Self>, timers: TimerService) {
         let mut ticks = timers.subscribe(AGGREGATOR_PERIOD);
         let pending = Arc::new(Mutex::new(BTreeSet::new()));
         let acks = Arc::new(Mutex::new(AckTracker::new()));
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -12,7 +12,7 @@
 use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::peer::{AdapterUsage, OwnedDomain, OwnedUpstream, PeerMesh};
 use crate::telemetry::{LogEvent, LogName};
-use crate::time::ClockSource;
+use crate::time::{ClockSource, spawn_supervised};
 
 /// Orders loads and evictions at the upstreams of the failure domains that this instance owns.
 #[derive(Debug)]
@@ -311,7 +311,10 @@
                 wake: Arc::clone(&wake),
             };
             state.loaders.insert(upstream.clone(), loader);
-            tokio::spawn(Arc::clone(self).run_loader(upstream.clone(), wake));
+            let (owner, upstream) = (Arc::clone(self), upstream.clone());
+            spawn_supervised("loader", move || {
+                Arc::clone(&owner).run_loader(upstream.clone(), Arc::clone(&wake))
+            });
         }
     }
 
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -80,9 +80,8 @@
 }
 
 impl OwnershipLoop {
-    /// Checks the leases and sends gossip messages until the process ends.
+    /// Checks the leases until the process ends.
     pub async fn run(self: Arc<Self>, timers: TimerService) {
-        tokio::spawn(Arc::clone(&self).run_gossip(timers.clone()));
         let mut ticks = timers.subscribe(LEASE_PERIOD);
         let mut last = self.clock.now();
         let mut view = FleetView::default();
--- a/src/telemetry/json_logger.rs
+++ b/src/telemetry/json_logger.rs
@@ -1,5 +1,6 @@
 use std::fmt;
 use std::io::{LineWriter, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use log::{LevelFilter, Log, Metadata, Record};
 use serde_json::{Map, Value};
@@ -43,7 +44,7 @@
         }
     }
 
-    /// Installs the logger for the whole process, together with a hook that logs panics.
+    /// Installs the logger for the whole process, together with a hook that counts and logs panics.
     ///
     /// # Errors
     ///
@@ -108,10 +109,20 @@
     }
 }
 
-/// Logs a panic of any thread as an event, then calls the previous panic hook.
+/// The number of panics since the hook was installed. The hook belongs to the whole process.
+static PANICS: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of panics of this process since its logger was installed.
+#[must_use]
+pub fn panic_count() -> u64 {
+    PANICS.load(Ordering::Relaxed)
+}
+
+/// Counts a panic of any thread and logs it as an event, then calls the previous panic hook.
 fn install_panic_hook() {
     let previous = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
+        PANICS.fetch_add(1, Ordering::Relaxed);
         LogEvent::new(LogName::InternalFault)
             .with("reason", panic)
             .send();
--- a/src/telemetry/metric_name.rs
+++ b/src/telemetry/metric_name.rs
@@ -37,13 +37,15 @@
     ConfigRevision,
     /// Bytes of heartbeat frames sent to peers.
     ControlBytes,
+    /// Panics of the process since it started.
+    Panics,
     /// Calls to the platform; the adapter crate in `platform/` labels them by kind and purpose.
     PlatformCalls,
 }
 
 impl MetricName {
     /// All names, in declaration order.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Requests,
         Self::LoadStalls,
         Self::QueueWait,
@@ -60,6 +62,7 @@
         Self::Evictions,
         Self::ConfigRevision,
         Self::ControlBytes,
+        Self::Panics,
         Self::PlatformCalls,
     ];
 
@@ -83,6 +86,7 @@
             Self::Evictions => "evictions",
             Self::ConfigRevision => "config_revision",
             Self::ControlBytes => "control_bytes",
+            Self::Panics => "panics",
             Self::PlatformCalls => "platform_calls",
         }
     }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -15,7 +15,7 @@
 mod queued_output;
 mod timer_value;
 
-pub use json_logger::JsonLogger;
+pub use json_logger::{JsonLogger, panic_count};
 pub use line_bucket::LineBucket;
 pub use log_event::LogEvent;
 pub(crate) use log_event::timestamp;
