Free the slot of a reply that panics

What peers saw: after 64 replies that panicked, a link refused all requests ("too many questions are in progress") for as long as it lasted, among them the messages that confirm leases.

Cause: the count of replies in progress was lowered at the end of the task of a reply, which a panic skips.

Fix: the count is lowered by a guard, also while a panic unwinds.

replies_that_panic_do_not_use_up_the_limit_of_a_link failed before (no answer within 20 s) and passes.

--- a/src/peer/link_reader.rs
+++ b/src/peer/link_reader.rs
@@ -14,6 +14,7 @@
 use super::link_core::LinkCore;
 use super::link_streams::{CallEvent, ServedSlot};
 use super::mesh_core::MeshCore;
+use super::reply_slot::ReplySlot;
 use super::{
     CallChunk, CallOpen, CallSink, FrameCodec, PeerFrame, PeerReply, PeerRequest, RefusalBody,
     chunk, frame, reply,
@@ -181,7 +182,7 @@
     fn handle_request(&self, stream: u64, request: PeerRequest) -> Result<()> {
         self.check_stream(stream)?;
         let core = Arc::clone(&self.core);
-        if !core.begin_reply() {
+        let Some(slot) = ReplySlot::take(&core) else {
             let refusal = RefusalBody::from_error(&Error::new(
                 ErrorKind::Overloaded,
                 "too many questions are in progress on the link",
@@ -189,7 +190,7 @@
             let body = Some(reply::Body::Refused(refusal));
             core.queue_control(stream, frame::Body::Reply(PeerReply { body }));
             return Ok(());
-        }
+        };
         let reply = (self.mesh.hooks.on_request)(core.identity.instance.clone(), request);
         tokio::spawn(async move {
             if let Some(reply) = core.closed.run_until_cancelled(reply).await {
@@ -198,7 +199,7 @@
                     .queue_data(stream, frame::Body::Reply(reply), None)
                     .await;
             }
-            core.streams().replies -= 1;
+            drop(slot);
         });
         Ok(())
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -33,6 +33,7 @@
 mod peer_link;
 mod peer_mesh;
 mod refusal;
+mod reply_slot;
 mod shared_secret;
 
 pub use call_events::CallEvents;
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -8,6 +8,7 @@
 mod handshake;
 mod idle_links;
 mod link_rules;
+mod panics;
 mod raw_peer;
 mod test_proxy;
 mod traffic;
