Dial a peer again after a panic on its link

What peers saw: one frame that made a hook of the dialling instance panic ended the link for good, until the peer's address changed or it was listed anew. Without the link, the peer's confirmations of leases are missing and owners depend on the store alone.

Cause: the link runs within the task that dials the peer, so that a panic ended the dialling too.

Fix: a panic on the link is caught there, logged with the peer, and counts as a link that was lost. The accepting side has a task for each connection, which only that link loses.

peer_is_dialled_again_after_a_panic_on_its_link failed before (no answer within 20 s) and passes.

--- a/src/peer/dial_task.rs
+++ b/src/peer/dial_task.rs
@@ -1,9 +1,10 @@
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_util::StreamExt;
+use futures_util::{FutureExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
@@ -13,6 +14,7 @@
 use super::{FrameCodec, PeerFrame, PeerIdentity, handshake};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
+use crate::telemetry::{LogEvent, LogName};
 
 /// Maximum delay between two attempts, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 400;
@@ -38,7 +40,11 @@
             match connect(&core, &id, address).await {
                 Ok((frames, identity, first)) => {
                     let start = Instant::now();
-                    core.run_link(frames, identity, Some(first)).await;
+                    // A frame that makes a hook panic ends its link, but not the dialling.
+                    let link = AssertUnwindSafe(core.run_link(frames, identity, Some(first)));
+                    if link.catch_unwind().await.is_err() {
+                        log_panic(&id);
+                    }
                     // A link that is lost before the link timeout counts as a failed attempt, so that
                     // two peers that reject each other do not reconnect in a tight loop.
                     let is_brief = start.elapsed() < core.config.link_timeout;
@@ -64,6 +70,13 @@
     }
 }
 
+fn log_panic(peer: &InstanceId) {
+    LogEvent::new(LogName::InternalFault)
+        .with("reason", "the link to a peer panicked and is dialled again")
+        .with("peer", peer)
+        .send();
+}
+
 /// Returns the delay before the next attempt; without a preceding failure it is at most 25 ms, so
 /// that a lost link is redialled almost immediately.
 ///
--- a/tests/peer/panics.rs
+++ b/tests/peer/panics.rs
@@ -56,6 +56,28 @@
         .expect("a request is answered");
 }
 
+/// Guards against a peer that is never dialled again after one of its frames made a hook panic.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn peer_is_dialled_again_after_a_panic_on_its_link() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&calls);
+    let hooks = MeshHooks {
+        on_request: Box::new(move |_, _| {
+            panic_at_first(&counted, 1);
+            done()
+        }),
+        ..quiet_hooks()
+    };
+    let dialling = PeerMesh::start(config("a", 1), hooks).expect("a free port");
+    let b = TestNode::start("b");
+    dialling.dial(&[b.listed()]);
+    b.wait_for_link("a").await;
+
+    request_until_answered(&b.mesh).await;
+
+    assert!(calls.load(Ordering::Relaxed) >= 2);
+}
+
 /// Guards against a link that refuses all requests after many replies have panicked.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn replies_that_panic_do_not_use_up_the_limit_of_a_link() {
