Send heartbeats and check links again after a panic

What peers saw: a node whose heartbeat could not be built once, because the hook panicked, sent none any more and counted as dead; or the checks for silent links ended.

Cause: the two tasks of the mesh ended with their first panic.

Fix: they are supervised tasks, which end when the mesh stops.

heartbeats_go_on_after_a_panic failed before (no further heartbeat within 60 s) and passes.

--- a/src/peer/peer_mesh.rs
+++ b/src/peer/peer_mesh.rs
@@ -19,6 +19,7 @@
 use crate::id::InstanceId;
 use crate::member::rendezvous_score;
 use crate::platform_client::ListedInstance;
+use crate::time::spawn_supervised;
 
 /// The links of this instance to its peers.
 ///
@@ -45,14 +46,8 @@
         let stop = CancellationToken::new();
         let core = Arc::new(MeshCore::new(config, hooks, address, stop.clone()));
         accept_task::spawn(Arc::clone(&core), listener);
-        tokio::spawn(
-            stop.clone()
-                .run_until_cancelled_owned(run_heartbeats(Arc::clone(&core))),
-        );
-        tokio::spawn(
-            stop.clone()
-                .run_until_cancelled_owned(run_sweeps(Arc::clone(&core))),
-        );
+        spawn_until_stopped("heartbeats", &core, run_heartbeats);
+        spawn_until_stopped("sweeps", &core, run_sweeps);
         Ok(Self {
             core,
             _stop: Arc::new(stop.drop_guard()),
@@ -234,6 +229,22 @@
     Ok((TcpListener::from_std(listener)?, address))
 }
 
+/// Spawns a task that runs until the mesh stops, and starts it again if it panics.
+fn spawn_until_stopped<F: Future<Output = ()> + Send + 'static>(
+    name: &'static str,
+    core: &Arc<MeshCore>,
+    run: impl Fn(Arc<MeshCore>) -> F + Send + 'static,
+) {
+    let core = Arc::clone(core);
+    spawn_supervised(name, move || {
+        let (stop, running) = (core.stop.clone(), run(Arc::clone(&core)));
+        async move {
+            // The mesh may stop at any time; nothing is left to do then.
+            let _stopped = stop.run_until_cancelled_owned(running).await;
+        }
+    });
+}
+
 async fn run_heartbeats(core: Arc<MeshCore>) {
     let mut ticks = interval(core.config.heartbeat_interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/tests/peer/panics.rs
+++ b/tests/peer/panics.rs
@@ -9,7 +9,7 @@
 };
 use tokio::time::{sleep, timeout};
 
-use crate::fixture::{TestNode, config, id};
+use crate::fixture::{TestNode, config, id, until};
 
 /// Time after which a link that does not recover counts as lost.
 const ANSWER_LIMIT: Duration = Duration::from_secs(20);
@@ -105,3 +105,25 @@
 
     assert_eq!(calls.load(Ordering::Relaxed), 3);
 }
+
+/// Guards against a node that stays silent on all links after its heartbeat could not be built once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn heartbeats_go_on_after_a_panic() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&calls);
+    let hooks = MeshHooks {
+        heartbeat: Box::new(move || {
+            let call = counted.fetch_add(1, Ordering::Relaxed);
+            assert!(call != 1, "a fault of a hook");
+            HeartbeatBody::default()
+        }),
+        ..quiet_hooks()
+    };
+
+    let _mesh = PeerMesh::start(config("a", 1), hooks).expect("a free port");
+
+    until("further heartbeats", || {
+        (calls.load(Ordering::Relaxed) > 3).then_some(())
+    })
+    .await;
+}
