--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -38,8 +38,8 @@
 ///
 /// An incomplete event is held back until the rest arrives, unless it is longer than
 /// [`StreamSplitter::MAX_EVENT`]; a stream with such an event is no longer resumed. A stream that ends
-/// within an event is broken, whatever its framing states. A broken stream that can't be resumed ends with an error, so that it does not look complete to the
-/// caller.
+/// within an event is broken, whatever its framing states. A broken stream that can't be resumed ends
+/// with an error, so that it does not look complete to the caller.
 pub struct RelayBody {
     source: RelaySource,
     splitter: StreamSplitter,
--- a/src/time/mod.rs
+++ b/src/time/mod.rs
@@ -1,5 +1,5 @@
-//! A timer service that sends periodic ticks to subscribers, a clock that can be virtual, and tasks that
-//! outlast a panic.
+//! A timer service that sends periodic ticks to subscribers, a clock that can be virtual, and tasks
+//! that are started again after a panic.
 
 mod clock_source;
 mod supervised_task;
--- a/src/time/supervised_task.rs
+++ b/src/time/supervised_task.rs
@@ -11,7 +11,7 @@
 
 /// Spawns a task that must not end before the process, and starts it again if it panics.
 ///
-/// The hook of the logger reports the place of the panic, and a line of this function the task.
+/// The panic hook of the logger logs the place of the panic; this function logs the name of the task.
 ///
 /// # Panics
 ///
