Send nothing to a leaving upstream while it wants no requests

Cause: of the two statements of an upstream, that it leaves counted first and hid the pause. While no other upstream may take a request, one that leaves may, so that all requests went there. The property test did not count requests that are sent to a leaving upstream, and accepted the verdict.

Fix: a pause counts before the statement that the upstream leaves. After the pause, one request is sent and the others wait for its outcome or a second, as at other upstreams.

--- a/src/forward/runner_notices.rs
+++ b/src/forward/runner_notices.rs
@@ -34,13 +34,18 @@
     /// Returns whether an upstream may receive a request that is about to be sent. One that leaves may
     /// only receive it if no other upstream may.
     pub(super) fn admit(&self, run: &ForwardRun, entry: &UpstreamEntry) -> bool {
-        match self.health.begin_attempt(entry, self.clock.now()) {
+        let now = self.clock.now();
+        match self.health.begin_attempt(entry, now) {
             StandingVerdict::Open | StandingVerdict::Trial => true,
             StandingVerdict::Paused(_) => false,
             StandingVerdict::Leaving(_) => {
                 let upstreams = self.fleet.upstreams();
                 let screened = self.screen(run, &upstreams, |_| true);
-                screened.usable.iter().any(|usable| usable.id == entry.id)
+                let is_usable = screened.usable.iter().any(|usable| usable.id == entry.id);
+                if is_usable {
+                    self.health.begin_trial(&entry.id, now);
+                }
+                is_usable
             }
         }
     }
--- a/src/forward/upstream_health.rs
+++ b/src/forward/upstream_health.rs
@@ -175,6 +175,14 @@
         verdict
     }
 
+    /// Records a request that is sent to an upstream that leaves. If the upstream has asked for a pause,
+    /// which has ended, the next request waits for the outcome of this one.
+    pub fn begin_trial(&self, upstream: &UpstreamId, now: Duration) {
+        if let Some(record) = self.lock().get_mut(upstream) {
+            record.standing.begin_trial(now);
+        }
+    }
+
     /// Returns the number of recent failures, decayed by age.
     #[must_use]
     pub fn failures(&self, upstream: &UpstreamId, now: Duration) -> f64 {
--- a/src/policy/upstream_standing.rs
+++ b/src/policy/upstream_standing.rs
@@ -34,7 +34,7 @@
     Trial,
     /// It wants no requests for this time.
     Paused(Duration),
-    /// It has been leaving since this time.
+    /// It has been leaving since this time, and wants no pause.
     Leaving(Duration),
 }
 
@@ -86,25 +86,31 @@
     }
 
     /// Returns whether an incarnation of the upstream may receive a request at the time `now`.
+    ///
+    /// A pause counts before a statement that the upstream leaves, since one that leaves is the last
+    /// resort of its service and one that pauses is none.
     #[must_use]
     pub fn verdict(&self, incarnation: u64, now: Duration) -> StandingVerdict {
-        let leaving = self.leaving.filter(|mark| incarnation <= mark.incarnation);
-        if let Some(mark) = leaving {
-            return StandingVerdict::Leaving(mark.since);
+        let pause = self.pause.filter(|mark| incarnation <= mark.incarnation);
+        let next = pause.map(|mark| {
+            mark.trial_at.map_or(mark.until, |trial_at| {
+                mark.until.max(trial_at + TRIAL_INTERVAL)
+            })
+        });
+        if let Some(left) = next.and_then(|next| next.checked_sub(now))
+            && !left.is_zero()
+        {
+            return StandingVerdict::Paused(left);
         }
-        let Some(mark) = self.pause.filter(|mark| incarnation <= mark.incarnation) else {
-            return StandingVerdict::Open;
-        };
-        let next = mark
-            .trial_at
-            .map_or(mark.until, |trial_at| trial_at + TRIAL_INTERVAL);
-        match next.checked_sub(now) {
-            Some(left) if !left.is_zero() => StandingVerdict::Paused(left),
-            _ => StandingVerdict::Trial,
+        let leaving = self.leaving.filter(|mark| incarnation <= mark.incarnation);
+        match (leaving, pause) {
+            (Some(mark), _) => StandingVerdict::Leaving(mark.since),
+            (None, Some(_)) => StandingVerdict::Trial,
+            (None, None) => StandingVerdict::Open,
         }
     }
 
-    /// Records that a request is sent on a verdict of [`StandingVerdict::Trial`].
+    /// Records that a request is sent after the end of a pause, if the upstream has asked for one.
     pub fn begin_trial(&mut self, now: Duration) {
         if let Some(mark) = &mut self.pause {
             mark.trial_at = Some(now);
--- a/tests/forward/standing.rs
+++ b/tests/forward/standing.rs
@@ -183,12 +183,13 @@
                 StandingEvent::Send(incarnation) => {
                     let verdict = standing.verdict(incarnation, now);
                     if incarnation <= left {
-                        prop_assert!(matches!(verdict, StandingVerdict::Leaving(_)));
+                        prop_assert!(!matches!(verdict, StandingVerdict::Open | StandingVerdict::Trial));
                     }
-                    if verdict == StandingVerdict::Trial {
+                    // An upstream that leaves gets the request too, as the last resort of its service.
+                    if matches!(verdict, StandingVerdict::Trial | StandingVerdict::Leaving(_)) {
                         standing.begin_trial(now);
                     }
-                    if matches!(verdict, StandingVerdict::Open | StandingVerdict::Trial) {
+                    if !matches!(verdict, StandingVerdict::Paused(_)) {
                         sent.push((incarnation, now));
                     }
                 }
