Tell callers the upstreams' time when the last one turns a request away

What callers saw: with four upstreams that all answer 503 with Retry-After: 3, the request whose fourth and last attempt was turned away got a 503 with Retry-After: 0.400, and later ones the true time. Its caller came back during the pause, and was refused again.

Cause: the shortest pause was read only by the choice of an upstream. After the last attempt, or with the retry budget spent, the request was refused without a further choice, with a constant.

Ruled out: the pauses were recorded and all upstreams had got one request (asserted by the test).

Fix: after an attempt that did not run, a request whose upstreams all pause is refused with their shortest time before a retry is charged to the budget; such a retry could not be sent anyway.

--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -281,6 +281,10 @@
             };
             self.record_failure(&run, &chosen, &failure);
             may_have_run |= !failure.is_not_run();
+            // A retry that can't be sent would be charged to the retry budget.
+            if !may_have_run && let Some(refusal) = self.pause_refusal(&run) {
+                return self.refuse(&run, refusal);
+            }
             if !self.may_retry(&run, &failure) {
                 return self.refuse(&run, final_response(&failure, may_have_run));
             }
--- a/src/forward/runner_notices.rs
+++ b/src/forward/runner_notices.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::forward_run::ForwardRun;
+use super::local_response::{LocalResponse, unavailable};
 use super::{RequestRunner, ScreenedUpstreams, UpstreamEntry};
 use crate::id::UpstreamId;
 use crate::policy::StandingVerdict;
@@ -50,6 +51,12 @@
         }
     }
 
+    /// Returns the refusal of a request whose service has no upstream that wants requests at present.
+    pub(super) fn pause_refusal(&self, run: &ForwardRun) -> Option<LocalResponse> {
+        let upstreams = self.fleet.upstreams();
+        pause_refusal(&self.screen(run, &upstreams, |_| true))
+    }
+
     /// Returns when the request arrived and the present time, both on the clock of this runner.
     fn arrival_time(&self, run: &ForwardRun) -> (Duration, Duration) {
         let now = self.clock.now();
@@ -67,3 +74,20 @@
         }
     }
 }
+
+/// Returns the refusal of a request if all upstreams that might receive it want no requests for a time.
+pub(super) fn pause_refusal(screened: &ScreenedUpstreams<'_>) -> Option<LocalResponse> {
+    let pause = screened
+        .shortest_pause
+        .filter(|_| screened.usable.is_empty())?;
+    Some(unavailable(
+        "every upstream wants no requests for a time",
+        spread_return(pause, rand::random()),
+    ))
+}
+
+/// Prolongs the time after which callers may return by up to a quarter, so that those that were
+/// refused during a pause don't return in one moment. `draw` is a random number from 0 to 1.
+fn spread_return(pause: Duration, draw: f64) -> Duration {
+    pause + pause.mul_f64(draw / 4.0)
+}
--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -6,6 +6,7 @@
 use super::forward_run::{ChosenUpstream, ForwardRun, RANK_VALUES};
 use super::local_response::{LocalResponse, RETRY_AFTER_LOAD, RETRY_AFTER_START, unavailable};
 use super::runner_attempts::RETRY_PAUSE;
+use super::runner_notices::pause_refusal;
 use super::{ModelRef, RequestRunner, UpstreamEntry};
 use crate::error::ErrorKind;
 use crate::id::UpstreamId;
@@ -127,15 +128,11 @@
     pub(super) fn choose(&self, run: &ForwardRun) -> Result<ChosenUpstream, LocalResponse> {
         let upstreams = self.fleet.upstreams();
         let screened = self.screen(run, &upstreams, |_| true);
-        match (screened.usable.is_empty(), screened.shortest_pause) {
-            (true, Some(pause)) => Err(unavailable(
-                "every upstream wants no requests for a time",
-                spread_return(pause, rand::random()),
-            )),
-            _ => self
-                .choose_among(run, screened.usable)
-                .ok_or_else(|| unavailable("no usable upstream", RETRY_AFTER_START)),
+        if let Some(refusal) = pause_refusal(&screened) {
+            return Err(refusal);
         }
+        self.choose_among(run, screened.usable)
+            .ok_or_else(|| unavailable("no usable upstream", RETRY_AFTER_START))
     }
 
     fn choose_among(
@@ -334,12 +331,6 @@
     }
 }
 
-/// Prolongs the time after which callers may return by up to a quarter, so that those that were
-/// refused during a pause don't return in one moment. `draw` is a random number from 0 to 1.
-fn spread_return(pause: Duration, draw: f64) -> Duration {
-    pause + pause.mul_f64(draw / 4.0)
-}
-
 async fn hold(run: &mut ForwardRun) {
     sleep(HOLD_PAUSE).await;
     run.hold_wait += HOLD_PAUSE;
