Promise at the exit that refused requests have not run

What callers saw: a request that one engine had refused as not run, and that then waited for the load of its adapter at another one, got 502 when the process exited. A 502 leaves open whether the request has run, so that a caller may not repeat one that may run only once.

Cause: the flag that the request was sent was set at the start of an attempt, before it had a connection, and stayed set whatever the attempt showed.

Fix: the flag is set in the moment in which the request may be written, and restored when the attempt shows that the request has not run.

--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -35,7 +35,7 @@
     pub(super) load_wait: Duration,
     /// Total time for which the request was held so that it would not delay running streams.
     pub(super) hold_wait: Duration,
-    /// Whether an attempt was made, after which the request may have run.
+    /// Whether the request was sent to an upstream that has not stated that it did not run it.
     pub(super) was_sent: Arc<AtomicBool>,
 }
 
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Answers a request; `was_sent` is set before it is first sent to an upstream.
+    /// Answers a request; `was_sent` is set while it may have run at an upstream.
     async fn respond(
         self: &Arc<Self>,
         request: Request<Incoming>,
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -51,7 +51,7 @@
         last_event: Option<String>,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         run.attempts += 1;
-        let was_sent = run.was_sent.swap(true, Ordering::AcqRel);
+        let was_sent = run.was_sent.load(Ordering::Acquire);
         let can_repeat = run.route.kind == RouteKind::Stream
             && run.route.is_repeatable()
             && run.attempts < run.route.max_attempts;
@@ -77,6 +77,8 @@
         if matches!(outcome, Err(AttemptFailure::Withheld)) {
             run.attempts -= 1;
             run.tried.pop();
+        }
+        if matches!(&outcome, Err(failure) if failure.is_not_run()) {
             run.was_sent.store(was_sent, Ordering::Release);
         }
         outcome
@@ -90,8 +92,13 @@
         plan: &AttemptPlan,
         can_repeat: bool,
     ) -> Result<UpstreamResponse, AttemptFailure> {
+        let admit = || {
+            let is_admitted = self.admit(run, &plan.entry);
+            run.was_sent.fetch_or(is_admitted, Ordering::AcqRel);
+            is_admitted
+        };
         let hooks = AttemptHooks {
-            admit: &|| self.admit(run, &plan.entry),
+            admit: &admit,
             record_notice: &|notice| self.notices.record(&plan.entry, notice),
         };
         let (pool, tracker, names) = (&self.pool, &self.tracker, &self.names);
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -116,7 +116,7 @@
 
 /// The calls of an attempt to the state of its upstream.
 pub(super) struct AttemptHooks<'a> {
-    /// Returns whether the request may be sent, as of now.
+    /// Returns whether the request may be sent, as of now. It is sent if this is `true`.
     pub(super) admit: &'a (dyn Fn() -> bool + Sync),
     /// Records what the upstream states in a response that certainly is one to this attempt.
     pub(super) record_notice: &'a (dyn Fn(UpstreamNotice) + Sync),
