Add the weights of a traffic split without an overflow

What callers saw: requests of a route whose traffic split has weights with a sum over 32 bits got no answer in builds that check for overflows, and a wrong share of the services in the others.

Cause: the weights were added up as u32. The draw is a floating-point number anyway, so that the sum is one too now.

--- a/src/forward/forward_route.rs
+++ b/src/forward/forward_route.rs
@@ -52,8 +52,8 @@
     /// Selects a service by weight; `draw` is a random number between zero and one.
     #[must_use]
     pub fn select_service(&self, draw: f64) -> Option<&str> {
-        let total: u32 = self.services.iter().map(|service| service.weight).sum();
-        let mut left = draw * f64::from(total);
+        let weights = self.services.iter().map(|service| service.weight);
+        let mut left = draw * weights.map(f64::from).sum::<f64>();
         for service in &self.services {
             left -= f64::from(service.weight);
             if left < 0.0 {
--- a/tests/forward/routes.rs
+++ b/tests/forward/routes.rs
@@ -66,6 +66,16 @@
     assert_eq!(route.select_service(1.0), Some("one"));
 }
 
+/// Guards against a panic, or a wrong share, because of weights whose sum exceeds 32 bits.
+#[test]
+fn large_weights_are_shared() {
+    let mut route = route("r", "/a/");
+    route.services = vec![weighted("one", u32::MAX), weighted("two", u32::MAX)];
+
+    assert_eq!(route.select_service(0.49), Some("one"));
+    assert_eq!(route.select_service(0.51), Some("two"));
+}
+
 /// Guards against reverting to an older version of the configuration.
 #[test]
 fn only_newer_configurations_are_adopted() {
