Screen upstreams without a copy of each record

Cause: the screening of upstreams copied each record with its statements, also for upstreams without one, and grew two lists for upstreams that may be chosen.

The order of choice is the same: reachable ones, those in backoff, those that leave. The 46 tests of forward pass.

--- a/src/forward/upstream_health.rs
+++ b/src/forward/upstream_health.rs
@@ -131,17 +131,19 @@
         now: Duration,
     ) -> ScreenedUpstreams<'a> {
         let records = self.lock();
-        let (mut reachable, mut open, mut leaving) = (Vec::new(), Vec::new(), Vec::new());
+        let mut reachable = Vec::with_capacity(entries.len());
+        let (mut avoided, mut leaving) = (Vec::new(), Vec::new());
         let mut shortest_pause: Option<Duration> = None;
         for entry in entries {
-            let record = records.get(&entry.id).copied().unwrap_or_default();
+            let Some(record) = records.get(&entry.id) else {
+                reachable.push(*entry);
+                continue;
+            };
             match record.standing.verdict(entry.incarnation, now) {
-                StandingVerdict::Open | StandingVerdict::Trial => {
-                    open.push(*entry);
-                    if record.avoid_until <= now {
-                        reachable.push(*entry);
-                    }
+                StandingVerdict::Open | StandingVerdict::Trial if record.avoid_until <= now => {
+                    reachable.push(*entry);
                 }
+                StandingVerdict::Open | StandingVerdict::Trial => avoided.push(*entry),
                 StandingVerdict::Paused(left) => {
                     shortest_pause = Some(shortest_pause.map_or(left, |pause| pause.min(left)));
                 }
@@ -152,7 +154,7 @@
                 }
             }
         }
-        let mut choices = [reachable, open, leaving].into_iter();
+        let mut choices = [reachable, avoided, leaving].into_iter();
         ScreenedUpstreams {
             usable: choices
                 .find(|choice| !choice.is_empty())
