--- a/crates/measure/benches/decision_cost.rs
+++ b/crates/measure/benches/decision_cost.rs
@@ -1,12 +1,15 @@
-//! Measures the cost of one placement, one offer and finish, and one permit decision by fleet size.
+//! Measures the cost of one placement, one screening of upstreams, one offer and finish, and one permit
+//! decision by fleet size.
 
 use std::hint::black_box;
+use std::sync::Arc;
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use comfreychute::forward::{UpstreamEntry, UpstreamHealth};
 use comfreychute::id::{AdapterRef, CallerId, DomainId, RequestId, RequestRank, UpstreamId};
 use comfreychute::policy::{
     LoadBid, PermitBucket, PermitConfig, PlacementCandidate, PlacementPolicy, SchedulerConfig,
@@ -142,6 +145,38 @@
     group.finish();
 }
 
+fn screen(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("screen");
+    for count in WORKERS {
+        let health = UpstreamHealth::new();
+        let now = Duration::from_secs(10);
+        let entries: Vec<Arc<UpstreamEntry>> = workers(count)
+            .into_iter()
+            .map(|id| Arc::new(entry(id)))
+            .collect();
+        for entry in &entries {
+            health.record_failure(&entry.id, now);
+        }
+        let listed: Vec<&Arc<UpstreamEntry>> = entries.iter().collect();
+        group.bench_function(BenchmarkId::new("recorded-upstreams", count), |bencher| {
+            bencher.iter(|| black_box(health.screen(&listed, now, Duration::from_secs(2), now)));
+        });
+    }
+    group.finish();
+}
+
+fn entry(id: UpstreamId) -> UpstreamEntry {
+    UpstreamEntry {
+        id,
+        service: "engines".to_owned(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: DomainId::from_name("domain-0"),
+        slots: 8,
+        is_draining: false,
+        incarnation: 1,
+    }
+}
+
 fn permit(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("permit");
     let adapters = adapters(13_000);
@@ -179,5 +214,5 @@
     group.finish();
 }
 
-criterion_group!(decisions, place, offer, bids, permit);
+criterion_group!(decisions, place, screen, offer, bids, permit);
 criterion_main!(decisions);
