Believe only answers of the object store that have a newer version

Fix: the version that a conditional write states must be above the expected one; otherwise the outcome is unknown, which callers settle by a read. The first write of an object has no version to compare with, and the answer to a read does not name its object; neither is told apart from a copy.

--- a/src/platform_client/object_store.rs
+++ b/src/platform_client/object_store.rs
@@ -91,7 +91,16 @@
             .send(Method::PUT, &path, value, self.transport.timeout())
             .await?;
         match response.status() {
-            StatusCode::OK => self.version(response.headers()).map(WriteOutcome::Written),
+            StatusCode::OK => {
+                let version = self.version(response.headers())?;
+                if expected.is_some_and(|expected| version <= expected) {
+                    // The connection may hold the response to this call behind the copy.
+                    self.transport.reset_connections();
+                    let detail = format!("write {key:?}: the answer is one to an earlier call");
+                    return Err(self.transport.fail(&detail, RunState::Unknown));
+                }
+                Ok(WriteOutcome::Written(version))
+            }
             StatusCode::CONFLICT if response.headers().contains_key(VERSION_HEADER) => {
                 let object = self.read_object(key, response).await?;
                 Ok(WriteOutcome::Conflict(Some(object)))
--- a/tests/claim/platform.rs
+++ b/tests/claim/platform.rs
@@ -1,12 +1,15 @@
 //! Claims through the object store client and the simulated platform.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use comfreychute::claim::{ClaimHooks, ClaimOutcome, ClaimStorage, ClaimStore};
-use comfreychute::platform_client::ObjectStore;
+use comfreychute::platform_client::{ObjectStore, WriteOutcome};
 use comfreychute::{ErrorKind, Result, RunState};
 use comfreychute_standins::PlatformStandin;
 use comfreychute_standins::platform::{OutageMode, PlatformSettings};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 use crate::fixtures::{answer_of, attempt_of, instance_of, key_of, quick_config};
 
@@ -127,3 +130,37 @@
     assert_eq!(refusal.run_state(), RunState::NotRun);
     assert_eq!(resend.ok(), Some(ClaimOutcome::Granted));
 }
+
+/// Starts a store that answers the first write of a connection, and each later one with a copy of that
+/// answer.
+async fn copying_store() -> SocketAddr {
+    const WRITTEN: &[u8] = b"HTTP/1.1 200 OK\r\nx-object-version: 6\r\nContent-Length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut call = vec![0; 4096];
+                while stream.read(&mut call).await.is_ok_and(|length| length > 0) {
+                    if stream.write_all(WRITTEN).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a write that counts as done because of a late copy of the answer to the one before,
+/// so that two instances hold the same claim.
+#[tokio::test]
+async fn late_copy_of_an_answer_is_no_write() {
+    let store = ObjectStore::new(copying_store().await, LONG_TIMEOUT);
+
+    let first = store.write("claims/1", b"first", Some(5)).await;
+    let second = store.write("claims/1", b"second", Some(6)).await;
+
+    assert!(matches!(first, Ok(WriteOutcome::Written(6))), "{first:?}");
+    assert_eq!(second.expect_err("no write").run_state(), RunState::Unknown);
+}
