Split the attempts and the relay of streams into files of one type each

No change of behaviour: AttemptFailure, UpstreamResponse and StreamHooks have files of their own, as have the ends and the resumption of streams.

--- /dev/null
+++ b/src/forward/attempt_failure.rs
@@ -0,0 +1,57 @@
+use http::StatusCode;
+
+use crate::error::RunState;
+
+/// Why an attempt yielded no response that can be forwarded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No byte of the request was written, for example because connecting failed.
+    NotSent(String),
+    /// The upstream has meanwhile said that it wants no such request, which was therefore not sent.
+    Withheld,
+    /// The upstream refused to run the request and responded with this status.
+    NotRun(StatusCode),
+    /// The upstream refused the request with this status without stating that it did not run.
+    Unconfirmed(StatusCode),
+    /// The connection failed after the request was sent.
+    Broken(String),
+    /// The response head did not arrive in time.
+    TimedOut,
+    /// A newer version of the adapter was announced and the response head did not arrive soon after.
+    Outdated,
+    /// The response belongs to another attempt, or lacks a signature or attempt id.
+    Mismatch(String),
+}
+
+impl AttemptFailure {
+    /// Returns whether the request certainly did not run.
+    #[must_use]
+    pub const fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::Withheld | Self::NotRun(_))
+    }
+
+    /// Returns the name of the failure in logs and metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::Withheld => "withheld",
+            Self::NotRun(_) => "not_run",
+            Self::Unconfirmed(_) => "unconfirmed",
+            Self::Broken(_) => "broken",
+            Self::TimedOut => "timed_out",
+            Self::Outdated => "outdated",
+            Self::Mismatch(_) => "mismatch",
+        }
+    }
+}
+
+impl From<&AttemptFailure> for RunState {
+    fn from(failure: &AttemptFailure) -> Self {
+        if failure.is_not_run() {
+            Self::NotRun
+        } else {
+            Self::Unknown
+        }
+    }
+}
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! and [`InFlightTracker`] the load that this instance and its peers have in flight. Header names
 //! come from [`HeaderNames`], so that this module is independent of a deployment's wire format.
 
+mod attempt_failure;
 mod body_framing;
 mod connection_body;
 mod engine_spec;
@@ -30,9 +31,11 @@
 mod runner_attempts;
 mod runner_notices;
 mod runner_placement;
+mod runner_streams;
 mod runner_versions;
 mod stated_load;
 mod stream_end;
+mod stream_hooks;
 mod stream_splitter;
 mod tracked_body;
 mod upstream_attempt;
@@ -41,7 +44,9 @@
 mod upstream_notice;
 mod upstream_pace;
 mod upstream_pool;
+mod upstream_response;
 
+pub use attempt_failure::AttemptFailure;
 pub use body_framing::BodyFraming;
 pub use connection_body::ConnectionBody;
 pub use engine_spec::{EngineSpec, ModelSpec};
@@ -62,11 +67,12 @@
 pub use route_set::{CallerLimits, RouteSet};
 pub use stated_load::StatedLoad;
 pub use stream_end::StreamEnd;
+pub use stream_hooks::StreamHooks;
 pub use stream_splitter::StreamSplitter;
 use tracked_body::TrackedBody;
-pub use upstream_attempt::{AttemptFailure, UpstreamResponse};
 pub use upstream_entry::UpstreamEntry;
 pub use upstream_health::{ScreenedUpstreams, UpstreamHealth};
 pub use upstream_notice::UpstreamNotice;
 pub use upstream_pace::{PaceEstimate, UpstreamPace};
 pub use upstream_pool::UpstreamPool;
+pub use upstream_response::UpstreamResponse;
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -7,33 +7,11 @@
 use http_body::{Body, Frame};
 use tokio::time::{Instant, Interval, MissedTickBehavior, interval_at};
 
-use super::{ConnectionBody, StreamEnd, StreamSplitter};
+use super::stream_hooks::ResumeFuture;
+use super::{ConnectionBody, StreamEnd, StreamHooks, StreamSplitter};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::UpstreamId;
 
-/// Opens the rest of a stream after the event with the given id, or the whole stream if no event
-/// was delivered.
-pub type ResumeCall = Box<dyn FnMut(Option<String>) -> ResumeFuture + Send>;
-
-/// Records how the stream of an upstream ended.
-pub type RecordEnd = Box<dyn Fn(&StreamEnd<'_>) + Send>;
-
-/// Records the time between two events of a stream from an upstream.
-pub type RecordGap = Box<dyn Fn(&UpstreamId, Duration) + Send>;
-
-/// The calls of a relayed stream to the parts that it belongs to.
-pub struct StreamHooks {
-    /// Resumes the stream; `None` if it can't be resumed.
-    pub resume: Option<ResumeCall>,
-    /// Is called at the end of the stream of each upstream.
-    pub record_end: RecordEnd,
-    /// Is called for each event after the first one of an upstream.
-    pub record_gap: RecordGap,
-}
-
-/// Resolves to the body with the rest of a stream.
-pub type ResumeFuture = Pin<Box<dyn Future<Output = Result<ConnectionBody>> + Send>>;
-
 /// Relays a stream of events and resumes it at another upstream when it breaks or stalls.
 ///
 /// An incomplete event is held back until the rest arrives, unless it is longer than
@@ -66,14 +44,6 @@
 /// that.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1100);
 
-impl fmt::Debug for StreamHooks {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("StreamHooks")
-            .field("is_resumable", &self.resume.is_some())
-            .finish_non_exhaustive()
-    }
-}
-
 impl RelayBody {
     /// Creates a relay of `body`.
     #[must_use]
--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -12,77 +12,9 @@
 use super::forward_head::{millis_value, strip_hop_headers};
 use super::upstream_pool::PooledConnection;
 use super::{
-    BodyFraming, ConnectionBody, HeaderNames, InFlightLoad, InFlightTracker, ModelRef, StatedLoad,
-    UpstreamEntry, UpstreamNotice, UpstreamPool,
+    AttemptFailure, BodyFraming, ConnectionBody, HeaderNames, InFlightLoad, InFlightTracker,
+    ModelRef, StatedLoad, UpstreamEntry, UpstreamNotice, UpstreamPool, UpstreamResponse,
 };
-use crate::error::RunState;
-
-/// A response of an upstream that can be forwarded to the caller.
-#[derive(Debug)]
-pub struct UpstreamResponse {
-    /// The HTTP status. A response that states that the request did not run is reported as
-    /// [`AttemptFailure::NotRun`] instead.
-    pub status: StatusCode,
-    /// The headers, without hop-by-hop headers.
-    pub headers: HeaderMap,
-    /// The body, which holds the connection and keeps the request counted as in flight.
-    pub body: ConnectionBody,
-    /// Whether the response carries the signature header of an upstream.
-    pub is_signed: bool,
-    /// Whether the response is a successful event stream. A success without a content type counts as
-    /// one.
-    pub is_event_stream: bool,
-    /// The time from the start of the attempt until it had a connection.
-    pub connect_time: Duration,
-    /// The load that the upstream states; `None` if it states none or an implausible one.
-    pub load: Option<StatedLoad>,
-    /// Whether the upstream states a load that is malformed or implausible.
-    pub is_load_ignored: bool,
-}
-
-/// Why an attempt yielded no response that can be forwarded.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AttemptFailure {
-    /// No byte of the request was written, for example because connecting failed.
-    NotSent(String),
-    /// The upstream has meanwhile said that it wants no such request, which was therefore not sent.
-    Withheld,
-    /// The upstream refused to run the request and responded with this status.
-    NotRun(StatusCode),
-    /// The upstream refused the request with this status without stating that it did not run.
-    Unconfirmed(StatusCode),
-    /// The connection failed after the request was sent.
-    Broken(String),
-    /// The response head did not arrive in time.
-    TimedOut,
-    /// A newer version of the adapter was announced and the response head did not arrive soon after.
-    Outdated,
-    /// The response belongs to another attempt, or lacks a signature or attempt id.
-    Mismatch(String),
-}
-
-impl AttemptFailure {
-    /// Returns whether the request certainly did not run.
-    #[must_use]
-    pub const fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Withheld | Self::NotRun(_))
-    }
-
-    /// Returns the name of the failure in logs and metrics.
-    #[must_use]
-    pub const fn as_str(&self) -> &'static str {
-        match self {
-            Self::NotSent(_) => "not_sent",
-            Self::Withheld => "withheld",
-            Self::NotRun(_) => "not_run",
-            Self::Unconfirmed(_) => "unconfirmed",
-            Self::Broken(_) => "broken",
-            Self::TimedOut => "timed_out",
-            Self::Outdated => "outdated",
-            Self::Mismatch(_) => "mismatch",
-        }
-    }
-}
 
 /// The parts of a request that are the same for each attempt.
 #[derive(Debug, Clone)]
@@ -322,13 +254,3 @@
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
-
-impl From<&AttemptFailure> for RunState {
-    fn from(failure: &AttemptFailure) -> Self {
-        if failure.is_not_run() {
-            Self::NotRun
-        } else {
-            Self::Unknown
-        }
-    }
-}
