Log the incarnation of readmitted upstreams, and successors of those that left

The end stated no incarnation, and that the successor of an upstream that left is used had no line at all.

The mark of the incarnation that left stays, for late records of it. The choice of upstreams is the same. In the property test a success now names its incarnation; its checks are unchanged.

--- a/src/forward/notice_recorder.rs
+++ b/src/forward/notice_recorder.rs
@@ -5,6 +5,7 @@
 use super::forward_run::millis;
 use super::{UpstreamEntry, UpstreamHealth, UpstreamNotice};
 use crate::id::UpstreamId;
+use crate::policy::{StandingCause, StandingEnd};
 use crate::telemetry::{LogEvent, LogName, MetricName, MetricSink};
 use crate::time::ClockSource;
 
@@ -45,24 +46,24 @@
             count("doubtful_pause");
         }
         if notice.is_leaving {
-            count("leaving");
+            count(StandingCause::Leaving.as_str());
             if self.health.record_leaving(entry, now) {
-                log_avoided(entry, "leaving", Duration::ZERO);
+                log_avoided(entry, StandingCause::Leaving, Duration::ZERO);
             }
         }
         if let Some(pause) = notice.pause {
-            count("pause");
+            count(StandingCause::Pause.as_str());
             let return_point = (self.return_point)(&entry.id);
             if self.health.record_pause(entry, pause, return_point, now) {
-                log_avoided(entry, "pause", pause);
+                log_avoided(entry, StandingCause::Pause, pause);
             }
         }
     }
 
     /// Records a response other than a server error.
-    pub(super) fn record_success(&self, upstream: &UpstreamId) {
-        if let Some(age) = self.health.record_success(upstream, self.clock.now()) {
-            log_readmitted(upstream, "pause", age);
+    pub(super) fn record_success(&self, entry: &UpstreamEntry) {
+        if let Some(end) = self.health.record_success(entry, self.clock.now()) {
+            log_readmitted(entry, end);
         }
     }
 
@@ -72,19 +73,20 @@
     }
 }
 
-fn log_avoided(entry: &UpstreamEntry, cause: &str, pause: Duration) {
+fn log_avoided(entry: &UpstreamEntry, cause: StandingCause, pause: Duration) {
     LogEvent::new(LogName::UpstreamAvoided)
         .with("upstream", &entry.id)
-        .with("cause", cause)
+        .with("cause", cause.as_str())
         .with_count("incarnation", entry.incarnation)
         .with_count("pause_ms", millis(pause))
         .send();
 }
 
-fn log_readmitted(upstream: &UpstreamId, cause: &str, age: Duration) {
+fn log_readmitted(entry: &UpstreamEntry, end: StandingEnd) {
     LogEvent::new(LogName::UpstreamReadmitted)
-        .with("upstream", upstream)
-        .with("cause", cause)
-        .with_count("age_ms", millis(age))
+        .with("upstream", &entry.id)
+        .with("cause", end.cause.as_str())
+        .with_count("incarnation", entry.incarnation)
+        .with_count("age_ms", millis(end.age))
         .send();
 }
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -311,7 +311,7 @@
             self.pace.record_stated(&chosen.entry.id, slowdown, now);
         }
         if !response.status.is_server_error() {
-            self.notices.record_success(&chosen.entry.id);
+            self.notices.record_success(&chosen.entry);
             return Some(response);
         }
         self.health.record_failure(&chosen.entry.id, now);
--- a/src/forward/upstream_health.rs
+++ b/src/forward/upstream_health.rs
@@ -4,7 +4,7 @@
 
 use super::UpstreamEntry;
 use crate::id::UpstreamId;
-use crate::policy::{StandingVerdict, UpstreamStanding};
+use crate::policy::{StandingEnd, StandingVerdict, UpstreamStanding};
 
 /// What this instance knows about upstreams from the outcomes of its own requests and from what they
 /// state in their responses.
@@ -61,14 +61,14 @@
 
     /// Records a response other than a server error: ends the backoff and reduces the failures.
     ///
-    /// Returns how long the upstream was avoided if the response ends a pause.
-    pub fn record_success(&self, upstream: &UpstreamId, now: Duration) -> Option<Duration> {
+    /// Returns what has ended if the upstream was avoided because of its own statement until now.
+    pub fn record_success(&self, entry: &UpstreamEntry, now: Duration) -> Option<StandingEnd> {
         let mut records = self.lock();
-        let record = records.get_mut(upstream)?;
+        let record = records.get_mut(&entry.id)?;
         record.consecutive_outages = 0;
         record.avoid_until = Duration::ZERO;
         record.failures *= 0.9;
-        record.standing.record_success(now)
+        record.standing.record_success(entry.incarnation, now)
     }
 
     /// Records a server error, a refusal or an invalid response.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -64,5 +64,5 @@
     ChoiceDraws, UpstreamOption, choose_upstream, extra_replicas, sample_upstream,
 };
 pub use upstream_scheduler::UpstreamScheduler;
-pub use upstream_standing::{StandingVerdict, UpstreamStanding};
+pub use upstream_standing::{StandingCause, StandingEnd, StandingVerdict, UpstreamStanding};
 pub use work_item::WorkItem;
--- a/src/policy/upstream_standing.rs
+++ b/src/policy/upstream_standing.rs
@@ -14,6 +14,8 @@
 struct LeavingMark {
     incarnation: u64,
     since: Duration,
+    /// Whether a newer incarnation has responded. The mark is kept for late records of this one.
+    is_replaced: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,6 +27,24 @@
     trial_at: Option<Duration>,
 }
 
+/// Why an upstream gets no requests, as far as its own statements go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StandingCause {
+    /// It leaves.
+    Leaving,
+    /// It wants no requests for a time.
+    Pause,
+}
+
+/// The end of a time in which an upstream got no requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StandingEnd {
+    /// Why it got none.
+    pub cause: StandingCause,
+    /// The time since it began.
+    pub age: Duration,
+}
+
 /// Whether an upstream may receive a request, as far as its own statements go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StandingVerdict {
@@ -42,6 +62,17 @@
 /// Healthy upstreams answer within this time.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
+impl StandingCause {
+    /// Returns the name of the cause in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Pause => "pause",
+        }
+    }
+}
+
 impl UpstreamStanding {
     /// Records that an incarnation of the upstream leaves; returns whether this was not known.
     pub fn record_leaving(&mut self, incarnation: u64, now: Duration) -> bool {
@@ -52,6 +83,7 @@
             self.leaving = Some(LeavingMark {
                 incarnation,
                 since: now,
+                is_replaced: false,
             });
         }
         is_new
@@ -76,13 +108,27 @@
         former.is_none()
     }
 
-    /// Records a successful response; returns how long the upstream was avoided if this ends a pause.
+    /// Records a successful response of an incarnation; returns what has ended, if this ends a pause or
+    /// is the first one of the successor of an incarnation that left.
     ///
     /// A success during the pause may belong to a request that was sent before it, and ends nothing.
-    pub fn record_success(&mut self, now: Duration) -> Option<Duration> {
-        let mark = self.pause.filter(|mark| now >= mark.until)?;
-        self.pause = None;
-        Some(now.saturating_sub(mark.since))
+    pub fn record_success(&mut self, incarnation: u64, now: Duration) -> Option<StandingEnd> {
+        if let Some(mark) = self.pause.filter(|mark| now >= mark.until) {
+            self.pause = None;
+            return Some(StandingEnd {
+                cause: StandingCause::Pause,
+                age: now.saturating_sub(mark.since),
+            });
+        }
+        let mark = self.leaving.as_mut()?;
+        if mark.is_replaced || incarnation <= mark.incarnation {
+            return None;
+        }
+        mark.is_replaced = true;
+        Some(StandingEnd {
+            cause: StandingCause::Leaving,
+            age: now.saturating_sub(mark.since),
+        })
     }
 
     /// Returns whether an incarnation of the upstream may receive a request at the time `now`.
--- a/tests/forward/standing.rs
+++ b/tests/forward/standing.rs
@@ -74,7 +74,7 @@
     let (old, new) = (entry("d-1", 7), entry("d-1", 8));
 
     health.record_leaving(&old, at(0));
-    health.record_success(&old.id, at(10));
+    health.record_success(&old, at(10));
 
     assert_eq!(usable(&health, &[&new], at(5000), at(5000)), ["d-1"]);
     assert!(usable(&health, &[&old], at(5000), at(5000)).is_empty());
@@ -134,7 +134,7 @@
     Advance(u64),
     Leave(u64),
     Pause(u64, u64),
-    Success,
+    Success(u64),
     Send(u64),
 }
 
@@ -144,7 +144,7 @@
         1 => (1000..8000_u64).prop_map(StandingEvent::Advance),
         1 => (1..3_u64).prop_map(StandingEvent::Leave),
         2 => (1..3_u64, 0..4000_u64).prop_map(|(incarnation, pause)| StandingEvent::Pause(incarnation, pause)),
-        2 => Just(StandingEvent::Success),
+        2 => (1..3_u64).prop_map(StandingEvent::Success),
         8 => (1..3_u64).prop_map(StandingEvent::Send),
     ];
     prop::collection::vec(event, 1..80)
@@ -179,7 +179,9 @@
                     standing.record_pause(incarnation, now + at(millis), now);
                     pauses.push((incarnation, now, now + at(millis)));
                 }
-                StandingEvent::Success => drop(standing.record_success(now)),
+                StandingEvent::Success(incarnation) => {
+                    standing.record_success(incarnation, now);
+                }
                 StandingEvent::Send(incarnation) => {
                     let verdict = standing.verdict(incarnation, now);
                     if incarnation <= left {
