--- a/src/forward/upstream_response.rs
+++ b/src/forward/upstream_response.rs
@@ -9,7 +9,7 @@
 #[derive(Debug)]
 pub struct UpstreamResponse {
     /// The HTTP status. A response that states that the request did not run is reported as
-    /// [`AttemptFailure::NotRun`] instead.
+    /// [`AttemptFailure::NotRun`](super::AttemptFailure::NotRun) instead.
     pub status: StatusCode,
     /// The headers, without hop-by-hop headers.
     pub headers: HeaderMap,
