Count crashes of upstreams wherever a response breaks off

What callers saw: a request that crashes its upstreams was sent to further ones without a limit, if its plain answer broke off after the head, or if its stream had been silent and broke off while it was being resumed elsewhere.

Cause: a crash after the head was counted by the relay of streams alone, and there only while it read the body as its source. Plain bodies are not relayed by it, and a stalled body is read beside the resumption.

The body of a response now counts its own end, whoever reads it, by a CrashRecorder that an accepted response gets. The relay adds the one case that the framing does not show, a stream that ends within an event. Refused responses get none, as their request has not run. Ruled out as crashes, as before: links that time out and hosts that can't be reached.

--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::upstream_pool::PooledConnection;
-use super::{BodyFraming, InFlightLoad, InFlightTracker, ModelRef};
+use super::{BodyFraming, CrashRecorder, InFlightLoad, InFlightTracker, ModelRef};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::UpstreamId;
 
@@ -25,6 +25,8 @@
     connection: Option<PooledConnection>,
     idle: Option<Duration>,
     guard: InFlightGuard,
+    /// Counts a response that is cut off as a crash; `None` if it is not a response of a run.
+    crashes: Option<CrashRecorder>,
     deadline: Pin<Box<Sleep>>,
 }
 
@@ -94,6 +96,7 @@
             connection: Some(connection),
             idle,
             guard,
+            crashes: None,
             deadline: Box::pin(sleep_until(deadline)),
         };
         // Without a body, the response is already complete, and it may never be polled.
@@ -113,6 +116,19 @@
         self.framing
     }
 
+    /// Counts a crash of the upstream if the response is cut off from now on.
+    pub(super) fn count_crashes(&mut self, crashes: CrashRecorder) {
+        self.crashes = Some(crashes);
+    }
+
+    /// Counts a crash of the upstream, whose response is cut off although its framing does not show
+    /// it.
+    pub(super) fn record_crash(&self) {
+        if let Some(crashes) = &self.crashes {
+            crashes.record_crash();
+        }
+    }
+
     /// Closes the connection after this response instead of reusing it.
     pub(super) fn close_after_use(&mut self) {
         self.idle = Some(Duration::ZERO);
@@ -152,9 +168,11 @@
             }
             Some(Err(error)) => {
                 this.connection = None;
+                // A link that was cut says nothing about the request.
                 let kind = if is_lost_link(&error) {
                     ErrorKind::Unavailable
                 } else {
+                    this.record_crash();
                     ErrorKind::Truncated
                 };
                 Poll::Ready(Some(Err(Error::new(kind, error.to_string()))))
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod attempt_failure;
 mod body_framing;
 mod connection_body;
+mod crash_recorder;
 mod engine_spec;
 mod fleet_state;
 mod forward_head;
@@ -49,6 +50,7 @@
 pub use attempt_failure::AttemptFailure;
 pub use body_framing::BodyFraming;
 pub use connection_body::ConnectionBody;
+use crash_recorder::CrashRecorder;
 pub use engine_spec::{EngineSpec, ModelSpec};
 pub use fleet_state::FleetState;
 pub use forward_head::ForwardHead;
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -146,7 +146,7 @@
             // The body has ended; polling it as the source yields the end again.
             Poll::Ready(None) => has_progress = true,
             Poll::Ready(Some(Err(error))) => {
-                log::debug!("stalled stream failed while it was being resumed: {error}");
+                (self.hooks.record_end)(&stream_end(&body, &self.splitter, Some(&error)));
                 return Poll::Pending;
             }
         }
@@ -229,6 +229,7 @@
                     });
                     (this.hooks.record_end)(&stream_end(body, &this.splitter, fault.as_ref()));
                     if let Some(error) = fault {
+                        body.record_crash();
                         if let Err(error) = this.replace_broken(error) {
                             return Poll::Ready(Some(Err(error)));
                         }
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -11,8 +11,8 @@
 use super::request_runner::lock;
 use super::upstream_attempt::{AttemptHooks, AttemptPlan, send_attempt};
 use super::{
-    AttemptFailure, RelayBody, ReplyBody, RequestRunner, RouteKind, StreamHooks, UpstreamEntry,
-    UpstreamResponse,
+    AttemptFailure, CrashRecorder, RelayBody, ReplyBody, RequestRunner, RouteKind, StreamHooks,
+    UpstreamEntry, UpstreamResponse,
 };
 use crate::policy::RetryBudget;
 use crate::telemetry::{LogEvent, LogName, MetricName};
@@ -71,7 +71,10 @@
             is_repeat,
             last_event,
         };
-        let outcome = self.send(run, &plan, can_repeat).await;
+        let mut outcome = self.send(run, &plan, can_repeat).await;
+        if let Ok(response) = &mut outcome {
+            response.body.count_crashes(self.crash_recorder(run));
+        }
         if matches!(outcome, Err(AttemptFailure::Withheld)) {
             run.attempts -= 1;
             run.tried.pop();
@@ -148,7 +151,7 @@
             }
             AttemptFailure::Broken(_) => {
                 self.health.record_unreachable(upstream, now);
-                lock(&self.suspects).record_crash(run.fingerprint, now);
+                self.crash_recorder(run).record_crash();
             }
         }
         let service = &run.service.name;
@@ -163,6 +166,14 @@
             .send();
     }
 
+    fn crash_recorder(&self, run: &ForwardRun) -> CrashRecorder {
+        CrashRecorder {
+            suspects: Arc::clone(&self.suspects),
+            clock: self.clock.clone(),
+            fingerprint: run.fingerprint,
+        }
+    }
+
     pub(super) fn may_retry(&self, run: &ForwardRun, failure: &AttemptFailure) -> bool {
         let may_repeat = failure.is_not_run() || run.route.is_repeatable();
         // Attempts that did not reach an upstream may exceed the route's maximum.
--- a/src/forward/runner_streams.rs
+++ b/src/forward/runner_streams.rs
@@ -14,20 +14,13 @@
 
 /// The ends, gaps and resumption of relayed streams.
 impl RequestRunner {
-    /// Returns a call that counts and logs how a stream ended, and counts a broken one as a crash
-    /// which the request may have caused.
+    /// Returns a call that counts and logs how a stream ended.
     pub(super) fn record_end_call(self: Arc<Self>, run: &ForwardRun) -> RecordEnd {
-        let fingerprint = run.fingerprint;
         let service = Arc::clone(&run.service);
         let attempt = run.parts.attempt.clone();
         Box::new(move |end| {
             self.metrics
                 .add(MetricName::StreamEnds, &service.name, end.as_str(), 1);
-            // A link that was cut says nothing about the request.
-            if end.fault.map(Error::kind) == Some(ErrorKind::Truncated) {
-                let now = self.clock.now();
-                lock(&self.suspects).record_crash(fingerprint, now);
-            }
             if let Some(fault) = end.fault {
                 log_truncated(&attempt, end, fault);
             }
