Check the crashes of a request before each attempt

What callers saw: a request that had crashed three upstreams reached a fourth one as the retry of its third crash, or after it had waited for a load or a connection while other instances counted the third.

Cause: the verdict was looked up when a request arrived and before a resumption, and not again after the waits between.

The verdict is now checked where an upstream is chosen, when the request is about to be written, and before a retry is charged to the budget. A request that may have run is answered 502 then, any other one 503.

Before: crashes::request_that_crashes_a_third_upstream_is_not_retried counted 4 requests at the upstreams in place of 3. After: 3; the 37 tests of crashes, plain and doubtful_answers pass.

--- a/src/forward/local_response.rs
+++ b/src/forward/local_response.rs
@@ -25,6 +25,9 @@
 /// `Retry-After` of a request that another instance can accept immediately.
 pub(super) const RETRY_AFTER_SHUTDOWN: Duration = Duration::from_millis(50);
 
+/// `Retry-After` of a request that has crashed too many upstreams. It stays refused for minutes.
+pub(super) const RETRY_AFTER_CRASH: Duration = Duration::from_secs(5);
+
 /// Returns the response after the last attempt has failed.
 ///
 /// The status is 503 only if certainly no attempt ran, because callers take a 503 to mean that the
@@ -43,6 +46,17 @@
     }
 }
 
+impl LocalResponse {
+    /// Returns the response for a request that may have run, which must not be told otherwise.
+    pub(super) const fn after_run(self, may_have_run: bool) -> Self {
+        if may_have_run {
+            reject(StatusCode::BAD_GATEWAY, self.reason)
+        } else {
+            self
+        }
+    }
+}
+
 pub(super) const fn reject(status: StatusCode, reason: &'static str) -> LocalResponse {
     LocalResponse {
         status,
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -25,7 +25,7 @@
     InFlightLoad, InFlightTracker, NoticeRecorder, ReplyBody, RouteKind, UpstreamHealth,
     UpstreamPace, UpstreamPool, UpstreamResponse,
 };
-use crate::policy::{RetryBudget, SuspectList, SuspectVerdict};
+use crate::policy::{RetryBudget, SuspectList};
 use crate::residency::{LoadClient, ResidencyDirectory};
 use crate::telemetry::{MetricName, MetricSink};
 use crate::time::ClockSource;
@@ -248,11 +248,8 @@
 
     async fn forward(self: &Arc<Self>, mut run: ForwardRun) -> Response<ReplyBody> {
         let now = self.clock.now();
-        if lock(&self.suspects).verdict(run.fingerprint, now) == SuspectVerdict::Refused {
-            return self.refuse(
-                &run,
-                unavailable("crashed upstreams", Duration::from_secs(5)),
-            );
+        if let Some(refusal) = self.crash_refusal(&run) {
+            return self.refuse(&run, refusal);
         }
         self.budget(&run.service.name, |budget| budget.earn(now));
         self.metrics
@@ -261,11 +258,7 @@
         loop {
             let chosen = match self.place(&mut run).await {
                 Ok(chosen) => chosen,
-                Err(response) if may_have_run => {
-                    let failed = reject(StatusCode::BAD_GATEWAY, response.reason);
-                    return self.refuse(&run, failed);
-                }
-                Err(response) => return self.refuse(&run, response),
+                Err(response) => return self.refuse(&run, response.after_run(may_have_run)),
             };
             let failure = match self.attempt(&mut run, &chosen, None).await {
                 Ok(response) => {
@@ -282,6 +275,9 @@
             self.record_failure(&run, &chosen, &failure);
             may_have_run |= !failure.is_not_run();
             // A retry that can't be sent would be charged to the retry budget.
+            if let Some(refusal) = self.crash_refusal(&run) {
+                return self.refuse(&run, refusal.after_run(may_have_run));
+            }
             if !may_have_run && let Some(refusal) = self.pause_refusal(&run) {
                 return self.refuse(&run, refusal);
             }
@@ -318,6 +314,7 @@
         let may_retry = run.route.is_repeatable()
             && run.attempts < run.route.max_attempts
             && Instant::now() < run.deadline
+            && self.crash_refusal(run).is_none()
             && self.has_other_upstream(run)
             && self.spend_retry(&run.service.name);
         if may_retry {
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -7,14 +7,14 @@
 use tokio::time::{Instant, timeout};
 
 use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
-use super::local_response::LocalResponse;
+use super::local_response::{LocalResponse, RETRY_AFTER_CRASH, unavailable};
 use super::request_runner::lock;
 use super::upstream_attempt::{AttemptHooks, AttemptPlan, send_attempt};
 use super::{
     AttemptFailure, CrashRecorder, RelayBody, ReplyBody, RequestRunner, RouteKind, StreamHooks,
     UpstreamEntry, UpstreamResponse,
 };
-use crate::policy::RetryBudget;
+use crate::policy::{RetryBudget, SuspectVerdict};
 use crate::telemetry::{LogEvent, LogName, MetricName};
 
 /// Pause before the next attempt after an upstream refused a request without running it, for
@@ -166,6 +166,13 @@
             .send();
     }
 
+    /// Returns the refusal of a request that has crashed too many upstreams.
+    pub(super) fn crash_refusal(&self, run: &ForwardRun) -> Option<LocalResponse> {
+        let verdict = lock(&self.suspects).verdict(run.fingerprint, self.clock.now());
+        (verdict == SuspectVerdict::Refused)
+            .then(|| unavailable("crashed upstreams", RETRY_AFTER_CRASH))
+    }
+
     fn crash_recorder(&self, run: &ForwardRun) -> CrashRecorder {
         CrashRecorder {
             suspects: Arc::clone(&self.suspects),
--- a/src/forward/runner_notices.rs
+++ b/src/forward/runner_notices.rs
@@ -35,6 +35,9 @@
     /// Returns whether an upstream may receive a request that is about to be sent. One that leaves may
     /// only receive it if no other upstream may.
     pub(super) fn admit(&self, run: &ForwardRun, entry: &UpstreamEntry) -> bool {
+        if self.crash_refusal(run).is_some() {
+            return false;
+        }
         let now = self.clock.now();
         match self.health.begin_attempt(entry, now) {
             StandingVerdict::Open | StandingVerdict::Trial => true,
--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -50,6 +50,9 @@
             if Instant::now() >= run.deadline {
                 return Err(unavailable("no time is left", RETRY_AFTER_LOAD));
             }
+            if let Some(refusal) = self.crash_refusal(run) {
+                return Err(refusal);
+            }
             let chosen = self.choose(run)?;
             let Some(model) = run.parts.model.as_ref().filter(|_| !chosen.is_resident) else {
                 if self.should_hold(run, &chosen) {
--- a/src/forward/runner_streams.rs
+++ b/src/forward/runner_streams.rs
@@ -4,12 +4,10 @@
 use tokio::time::Instant;
 
 use super::forward_run::ForwardRun;
-use super::request_runner::lock;
 use super::stream_hooks::{RecordEnd, RecordGap, ResumeCall};
 use super::upstream_attempt::drain;
 use super::{AttemptFailure, ConnectionBody, RequestRunner, StreamEnd};
 use crate::error::{Error, ErrorKind};
-use crate::policy::SuspectVerdict;
 use crate::telemetry::{LogEvent, LogName, MetricName};
 
 /// The ends, gaps and resumption of relayed streams.
@@ -59,9 +57,8 @@
         }
         run.arrived = Instant::now();
         while run.attempts <= run.route.max_attempts {
-            let verdict = lock(&self.suspects).verdict(run.fingerprint, self.clock.now());
-            if verdict == SuspectVerdict::Refused {
-                return Err(fail("crashed upstreams"));
+            if let Some(refusal) = self.crash_refusal(run) {
+                return Err(fail(refusal.reason));
             }
             if !self.spend_retry(&run.service.name) {
                 return Err(fail("the retry budget is spent"));
