Stop sending requests that outlast a planned stop

What callers saw (in the tests): in a planned stop, streams that came six seconds after SIGTERM in a grace period of twelve were taken, passed on and cut off at the exit, also such that may run only once. So were streams that had come earlier and waited for a load until late in a grace period of eight seconds.

Cause: a stream was accepted as long as five seconds, within which nearly all streams end, were left before the exit, however long ago the load balancer had stopped to send callers; and this was checked at the arrival alone, not after the waits for a load, a connection or a retry. Plain requests were and are accepted only if their deadline lies before the exit.

ShutdownPlan now states until when what may be sent: for the first three seconds, in which the balancer still sends callers, streams that probably end in time, and after that only requests whose deadline lies before the exit. A stream that is resumed goes on up to the exit.

--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -37,6 +37,8 @@
     pub(super) hold_wait: Duration,
     /// Whether the request was sent to an upstream that has not stated that it did not run it.
     pub(super) was_sent: Arc<AtomicBool>,
+    /// Whether the caller has got a part of the response, and a further upstream goes on with it.
+    pub(super) is_resuming: bool,
 }
 
 /// The upstream chosen for a request, and whether the requested adapter is resident there.
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -22,8 +22,8 @@
 use super::upstream_attempt::{RequestParts, drain};
 use super::{
     AttemptFailure, FleetState, ForwardHead, ForwardRoute, ForwardSettings, HeaderNames,
-    InFlightLoad, InFlightTracker, NoticeRecorder, ReplyBody, RouteKind, UpstreamHealth,
-    UpstreamPace, UpstreamPool, UpstreamResponse,
+    InFlightLoad, InFlightTracker, NoticeRecorder, ReplyBody, RouteKind, ShutdownPlan,
+    UpstreamHealth, UpstreamPace, UpstreamPool, UpstreamResponse,
 };
 use crate::policy::{RetryBudget, SuspectList};
 use crate::residency::{LoadClient, ResidencyDirectory};
@@ -60,8 +60,8 @@
     pub metrics: MetricSink,
     /// Retry budgets by service.
     pub budgets: Mutex<BTreeMap<String, RetryBudget>>,
-    /// The time at which this process exits, or `None` while it is not shutting down.
-    pub shutdown_deadline: watch::Sender<Option<Instant>>,
+    /// What may still be sent before this process exits, or `None` while it is not shutting down.
+    pub shutdown: watch::Sender<Option<ShutdownPlan>>,
 }
 
 impl std::fmt::Debug for RequestRunner {
@@ -72,17 +72,15 @@
     }
 }
 
-/// Time within which nearly all streams complete, from the request to the last event.
-const TYPICAL_STREAM_DURATION: Duration = Duration::from_secs(5);
-
 /// Time before the exit of this process at which requests without a response are answered.
 const EXIT_MARGIN: Duration = Duration::from_millis(200);
 
 impl RequestRunner {
     /// Rejects requests from now on that might not complete before this process exits, and answers
     /// those that are still without a response shortly before.
-    pub fn set_shutdown_deadline(&self, shutdown_deadline: Instant) {
-        self.shutdown_deadline.send_replace(Some(shutdown_deadline));
+    pub fn begin_shutdown(&self, exit: Instant) {
+        let plan = ShutdownPlan::new(Instant::now(), exit);
+        self.shutdown.send_replace(Some(plan));
     }
 
     /// Forwards one request and returns the response for the caller.
@@ -107,15 +105,22 @@
 
     /// Waits until requests without a response must be answered, because this process exits.
     async fn wait_for_exit(&self) {
-        let mut shutdown = self.shutdown_deadline.subscribe();
-        // The wait can't fail, because this runner owns the sender.
-        let _is_stopping = shutdown.wait_for(Option::is_some).await.is_ok();
-        let deadline = *shutdown.borrow();
-        if let Some(deadline) = deadline {
-            sleep_until(deadline - EXIT_MARGIN).await;
+        if let Some(plan) = self.wait_for_shutdown().await {
+            sleep_until(plan.exit() - EXIT_MARGIN).await;
         }
     }
 
+    /// Waits until this process shuts down.
+    pub(super) async fn wait_for_shutdown(&self) -> Option<ShutdownPlan> {
+        let mut shutdown = self.shutdown.subscribe();
+        // The wait can't fail, because this runner owns the sender.
+        shutdown
+            .wait_for(Option::is_some)
+            .await
+            .ok()
+            .and_then(|plan| *plan)
+    }
+
     /// Answers a request; `was_sent` is set while it may have run at an upstream.
     async fn respond(
         self: &Arc<Self>,
@@ -151,7 +156,9 @@
         let route = find_route(&routes, &head)?;
         let parsed = ForwardHead::from_headers(&head.headers, &self.names)
             .map_err(|_error| reject(StatusCode::BAD_REQUEST, "a header is malformed"))?;
-        if !self.can_finish_before_shutdown(&route, arrived) {
+        let allowed = parsed.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived + allowed;
+        if !self.can_finish_before_shutdown(&route, deadline, arrived) {
             return Err(unavailable("shutting down", RETRY_AFTER_SHUTDOWN));
         }
         let limit = routes.limits().body_bytes;
@@ -161,8 +168,6 @@
                 "the body is too long",
             ));
         }
-        let allowed = parsed.deadline.unwrap_or(route.timeout).min(route.timeout);
-        let deadline = arrived + allowed;
         let body = match timeout_at(deadline, Limited::new(body, limit).collect()).await {
             Err(_) => {
                 return Err(reject(
@@ -198,21 +203,22 @@
             load_wait: Duration::ZERO,
             hold_wait: Duration::ZERO,
             was_sent: Arc::default(),
+            is_resuming: false,
         })
     }
 
     /// Returns whether a request that arrives now can complete before this process exits.
-    ///
-    /// The load balancer keeps sending new callers for some seconds after the shutdown has begun. A
-    /// stream that is cut off at exit costs the caller more than an immediate rejection.
-    fn can_finish_before_shutdown(&self, route: &ForwardRoute, arrived: Instant) -> bool {
-        let need = match route.kind {
-            RouteKind::Stream => route.timeout.min(TYPICAL_STREAM_DURATION),
-            RouteKind::Idempotent | RouteKind::NonIdempotent => route.timeout,
-        };
-        self.shutdown_deadline
-            .borrow()
-            .is_none_or(|shutdown_deadline| arrived + need < shutdown_deadline)
+    fn can_finish_before_shutdown(
+        &self,
+        route: &ForwardRoute,
+        deadline: Instant,
+        now: Instant,
+    ) -> bool {
+        let plan = *self.shutdown.borrow();
+        plan.is_none_or(|plan| match route.kind {
+            RouteKind::Stream => plan.may_send(deadline, now),
+            RouteKind::Idempotent | RouteKind::NonIdempotent => plan.fits(deadline),
+        })
     }
 
     fn request_parts(
--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -50,7 +50,10 @@
             if Instant::now() >= run.deadline {
                 return Err(unavailable("no time is left", RETRY_AFTER_LOAD));
             }
-            if let Some(refusal) = self.crash_refusal(run) {
+            if let Some(refusal) = self
+                .crash_refusal(run)
+                .or_else(|| self.shutdown_refusal(run))
+            {
                 return Err(refusal);
             }
             let chosen = self.choose(run)?;
@@ -79,7 +82,10 @@
                 },
             );
             let requested = Instant::now();
-            let loaded = timeout_at(until - LOAD_MARGIN / 2, request).await;
+            let loaded = tokio::select! {
+                loaded = timeout_at(until - LOAD_MARGIN / 2, request) => loaded,
+                () = self.wait_for_cutoff(run) => continue,
+            };
             run.load_wait += requested.elapsed();
             match loaded {
                 // During the load, the upstream may have started to drain, or a newer version may
--- a/src/forward/runner_streams.rs
+++ b/src/forward/runner_streams.rs
@@ -56,6 +56,7 @@
             self.health.record_unreachable(broken, self.clock.now());
         }
         run.arrived = Instant::now();
+        run.is_resuming = true;
         while run.attempts <= run.route.max_attempts {
             if let Some(refusal) = self.crash_refusal(run) {
                 return Err(fail(refusal.reason));
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod pace;
 mod revision_lag;
 mod routes;
+mod shutdown_plan;
 mod splitter;
 mod standing;
 mod stated_load;
