Tell restarted instances which requests crashed upstreams

What callers saw (in the test): after an instance had seen a request crash three upstreams and was restarted, it sent the request on to three further ones, while its peers refused it.

Cause: an instance shares only the crashes that it observed itself, and a restart loses them; its peers remembered them, but told nobody. The class is that of what is in use again after a restart.

Instances now also share which fingerprints their totals refuse, to each process until it has acknowledged them. What peers refuse is not passed on, so that instances don't keep each other's entries alive: a refusal ends at most one message after the last count has expired. A full list evicts refused fingerprints last. If all instances end at once, the counts are lost as before.

Before: crashes::restarted_instance_refuses_what_it_saw_crash_upstreams failed.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -559,6 +559,9 @@
     /// reported before.
     #[prost(bool, tag = "14")]
     pub is_load_only: bool,
+    /// Fingerprints of requests that the sender refuses because they crashed too many upstreams.
+    #[prost(uint64, repeated, tag = "15")]
+    pub refused_suspects: Vec<u64>,
 }
 
 /// A failure domain that an instance owns.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -32,6 +32,7 @@
 mod scheduler_takeover;
 mod slot_state;
 mod suspect_list;
+mod suspect_report;
 mod suspect_verdict;
 mod upstream_choice;
 mod upstream_scheduler;
@@ -59,6 +60,7 @@
 pub use scheduler_config::SchedulerConfig;
 pub use slot_state::SlotState;
 pub use suspect_list::SuspectList;
+pub use suspect_report::SuspectReport;
 pub use suspect_verdict::SuspectVerdict;
 pub use upstream_choice::{
     ChoiceDraws, UpstreamOption, choose_upstream, extra_replicas, sample_upstream,
--- a/src/policy/suspect_list.rs
+++ b/src/policy/suspect_list.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::SuspectVerdict;
+use super::{SuspectReport, SuspectVerdict};
 use crate::id::InstanceId;
 
 /// Number of crashes at which a request is refused.
@@ -12,7 +12,8 @@
 /// Each instance shares only the counts of the crashes that it observed itself; the total of a
 /// fingerprint is the sum over all instances. Duplicate or reordered messages from peers therefore
 /// have no effect, and crashes observed by two instances at the same time add up. Entries expire
-/// and their number is bounded.
+/// and their number is bounded. Instances also share which fingerprints their totals refuse, for
+/// peers that have restarted and lost what they had observed.
 #[derive(Debug, Clone)]
 pub struct SuspectList {
     limit: usize,
@@ -24,6 +25,8 @@
 struct SuspectEntry {
     local: u32,
     by_peer: BTreeMap<InstanceId, u32>,
+    /// Whether a peer's totals refuse the fingerprint.
+    is_refused_by_peer: bool,
     last_crash_at: Duration,
 }
 
@@ -33,6 +36,15 @@
             .values()
             .fold(self.local, |sum, count| sum.saturating_add(*count))
     }
+
+    fn verdict(&self) -> SuspectVerdict {
+        match self.total() {
+            _ if self.is_refused_by_peer => SuspectVerdict::Refused,
+            0 => SuspectVerdict::Clear,
+            count if count < MAX_CRASHES => SuspectVerdict::Exclusive,
+            _ => SuspectVerdict::Refused,
+        }
+    }
 }
 
 impl SuspectList {
@@ -62,10 +74,32 @@
             .suspects
             .get(&fingerprint)
             .filter(|entry| now.saturating_sub(entry.last_crash_at) < self.expiry);
-        match entry.map_or(0, SuspectEntry::total) {
-            0 => SuspectVerdict::Clear,
-            count if count < MAX_CRASHES => SuspectVerdict::Exclusive,
-            _ => SuspectVerdict::Refused,
+        entry.map_or(SuspectVerdict::Clear, SuspectEntry::verdict)
+    }
+
+    /// Returns what to share with peers.
+    ///
+    /// Only counts make a fingerprint refused here: what peers refuse is not passed on, so that
+    /// instances don't keep each other's entries alive.
+    #[must_use]
+    pub fn report(&self, now: Duration) -> SuspectReport {
+        let live = self
+            .suspects
+            .iter()
+            .filter(|(_, entry)| now.saturating_sub(entry.last_crash_at) < self.expiry);
+        SuspectReport {
+            counts: self.local_counts(now),
+            refused: live
+                .filter(|(_, entry)| entry.total() >= MAX_CRASHES)
+                .map(|(fingerprint, _)| *fingerprint)
+                .collect(),
+        }
+    }
+
+    /// Merges the fingerprints that the totals of a peer refuse.
+    pub fn merge_refused(&mut self, fingerprints: &[u64], now: Duration) {
+        for fingerprint in fingerprints {
+            self.entry(*fingerprint, now).is_refused_by_peer = true;
         }
     }
 
@@ -110,8 +144,8 @@
         self.suspects.is_empty()
     }
 
-    /// Finds or adds an entry; a full list evicts the one with the fewest crashes, and of these the
-    /// one with the oldest last crash.
+    /// Finds or adds an entry; a full list evicts one that is not refused if there is one, with the
+    /// fewest crashes, and of these the one with the oldest last crash.
     fn entry(&mut self, fingerprint: u64, now: Duration) -> &mut SuspectEntry {
         let expiry = self.expiry;
         self.suspects
@@ -120,7 +154,10 @@
             let evicted = self
                 .suspects
                 .iter()
-                .min_by_key(|(_, entry)| (entry.total(), entry.last_crash_at))
+                .min_by_key(|(_, entry)| {
+                    let is_refused = entry.verdict() == SuspectVerdict::Refused;
+                    (is_refused, entry.total(), entry.last_crash_at)
+                })
                 .map(|(fingerprint, _)| *fingerprint);
             if let Some(evicted) = evicted {
                 self.suspects.remove(&evicted);
@@ -131,6 +168,7 @@
             .or_insert_with(|| SuspectEntry {
                 local: 0,
                 by_peer: BTreeMap::new(),
+                is_refused_by_peer: false,
                 last_crash_at: now,
             })
     }
--- a/src/residency/ack_tracker.rs
+++ b/src/residency/ack_tracker.rs
@@ -3,6 +3,7 @@
 use super::DigestedItem;
 use crate::id::InstanceId;
 use crate::peer::OwnedUpstream;
+use crate::policy::SuspectReport;
 
 /// Tracks the residency items and crash suspects that each peer has acknowledged, so that gossip
 /// messages do not repeat them in full.
@@ -13,9 +14,8 @@
 pub struct AckTracker {
     /// The digest of the acknowledged item, by peer and upstream.
     acked: BTreeMap<InstanceId, BTreeMap<String, u64>>,
-    /// The incarnation of each peer and the crash suspects that it has acknowledged: the number of
-    /// crashes by request fingerprint.
-    suspects: BTreeMap<InstanceId, (u64, BTreeMap<u64, u32>)>,
+    /// The incarnation of each peer and the crash suspects that it has acknowledged.
+    suspects: BTreeMap<InstanceId, (u64, SuspectReport)>,
 }
 
 impl AckTracker {
@@ -71,7 +71,7 @@
         &self,
         peer: &InstanceId,
         incarnation: u64,
-        suspects: &BTreeMap<u64, u32>,
+        suspects: &SuspectReport,
     ) -> bool {
         suspects.is_empty()
             || self
@@ -85,7 +85,7 @@
         &mut self,
         peer: &InstanceId,
         incarnation: u64,
-        suspects: BTreeMap<u64, u32>,
+        suspects: SuspectReport,
     ) {
         self.suspects.insert(peer.clone(), (incarnation, suspects));
     }
--- a/src/residency/load_gossip.rs
+++ b/src/residency/load_gossip.rs
@@ -1,6 +1,6 @@
 //! Exchange of gossip messages: in-flight load, residency, ownership claims and crash suspects.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
     AdapterUsage, GossipReply, LivePeer, LoadGossip, OwnedDomain, PeerReply, PeerRequest, ask,
     reply,
 };
+use crate::policy::SuspectReport;
 use crate::relay::{ObjectKind, elect_watcher};
 use crate::time::TimerService;
 
@@ -79,7 +80,7 @@
                 let has_content = !message.is_without_load
                     || had_uses
                     || !message.owned_domains.is_empty()
-                    || !message.suspects.is_empty();
+                    || !suspect_report(&message).is_empty();
                 if has_content {
                     self.send_gossip(peer, message, Arc::clone(&owned), (&pending, &acks));
                 }
@@ -103,7 +104,8 @@
         let (this, peer) = (Arc::clone(self), peer.clone());
         let (pending, acks) = (Arc::clone(pending), Arc::clone(acks));
         tokio::spawn(async move {
-            let (claims, suspects) = (message.owned_domains.clone(), message.suspects.clone());
+            let claims = message.owned_domains.clone();
+            let suspects = suspect_report(&message);
             let body = Some(ask::Body::Share(message));
             let sent_at = this.clock.now();
             match this.mesh.request(&peer.id, PeerRequest { body }).await {
@@ -157,16 +159,16 @@
         let used = used.iter().filter(|(_, known)| is_for_peer(known));
         let used = used.map(|(item, _)| (*item).clone()).collect();
 
-        let suspects = if acks.has_acked_suspects(&peer.id, peer.incarnation, &own.suspects) {
-            BTreeMap::new()
-        } else {
-            own.suspects.clone()
-        };
+        let mut suspects = suspect_report(own);
+        if acks.has_acked_suspects(&peer.id, peer.incarnation, &suspects) {
+            suspects = SuspectReport::default();
+        }
         LoadGossip {
             owned: acks.items_for(&peer.id, owned),
             owned_domains: own.owned_domains.clone(),
             used,
-            suspects,
+            suspects: suspects.counts,
+            refused_suspects: suspects.refused,
             ..load
         }
     }
@@ -199,15 +201,23 @@
     /// Returns the residency, claims, adapter uses and crash suspects of this instance, without the
     /// load.
     fn own_state(&self, now: Duration) -> LoadGossip {
+        let suspects = lock(&self.suspects).report(now);
         LoadGossip {
             owned: self.owner.owned_items(),
-            suspects: lock(&self.suspects).local_counts(now),
+            suspects: suspects.counts,
+            refused_suspects: suspects.refused,
             owned_domains: self.owner.owned_domains(),
             used: self.tracker.take_adapter_uses(),
             ..LoadGossip::default()
         }
     }
 
+    fn merge_suspects(&self, peer: &InstanceId, message: &LoadGossip, now: Duration) {
+        let mut suspects = lock(&self.suspects);
+        suspects.merge(peer, &message.suspects, now);
+        suspects.merge_refused(&message.refused_suspects, now);
+    }
+
     /// Handles a peer's gossip message; returns the reply, which lists contested claims and unknown
     /// upstreams.
     #[must_use]
@@ -231,7 +241,7 @@
         }
         let unknown = self.directory.merge(peer, &message.owned, now);
         self.owner.record_uses(peer, &message.used);
-        lock(&self.suspects).merge(peer, &message.suspects, now);
+        self.merge_suspects(peer, message, now);
         let contested = self.owner.answer_claims(&message.owned_domains);
         let is_accepted = |claim: &&OwnedDomain| !contested.contains(&claim.domain);
         let accepted = message.owned_domains.iter().filter(is_accepted);
@@ -245,6 +255,13 @@
     }
 }
 
+fn suspect_report(message: &LoadGossip) -> SuspectReport {
+    SuspectReport {
+        counts: message.suspects.clone(),
+        refused: message.refused_suspects.clone(),
+    }
+}
+
 fn to_domains(claims: &[OwnedDomain]) -> impl Iterator<Item = DomainId> {
     claims
         .iter()
--- a/tests/residency/gossip_tree.rs
+++ b/tests/residency/gossip_tree.rs
@@ -6,6 +6,7 @@
 use comfreychute::forward::{InFlightLoad, InFlightTracker};
 use comfreychute::id::{DomainId, InstanceId, UpstreamId};
 use comfreychute::peer::{LivePeer, LoadGossip};
+use comfreychute::policy::SuspectReport;
 use comfreychute::residency::{AckTracker, GossipScope, GossipTree};
 
 const PERIOD: Duration = Duration::from_millis(250);
@@ -184,15 +185,21 @@
 #[test]
 fn suspects_are_sent_until_each_process_has_acknowledged_them() {
     let (mut acks, peer) = (AckTracker::new(), instance(1));
-    let suspects = BTreeMap::from([(7_u64, 1_u32)]);
-    let more = BTreeMap::from([(7_u64, 2_u32)]);
+    let report = |count: u32, refused: &[u64]| SuspectReport {
+        counts: BTreeMap::from([(7, count)]),
+        refused: refused.to_vec(),
+    };
+    let suspects = report(1, &[]);
 
-    assert!(acks.has_acked_suspects(&peer, 1, &BTreeMap::new()));
+    assert!(acks.has_acked_suspects(&peer, 1, &SuspectReport::default()));
     assert!(!acks.has_acked_suspects(&peer, 1, &suspects));
     acks.record_acked_suspects(&peer, 1, suspects.clone());
 
     assert!(acks.has_acked_suspects(&peer, 1, &suspects));
+    let more = report(2, &[]);
     assert!(!acks.has_acked_suspects(&peer, 1, &more), "a further crash");
+    let refused = report(1, &[7]);
+    assert!(!acks.has_acked_suspects(&peer, 1, &refused), "a refusal");
     assert!(
         !acks.has_acked_suspects(&peer, 2, &suspects),
         "a new process"
