Log each counted crash with the fingerprint of its request

What operators saw: a refusal with the reason "crashed upstreams" and the lines of broken answers, but not which crashes made the refusal.

The line crash_counted names the attempt, the upstream, the fingerprint and the number of crashes that all instances have counted so far; lines of refused and failed requests carry the fingerprint too.

--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -125,7 +125,7 @@
     /// it.
     pub(super) fn record_crash(&self) {
         if let Some(crashes) = &self.crashes {
-            crashes.record_crash();
+            crashes.record_crash(self.upstream());
         }
     }
 
--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -123,6 +123,7 @@
         .with("route", &run.route.name)
         .with("model", model.unwrap_or_default())
         .with("reason", response.reason)
+        .with("fingerprint", format!("{:016x}", run.fingerprint))
         .with_count("status", u64::from(response.status.as_u16()))
         .with_count("attempts", u64::from(run.attempts))
         .with_count("held_ms", millis(run.arrived.elapsed()))
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -151,7 +151,7 @@
             }
             AttemptFailure::Broken(_) => {
                 self.health.record_unreachable(upstream, now);
-                self.crash_recorder(run).record_crash();
+                self.crash_recorder(run).record_crash(upstream);
             }
         }
         let service = &run.service.name;
@@ -178,6 +178,7 @@
             suspects: Arc::clone(&self.suspects),
             clock: self.clock.clone(),
             fingerprint: run.fingerprint,
+            attempt: run.parts.attempt.clone(),
         }
     }
 
--- a/src/policy/suspect_list.rs
+++ b/src/policy/suspect_list.rs
@@ -60,11 +60,12 @@
     }
 
     /// Records a crash that this instance observed while a request with the fingerprint was in
-    /// flight.
-    pub fn record_crash(&mut self, fingerprint: u64, now: Duration) {
+    /// flight; returns the number of crashes that all instances have observed.
+    pub fn record_crash(&mut self, fingerprint: u64, now: Duration) -> u32 {
         let entry = self.entry(fingerprint, now);
         entry.local = entry.local.saturating_add(1);
         entry.last_crash_at = now;
+        entry.total()
     }
 
     /// Returns how a request with the fingerprint must be treated.
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -85,6 +85,8 @@
     RequestRetried,
     /// an answer was cut off before its end
     AnswerTruncated,
+    /// a run ended without its whole answer, which counts as a crash of its upstream
+    CrashCounted,
     /// an answer for another attempt or adapter was discarded
     AnswerMismatch,
     /// a request crashed upstreams repeatedly and is refused
@@ -109,7 +111,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 50] = [
+    pub const ALL: [Self; 51] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -150,6 +152,7 @@
         Self::RequestOutdated,
         Self::RequestRetried,
         Self::AnswerTruncated,
+        Self::CrashCounted,
         Self::AnswerMismatch,
         Self::RequestQuarantined,
         Self::ClaimFailed,
@@ -206,6 +209,7 @@
             Self::RequestOutdated => "request_outdated",
             Self::RequestRetried => "request_retried",
             Self::AnswerTruncated => "answer_truncated",
+            Self::CrashCounted => "crash_counted",
             Self::AnswerMismatch => "answer_mismatch",
             Self::RequestQuarantined => "request_quarantined",
             Self::ClaimFailed => "claim_failed",
