--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::forward_head::strip_hop_headers;
 use super::forward_run::{
@@ -22,8 +22,8 @@
 use super::upstream_attempt::{RequestParts, drain};
 use super::{
     AttemptFailure, FleetState, ForwardHead, ForwardRoute, ForwardSettings, HeaderNames,
-    InFlightLoad, InFlightTracker, NoticeRecorder, ReplyBody, RouteKind, ShutdownPlan,
-    UpstreamHealth, UpstreamPace, UpstreamPool, UpstreamResponse,
+    InFlightLoad, InFlightTracker, NoticeRecorder, ReplyBody, ShutdownPlan, UpstreamHealth,
+    UpstreamPace, UpstreamPool, UpstreamResponse,
 };
 use crate::policy::{RetryBudget, SuspectList};
 use crate::residency::{LoadClient, ResidencyDirectory};
@@ -72,17 +72,7 @@
     }
 }
 
-/// Time before the exit of this process at which requests without a response are answered.
-const EXIT_MARGIN: Duration = Duration::from_millis(200);
-
 impl RequestRunner {
-    /// Rejects requests from now on that might not complete before this process exits, and answers
-    /// those that are still without a response shortly before.
-    pub fn begin_shutdown(&self, exit: Instant) {
-        let plan = ShutdownPlan::new(Instant::now(), exit);
-        self.shutdown.send_replace(Some(plan));
-    }
-
     /// Forwards one request and returns the response for the caller.
     pub async fn run(self: &Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
         let attempt = request.headers().get(&self.names.attempt).cloned();
@@ -103,24 +93,6 @@
         }
     }
 
-    /// Waits until requests without a response must be answered, because this process exits.
-    async fn wait_for_exit(&self) {
-        if let Some(plan) = self.wait_for_shutdown().await {
-            sleep_until(plan.exit() - EXIT_MARGIN).await;
-        }
-    }
-
-    /// Waits until this process shuts down.
-    pub(super) async fn wait_for_shutdown(&self) -> Option<ShutdownPlan> {
-        let mut shutdown = self.shutdown.subscribe();
-        // The wait can't fail, because this runner owns the sender.
-        shutdown
-            .wait_for(Option::is_some)
-            .await
-            .ok()
-            .and_then(|plan| *plan)
-    }
-
     /// Answers a request; `was_sent` is set while it may have run at an upstream.
     async fn respond(
         self: &Arc<Self>,
@@ -207,20 +179,6 @@
         })
     }
 
-    /// Returns whether a request that arrives now can complete before this process exits.
-    fn can_finish_before_shutdown(
-        &self,
-        route: &ForwardRoute,
-        deadline: Instant,
-        now: Instant,
-    ) -> bool {
-        let plan = *self.shutdown.borrow();
-        plan.is_none_or(|plan| match route.kind {
-            RouteKind::Stream => plan.may_send(deadline, now),
-            RouteKind::Idempotent | RouteKind::NonIdempotent => plan.fits(deadline),
-        })
-    }
-
     fn request_parts(
         &self,
         head: http::request::Parts,
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -7,14 +7,14 @@
 use tokio::time::{Instant, timeout};
 
 use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
-use super::local_response::{LocalResponse, RETRY_AFTER_CRASH, unavailable};
+use super::local_response::LocalResponse;
 use super::request_runner::lock;
 use super::upstream_attempt::{AttemptHooks, AttemptPlan, send_attempt};
 use super::{
-    AttemptFailure, CrashRecorder, RelayBody, ReplyBody, RequestRunner, RouteKind, StreamHooks,
-    UpstreamEntry, UpstreamResponse,
+    AttemptFailure, RelayBody, ReplyBody, RequestRunner, RouteKind, StreamHooks, UpstreamEntry,
+    UpstreamResponse,
 };
-use crate::policy::{RetryBudget, SuspectVerdict};
+use crate::policy::RetryBudget;
 use crate::telemetry::{LogEvent, LogName, MetricName};
 
 /// Pause before the next attempt after an upstream refused a request without running it, for
@@ -166,22 +166,6 @@
             .send();
     }
 
-    /// Returns the refusal of a request that has crashed too many upstreams.
-    pub(super) fn crash_refusal(&self, run: &ForwardRun) -> Option<LocalResponse> {
-        let verdict = lock(&self.suspects).verdict(run.fingerprint, self.clock.now());
-        (verdict == SuspectVerdict::Refused)
-            .then(|| unavailable("crashed upstreams", RETRY_AFTER_CRASH))
-    }
-
-    fn crash_recorder(&self, run: &ForwardRun) -> CrashRecorder {
-        CrashRecorder {
-            suspects: Arc::clone(&self.suspects),
-            clock: self.clock.clone(),
-            fingerprint: run.fingerprint,
-            attempt: run.parts.attempt.clone(),
-        }
-    }
-
     pub(super) fn may_retry(&self, run: &ForwardRun, failure: &AttemptFailure) -> bool {
         let may_repeat = failure.is_not_run() || run.route.is_repeatable();
         // Attempts that did not reach an upstream may exceed the route's maximum.
--- a/src/forward/runner_notices.rs
+++ b/src/forward/runner_notices.rs
@@ -2,10 +2,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep_until};
-
 use super::forward_run::ForwardRun;
-use super::local_response::{LocalResponse, RETRY_AFTER_SHUTDOWN, unavailable};
+use super::local_response::{LocalResponse, unavailable};
 use super::{RequestRunner, ScreenedUpstreams, UpstreamEntry};
 use crate::id::UpstreamId;
 use crate::policy::StandingVerdict;
@@ -62,24 +60,6 @@
         pause_refusal(&self.screen(run, &upstreams, |_| true))
     }
 
-    /// Returns the refusal of a request that may not be sent any more because this process exits. A
-    /// resumption is sent up to the end, as its caller can lose no more by it.
-    pub(super) fn shutdown_refusal(&self, run: &ForwardRun) -> Option<LocalResponse> {
-        let plan = (*self.shutdown.borrow()).filter(|_| !run.is_resuming)?;
-        (!plan.may_send(run.deadline, Instant::now()))
-            .then(|| unavailable("shutting down", RETRY_AFTER_SHUTDOWN))
-    }
-
-    /// Waits until the request may not be sent any more because this process exits.
-    pub(super) async fn wait_for_cutoff(&self, run: &ForwardRun) {
-        match self.wait_for_shutdown().await {
-            Some(plan) if !plan.fits(run.deadline) && !run.is_resuming => {
-                sleep_until(plan.cutoff()).await;
-            }
-            _ => std::future::pending().await,
-        }
-    }
-
     /// Returns when the request arrived and the present time, both on the clock of this runner.
     fn arrival_time(&self, run: &ForwardRun) -> (Duration, Duration) {
         let now = self.clock.now();
