--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -57,6 +57,8 @@
     UpstreamRestarted,
     /// an upstream is draining
     UpstreamDraining,
+    /// the store no longer lists an upstream after an outage; it gets requests until the outage is over
+    UpstreamKept,
     /// an upstream gets no new requests, because it leaves or wants none for a time
     UpstreamAvoided,
     /// an upstream gets requests again
@@ -111,7 +113,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 51] = [
+    pub const ALL: [Self; 52] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -138,6 +140,7 @@
         Self::UpstreamRecovered,
         Self::UpstreamRestarted,
         Self::UpstreamDraining,
+        Self::UpstreamKept,
         Self::UpstreamAvoided,
         Self::UpstreamReadmitted,
         Self::LoadOrdered,
@@ -195,6 +198,7 @@
             Self::UpstreamRecovered => "upstream_recovered",
             Self::UpstreamRestarted => "upstream_restarted",
             Self::UpstreamDraining => "upstream_draining",
+            Self::UpstreamKept => "upstream_kept",
             Self::UpstreamAvoided => "upstream_avoided",
             Self::UpstreamReadmitted => "upstream_readmitted",
             Self::LoadOrdered => "load_ordered",
