Follow changes through a peer while the store does not answer this instance

The record names one instance, 12 s after the confirmation, while the store served the operator.

Cause: after a failed call an instance could not tell an outage of the store for all, in which entries of working upstreams expire, from one that it alone had. It kept every entry that the store no longer listed for 2.1 s from its next successful call. The last failed call takes up to 1.5 s to fail and the next follows up to 1 s later, so that it used upstreams which had left for up to 4.6 s after it could reach the store again, and the bound holds after 3 s. With calls that are rejected at once, the kept entry outlasts the bound of 2 s after the removal itself.

Change: peers know the difference. If neither the watcher nor the store provides changes, up to eight peers of all domains are asked for them, and the first one that the store answers takes the place of the watcher for three seconds. In an outage for all every peer refuses, and entries are kept as before. The same holds for configuration, versions and instances, which an instance that is cut off from the store now learns from its peers.

Ruled out: that the choice does not follow the list (no upstream_draining precedes the requests), and an older state of the entry (it is gone, not ready). To ask the upstream's status check instead was weighed: it waits for a slot, is priced, and says nothing to an instance that has no missing entry.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,7 +5,9 @@
 //! changes from it. [`ChangeLog`] keeps the objects of one kind and their history, [`ChangeRelay`]
 //! replies to the requests of peers from four logs, one for each [`ObjectKind`], and
 //! [`RelayClient`] sends the requests. An instance whose watcher is silent, cut off from the store
-//! or gone calls the store itself; [`elect_watcher`] selects the watcher.
+//! or gone calls the store itself; [`elect_watcher`] selects the watcher. If the store does not answer
+//! that instance either, any peer that the store answers takes the place of the watcher;
+//! [`choose_substitutes`] selects the peers to ask.
 
 mod change_log;
 mod change_page;
@@ -13,6 +15,7 @@
 mod object_kind;
 mod relay_client;
 mod relayed_object;
+mod substitute_choice;
 mod watcher_election;
 
 pub use change_log::ChangeLog;
@@ -21,4 +24,5 @@
 pub use object_kind::ObjectKind;
 pub use relay_client::RelayClient;
 pub use relayed_object::RelayedObject;
+pub use substitute_choice::choose_substitutes;
 pub use watcher_election::elect_watcher;
--- a/src/relay/relay_client.rs
+++ b/src/relay/relay_client.rs
@@ -1,16 +1,18 @@
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time::timeout;
 
-use super::{ChangePage, ChangeRelay, ObjectKind};
+use super::{ChangePage, ChangeRelay, ObjectKind, choose_substitutes};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
 use crate::peer::{ChangeRequest, PeerMesh, PeerRequest, ask, reply};
 use crate::time::ClockSource;
 
-/// Requests changes in the store from the watcher of this instance's failure domain.
+/// Requests changes in the store from the watcher of this instance's failure domain, or from another
+/// peer if neither the watcher nor the store answers.
 #[derive(Debug)]
 pub struct RelayClient {
     relay: Arc<ChangeRelay>,
@@ -18,6 +20,14 @@
     clock: ClockSource,
     /// Clock time in milliseconds until which the watcher is not used.
     paused_until: AtomicU64,
+    substitute: Mutex<Option<SubstitutePeer>>,
+}
+
+/// A peer that takes the place of the watcher for some seconds.
+#[derive(Debug)]
+struct SubstitutePeer {
+    id: InstanceId,
+    used_until: Duration,
 }
 
 /// Time allowed for a reply beyond the wait that the request states; a hop within a failure domain
@@ -28,6 +38,9 @@
 /// links, process or connection to the store may take that long to recover or to be declared dead.
 const FAILURE_PAUSE: Duration = Duration::from_secs(3);
 
+/// Time for which a substitute is used before the watcher and the store are tried again.
+const SUBSTITUTE_PERIOD: Duration = FAILURE_PAUSE;
+
 impl RelayClient {
     /// Creates a client that sends requests over `mesh` to the watcher set in `relay`.
     #[must_use]
@@ -37,6 +50,7 @@
             mesh,
             clock,
             paused_until: AtomicU64::new(0),
+            substitute: Mutex::new(None),
         }
     }
 
@@ -51,8 +65,12 @@
     /// store.
     #[must_use]
     pub fn watcher(&self) -> Option<InstanceId> {
-        let now = to_millis(self.clock.now());
-        let is_paused = now < self.paused_until.load(Ordering::Acquire);
+        let now = self.clock.now();
+        let substitute = self.lock_substitute();
+        if let Some(peer) = substitute.as_ref().filter(|peer| now < peer.used_until) {
+            return Some(peer.id.clone());
+        }
+        let is_paused = to_millis(now) < self.paused_until.load(Ordering::Acquire);
         self.relay.watcher().filter(|_| !is_paused)
     }
 
@@ -69,17 +87,48 @@
         kind: ObjectKind,
         revision: u64,
     ) -> Result<ChangePage> {
-        let page = self.request_changes(watcher, kind, revision).await;
+        let wait = kind.watch_wait();
+        let page = self.request_changes(watcher, kind, revision, wait).await;
         if page.is_err() {
             self.pause();
         }
         page
     }
 
+    /// Requests the changes after a revision from peers that the store answers, without waiting for
+    /// one, and returns the first reply with its sender. That peer is used as the watcher for some
+    /// seconds.
+    ///
+    /// Returns `None` if no peer can provide the changes, as in an outage of the store for all.
+    pub async fn substitute_changes(
+        &self,
+        kind: ObjectKind,
+        revision: u64,
+    ) -> Option<(InstanceId, ChangePage)> {
+        let peers = choose_substitutes(&self.mesh.live_peers(), rand::random);
+        let requests = peers.into_iter().map(|peer| async move {
+            let page = self.request_changes(&peer, kind, revision, Duration::ZERO);
+            page.await.map(|page| (peer, page))
+        });
+        let mut requests: FuturesUnordered<_> = requests.collect();
+        while let Some(reply) = requests.next().await {
+            // A refusal says that the store does not answer that peer either.
+            if let Ok((peer, page)) = reply {
+                *self.lock_substitute() = Some(SubstitutePeer {
+                    id: peer.clone(),
+                    used_until: self.clock.now() + SUBSTITUTE_PERIOD,
+                });
+                return Some((peer, page));
+            }
+        }
+        None
+    }
+
     /// Stops using the watcher for some seconds, because it failed or lags behind its peers.
     pub fn pause(&self) {
         let until = to_millis(self.clock.now() + FAILURE_PAUSE);
         self.paused_until.fetch_max(until, Ordering::AcqRel);
+        *self.lock_substitute() = None;
     }
 
     async fn request_changes(
@@ -87,8 +136,8 @@
         watcher: &InstanceId,
         kind: ObjectKind,
         revision: u64,
+        wait: Duration,
     ) -> Result<ChangePage> {
-        let wait = kind.watch_wait();
         let request = ChangeRequest {
             // The indices of four kinds and a wait of some seconds fit in 32 bits.
             kind: u32::try_from(kind.index()).unwrap_or(u32::MAX),
@@ -112,6 +161,12 @@
             )),
         }
     }
+
+    fn lock_substitute(&self) -> MutexGuard<'_, Option<SubstitutePeer>> {
+        self.substitute
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 fn to_millis(time: Duration) -> u64 {
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -29,6 +29,8 @@
     VersionAdopted,
     /// the watch on the tables failed and is retried
     ConfigWatchFailed,
+    /// the platform does not answer this instance, and a peer tells it the changes for some seconds
+    WatcherSubstituted,
     /// the platform does not answer; edits and non-repeatable calls wait for it
     PlatformUnreachable,
     /// the platform answers again
@@ -113,7 +115,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 52] = [
+    pub const ALL: [Self; 53] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -126,6 +128,7 @@
         Self::ConfigRefused,
         Self::VersionAdopted,
         Self::ConfigWatchFailed,
+        Self::WatcherSubstituted,
         Self::PlatformUnreachable,
         Self::PlatformRecovered,
         Self::PeerConnected,
@@ -184,6 +187,7 @@
             Self::ConfigRefused => "config_refused",
             Self::VersionAdopted => "version_adopted",
             Self::ConfigWatchFailed => "config_watch_failed",
+            Self::WatcherSubstituted => "watcher_substituted",
             Self::PlatformUnreachable => "platform_unreachable",
             Self::PlatformRecovered => "platform_recovered",
             Self::PeerConnected => "peer_connected",
--- a/tests/relay/watcher_election.rs
+++ b/tests/relay/watcher_election.rs
@@ -1,21 +1,10 @@
 //! Which instance watches the store for its failure domain.
 
-use std::time::Duration;
-
 use comfreychute::id::{DomainId, InstanceId};
 use comfreychute::peer::LivePeer;
 use comfreychute::relay::elect_watcher;
 
-fn peer(name: &str, domain: &str) -> LivePeer {
-    LivePeer {
-        id: InstanceId::from_name(name),
-        domain: DomainId::from_name(domain),
-        incarnation: 1,
-        silent_for: Duration::ZERO,
-        is_draining: false,
-        is_linked: true,
-    }
-}
+use crate::peer_fixture::peer;
 
 fn watcher_of(name: &str, peers: &[LivePeer]) -> Option<InstanceId> {
     elect_watcher(
