--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -180,6 +180,13 @@
         self.progress(kind).seen.load(Ordering::Acquire)
     }
 
+    /// Returns the revision up to which this instance has read all changes of a kind, zero before the
+    /// first list.
+    #[must_use]
+    pub fn covered_revision(&self, kind: ObjectKind) -> u64 {
+        *self.progress(kind).covered.borrow()
+    }
+
     /// Returns the revision of the latest change of a kind that this instance or a peer has read.
     #[must_use]
     pub fn known_revision(&self, kind: ObjectKind) -> u64 {
