Search for a substitute of the watcher at most once a second

In an outage of the store for all, each of the four kinds of objects asked up to eight peers after each failed call, 32 messages a second from each instance in vain (computed from the intervals, not measured). One search a second serves all kinds, and a substitute that is in use is asked alone.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod relay_client;
 mod relayed_object;
 mod substitute_choice;
+mod substitute_state;
 mod watcher_election;
 
 pub use change_log::ChangeLog;
--- a/src/relay/relay_client.rs
+++ b/src/relay/relay_client.rs
@@ -5,6 +5,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::time::timeout;
 
+use super::substitute_state::SubstituteState;
 use super::{ChangePage, ChangeRelay, ObjectKind, choose_substitutes};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
@@ -20,14 +21,7 @@
     clock: ClockSource,
     /// Clock time in milliseconds until which the watcher is not used.
     paused_until: AtomicU64,
-    substitute: Mutex<Option<SubstitutePeer>>,
-}
-
-/// A peer that takes the place of the watcher for some seconds.
-#[derive(Debug)]
-struct SubstitutePeer {
-    id: InstanceId,
-    used_until: Duration,
+    substitute: Mutex<SubstituteState>,
 }
 
 /// Time allowed for a reply beyond the wait that the request states; a hop within a failure domain
@@ -38,19 +32,16 @@
 /// links, process or connection to the store may take that long to recover or to be declared dead.
 const FAILURE_PAUSE: Duration = Duration::from_secs(3);
 
-/// Time for which a substitute is used before the watcher and the store are tried again.
-const SUBSTITUTE_PERIOD: Duration = FAILURE_PAUSE;
-
 impl RelayClient {
     /// Creates a client that sends requests over `mesh` to the watcher set in `relay`.
     #[must_use]
-    pub const fn new(relay: Arc<ChangeRelay>, mesh: PeerMesh, clock: ClockSource) -> Self {
+    pub fn new(relay: Arc<ChangeRelay>, mesh: PeerMesh, clock: ClockSource) -> Self {
         Self {
             relay,
             mesh,
             clock,
             paused_until: AtomicU64::new(0),
-            substitute: Mutex::new(None),
+            substitute: Mutex::default(),
         }
     }
 
@@ -66,9 +57,8 @@
     #[must_use]
     pub fn watcher(&self) -> Option<InstanceId> {
         let now = self.clock.now();
-        let substitute = self.lock_substitute();
-        if let Some(peer) = substitute.as_ref().filter(|peer| now < peer.used_until) {
-            return Some(peer.id.clone());
+        if let Some(peer) = self.lock_substitute().peer(now) {
+            return Some(peer.clone());
         }
         let is_paused = to_millis(now) < self.paused_until.load(Ordering::Acquire);
         self.relay.watcher().filter(|_| !is_paused)
@@ -105,7 +95,7 @@
         kind: ObjectKind,
         revision: u64,
     ) -> Option<(InstanceId, ChangePage)> {
-        let peers = choose_substitutes(&self.mesh.live_peers(), rand::random);
+        let peers = self.substitute_candidates();
         let requests = peers.into_iter().map(|peer| async move {
             let page = self.request_changes(&peer, kind, revision, Duration::ZERO);
             page.await.map(|page| (peer, page))
@@ -114,21 +104,34 @@
         while let Some(reply) = requests.next().await {
             // A refusal says that the store does not answer that peer either.
             if let Ok((peer, page)) = reply {
-                *self.lock_substitute() = Some(SubstitutePeer {
-                    id: peer.clone(),
-                    used_until: self.clock.now() + SUBSTITUTE_PERIOD,
-                });
+                let now = self.clock.now();
+                self.lock_substitute().use_peer(peer.clone(), now);
                 return Some((peer, page));
             }
         }
         None
     }
 
+    /// Returns the substitute in use, or else the peers among which to search for one; none if the last
+    /// search was too short ago.
+    fn substitute_candidates(&self) -> Vec<InstanceId> {
+        let now = self.clock.now();
+        let mut state = self.lock_substitute();
+        if let Some(peer) = state.peer(now) {
+            return vec![peer.clone()];
+        }
+        if !state.begin_search(now) {
+            return Vec::new();
+        }
+        drop(state);
+        choose_substitutes(&self.mesh.live_peers(), rand::random)
+    }
+
     /// Stops using the watcher for some seconds, because it failed or lags behind its peers.
     pub fn pause(&self) {
         let until = to_millis(self.clock.now() + FAILURE_PAUSE);
         self.paused_until.fetch_max(until, Ordering::AcqRel);
-        *self.lock_substitute() = None;
+        self.lock_substitute().clear();
     }
 
     async fn request_changes(
@@ -162,7 +165,7 @@
         }
     }
 
-    fn lock_substitute(&self) -> MutexGuard<'_, Option<SubstitutePeer>> {
+    fn lock_substitute(&self) -> MutexGuard<'_, SubstituteState> {
         self.substitute
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
