--- a/src/relay/change_relay.rs
+++ b/src/relay/change_relay.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Returns the maximum age of the last response of the store with which an instance replies to peers.
+    #[must_use]
+    pub const fn reply_age_limit(kind: ObjectKind) -> Duration {
+        kind.watch_wait().saturating_add(RESPONSE_MARGIN)
+    }
+
     /// Sets the peer that watches the store on behalf of this instance, or `None` if this instance
     /// watches the store itself.
     pub fn set_watcher(&self, watcher: Option<InstanceId>) {
@@ -108,7 +114,7 @@
             let now = self.clock.now();
             let stale_at = {
                 let log = lock(&state.log);
-                let limit = kind.watch_wait() + RESPONSE_MARGIN;
+                let limit = Self::reply_age_limit(kind);
                 let stale_at = log.confirmed_at().map(|confirmed| confirmed + limit);
                 let Some(stale_at) = stale_at.filter(|stale_at| *stale_at > now) else {
                     return Err(unavailable("the store does not answer the watcher"));
