Log which ownership an instance acknowledges or contests, and why it takes a domain

No line showed an acknowledgement, and ownership_taken did not tell a takeover after silence from one by the instance's own record. ownership_acknowledged and ownership_contested state both epochs, the former only when the epoch changes; ownership_taken states its reason.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -270,6 +270,25 @@
         self.held.as_ref().map(|held| held.record.epoch)
     }
 
+    /// Returns the latest epoch that this instance knows of: the one that it holds or has
+    /// acknowledged, or zero.
+    #[must_use]
+    pub fn known_epoch(&self) -> u64 {
+        self.epoch().unwrap_or_default().max(self.acked_epoch)
+    }
+
+    /// Returns why a takeover is due, for the log.
+    #[must_use]
+    pub fn takeover_reason(&self) -> &'static str {
+        match &self.seen {
+            None => "the domain had no lease record",
+            Some(seen) if seen.record.holder == self.instance => {
+                "the lease record names this instance"
+            }
+            Some(_) => "the holder was silent",
+        }
+    }
+
     /// Gives up the lease locally; the record in the store stays.
     pub fn release(&mut self, now: Duration) {
         self.held = None;
--- a/src/residency/load_gossip.rs
+++ b/src/residency/load_gossip.rs
@@ -242,7 +242,7 @@
         let unknown = self.directory.merge(peer, &message.owned, now);
         self.owner.record_uses(peer, &message.used);
         self.merge_suspects(peer, message, now);
-        let contested = self.owner.answer_claims(&message.owned_domains);
+        let contested = self.owner.answer_claims(peer, &message.owned_domains);
         let is_accepted = |claim: &&OwnedDomain| !contested.contains(&claim.domain);
         let accepted = message.owned_domains.iter().filter(is_accepted);
         self.owner.record_holders(
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -199,18 +199,34 @@
         }
     }
 
-    /// Answers the claims of another instance; returns the names of the contested domains.
-    pub fn answer_claims(&self, claims: &[OwnedDomain]) -> Vec<String> {
+    /// Answers the claims of a peer; returns the names of the contested domains.
+    pub fn answer_claims(&self, peer: &InstanceId, claims: &[OwnedDomain]) -> Vec<String> {
         let now = self.clock.now();
         let mut state = self.lock();
         let mut contested = Vec::new();
         for claim in claims {
             let domain = DomainId::from_name(&claim.domain);
-            if let Some(lease) = state.leases.get_mut(&domain)
-                && !lease.answer_claim(claim.epoch, now)
-            {
+            let Some(lease) = state.leases.get_mut(&domain) else {
+                continue;
+            };
+            let known_epoch = lease.known_epoch();
+            let is_acked = lease.answer_claim(claim.epoch, now);
+            if !is_acked {
                 contested.push(claim.domain.clone());
             }
+            if !is_acked || known_epoch != claim.epoch {
+                let name = if is_acked {
+                    LogName::OwnershipAcknowledged
+                } else {
+                    LogName::OwnershipContested
+                };
+                LogEvent::new(name)
+                    .with("domain", &domain)
+                    .with("peer", peer)
+                    .with_count("epoch", claim.epoch)
+                    .with_count("known_epoch", known_epoch)
+                    .send();
+            }
         }
         contested
     }
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -142,9 +142,9 @@
         };
         let sent_at = self.clock.now();
         let epoch = record.epoch;
-        let was_held = self
-            .owner
-            .with_lease(domain, rank, |lease, _| lease.epoch());
+        let (was_held, reason) = self.owner.with_lease(domain, rank, |lease, _| {
+            (lease.epoch(), lease.takeover_reason())
+        });
         match (self.store.write)(record.clone(), expected).await {
             Ok(LeaseWrite::Written(revision)) => {
                 self.owner.with_lease(domain, rank, |lease, _| {
@@ -153,6 +153,7 @@
                 if was_held.is_none() {
                     LogEvent::new(LogName::OwnershipTaken)
                         .with("domain", domain)
+                        .with("reason", reason)
                         .with_count("epoch", epoch)
                         .send();
                 }
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -47,6 +47,10 @@
     OwnershipTaken,
     /// ownership of an upstream was released
     OwnershipReleased,
+    /// the ownership of another instance was acknowledged, for the first time or with another epoch
+    OwnershipAcknowledged,
+    /// the ownership of another instance was contested
+    OwnershipContested,
     /// the engine rejected an order because a newer owner exists
     OwnershipFenced,
     /// this process was paused for longer than its lease; it releases its upstreams
@@ -115,7 +119,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 53] = [
+    pub const ALL: [Self; 55] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -137,6 +141,8 @@
         Self::PeerRefused,
         Self::OwnershipTaken,
         Self::OwnershipReleased,
+        Self::OwnershipAcknowledged,
+        Self::OwnershipContested,
         Self::OwnershipFenced,
         Self::LeaseLapsed,
         Self::UpstreamUnreachable,
@@ -196,6 +202,8 @@
             Self::PeerRefused => "peer_refused",
             Self::OwnershipTaken => "ownership_taken",
             Self::OwnershipReleased => "ownership_released",
+            Self::OwnershipAcknowledged => "ownership_acknowledged",
+            Self::OwnershipContested => "ownership_contested",
             Self::OwnershipFenced => "ownership_fenced",
             Self::LeaseLapsed => "lease_lapsed",
             Self::UpstreamUnreachable => "upstream_unreachable",
