Show two orderers of a domain by tests that restart instances and lose writes

It checks that orders of two instances are a quiet time apart and that fencing tokens never descend.

--- a/tests/residency/lease.rs
+++ b/tests/residency/lease.rs
@@ -159,6 +159,37 @@
     assert_eq!(lease.next_step(at(9800), None), LeaseStep::Idle);
 }
 
+/// Guards against a successor that gave its lease up and acknowledges the holder before it.
+#[test]
+fn released_lease_leaves_its_epoch_known() {
+    let mut successor = lease("b", 0);
+    take_over(&mut successor, record("a", 3), at(1000));
+
+    successor.release(at(8000));
+
+    assert!(!successor.answer_claim(3, at(8100)));
+    assert!(successor.answer_claim(5, at(8200)));
+}
+
+/// Guards against a takeover at once by a record that a lost write left, after the former holder was
+/// acknowledged meanwhile.
+#[test]
+fn record_of_a_lost_takeover_is_no_reason_to_order_at_once() {
+    let mut successor = lease("b", 0);
+    let _step = successor.read_completed(Some((record("a", 3), 1)), at(1000));
+    let mut now = at(1000);
+    while successor.next_step(now, None) == LeaseStep::Idle {
+        now += at(100);
+    }
+    successor.write_lost();
+    assert!(successor.answer_claim(3, now + at(100)));
+
+    now += at(900);
+    let _step = successor.read_completed(Some((record("b", 4), 2)), now);
+
+    assert_eq!(successor.next_step(now, None), LeaseStep::Idle);
+}
+
 /// One simulated instance of the property test.
 #[derive(Debug)]
 struct SimulatedInstance {
--- /dev/null
+++ b/tests/residency/lease_fleet.rs
@@ -0,0 +1,403 @@
+//! A simulated fleet that competes for one lease, with every fault of links, store and processes.
+
+use std::fmt;
+use std::time::Duration;
+
+use comfreychute::id::{DomainId, InstanceId};
+use comfreychute::residency::{DomainLease, LeaseRecord, LeaseStep};
+
+/// The number of simulated instances.
+pub const INSTANCES: usize = 3;
+
+/// Interval between two checks of each instance.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time after which a call to the store without an answer is given up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Gap between two checks that counts as a pause of the process.
+const PAUSE_LIMIT: Duration = Duration::from_millis(700);
+
+/// The kind of a fault; the fields `index` and `other` of [`Fault`] name the instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultKind {
+    /// The process stands still.
+    Pause,
+    /// The instance reaches no other instance.
+    Partition,
+    /// One link is cut.
+    Link,
+    /// The store rejects the calls of all instances.
+    StoreBusy,
+    /// The store answers no instance.
+    StoreSilent,
+    /// The store does not answer one instance.
+    StoreCut,
+    /// Writes are carried out and not answered.
+    ReplyLost,
+    /// Writes are not answered, and carried out seconds later if their condition still holds.
+    WriteLate,
+    /// The process starts again without its memory.
+    Restart,
+    /// All processes but that of one instance start again.
+    RestartOthers,
+}
+
+/// All kinds of faults.
+pub const ALL_KINDS: [FaultKind; 10] = [
+    FaultKind::Pause,
+    FaultKind::Partition,
+    FaultKind::Link,
+    FaultKind::StoreBusy,
+    FaultKind::StoreSilent,
+    FaultKind::StoreCut,
+    FaultKind::ReplyLost,
+    FaultKind::WriteLate,
+    FaultKind::Restart,
+    FaultKind::RestartOthers,
+];
+
+/// One fault of a simulated run.
+#[derive(Debug, Clone, Copy)]
+pub struct Fault {
+    /// What happens.
+    pub kind: FaultKind,
+    /// The instance that is affected.
+    pub index: usize,
+    /// The other end of a link.
+    pub other: usize,
+    /// Start in milliseconds.
+    pub start: u64,
+    /// Duration in milliseconds; for a late write, its delay; for a restart, the time without the
+    /// process, up to two seconds.
+    pub length: u64,
+}
+
+/// Two orders that must not follow each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Violation {
+    /// The earlier order.
+    pub first: Order,
+    /// The later order.
+    pub second: Order,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} after {:?}", self.second, self.first)
+    }
+}
+
+/// An order that an instance sends to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Order {
+    /// The instance that sends it.
+    pub instance: usize,
+    /// Its fencing token.
+    pub epoch: u64,
+    /// The time at which it is sent.
+    pub at: Duration,
+}
+
+#[derive(Debug)]
+struct SimulatedInstance {
+    lease: DomainLease,
+    acks: [Option<Duration>; INSTANCES],
+    /// The process stands still or is not running until then.
+    paused_until: Duration,
+    /// A call to the store is in progress until then.
+    call: Option<StoreCall>,
+    retry_at: Duration,
+    last_tick: Duration,
+}
+
+#[derive(Debug)]
+struct StoreCall {
+    until: Duration,
+    is_write: bool,
+}
+
+#[derive(Debug)]
+struct LateWrite {
+    at: Duration,
+    record: LeaseRecord,
+    expected: Option<u64>,
+}
+
+#[derive(Debug)]
+struct SimulatedFleet {
+    instances: Vec<SimulatedInstance>,
+    stored: Option<(LeaseRecord, u64)>,
+    late_writes: Vec<LateWrite>,
+    last_orders: [Option<Order>; INSTANCES],
+    order_count: usize,
+    violation: Option<Violation>,
+}
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn instance_id(index: usize) -> InstanceId {
+    InstanceId::from_name(["a", "b", "c"][index])
+}
+
+fn new_lease(index: usize, now: Duration) -> DomainLease {
+    let rank = u32::try_from(index).expect("there are few instances");
+    DomainLease::new(DomainId::from_name("north"), instance_id(index), rank, now)
+}
+
+fn is_active(fault: &Fault, now: Duration) -> bool {
+    at(fault.start) <= now && now < at(fault.start + fault.length)
+}
+
+fn begins(fault: &Fault, now: Duration) -> bool {
+    at(fault.start) <= now && now < at(fault.start) + TICK
+}
+
+/// Plays `length` of a fleet under `faults`; returns the first two orders that are too close or
+/// whose tokens descend, and otherwise the number of orders.
+pub fn play(faults: &[Fault], length: Duration) -> Result<usize, Violation> {
+    let mut fleet = new_fleet();
+    let mut now = Duration::ZERO;
+    while now < length {
+        fleet.begin_faults(faults, now);
+        fleet.complete_late_writes(now);
+        for index in 0..INSTANCES {
+            fleet.step(index, faults, now);
+            if let Some(violation) = fleet.violation {
+                return Err(violation);
+            }
+        }
+        now += TICK;
+    }
+    Ok(fleet.order_count)
+}
+
+fn new_fleet() -> SimulatedFleet {
+    let new_instance = |index| SimulatedInstance {
+        lease: new_lease(index, Duration::ZERO),
+        acks: [None; INSTANCES],
+        paused_until: Duration::ZERO,
+        call: None,
+        retry_at: Duration::ZERO,
+        last_tick: Duration::ZERO,
+    };
+    SimulatedFleet {
+        instances: (0..INSTANCES).map(new_instance).collect(),
+        stored: None,
+        late_writes: Vec::new(),
+        last_orders: [None; INSTANCES],
+        order_count: 0,
+        violation: None,
+    }
+}
+
+impl SimulatedFleet {
+    fn begin_faults(&mut self, faults: &[Fault], now: Duration) {
+        for fault in faults.iter().filter(|fault| begins(fault, now)) {
+            match fault.kind {
+                FaultKind::Pause => {
+                    let paused = &mut self.instances[fault.index].paused_until;
+                    *paused = (*paused).max(now + at(fault.length));
+                }
+                FaultKind::Restart => self.restart(fault.index, fault.length, now),
+                FaultKind::RestartOthers => {
+                    for index in (0..INSTANCES).filter(|index| *index != fault.index) {
+                        self.restart(index, fault.length, now);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize, length: u64, now: Duration) {
+        let started_at = now + at(length.min(2000));
+        let instance = &mut self.instances[index];
+        instance.lease = new_lease(index, started_at);
+        instance.acks = [None; INSTANCES];
+        instance.paused_until = started_at;
+        instance.call = None;
+        instance.retry_at = started_at;
+        instance.last_tick = started_at;
+    }
+
+    fn complete_late_writes(&mut self, now: Duration) {
+        let (due, waiting) = std::mem::take(&mut self.late_writes)
+            .into_iter()
+            .partition(|write| write.at <= now);
+        self.late_writes = waiting;
+        for write in due {
+            let write: LateWrite = write;
+            self.store(&write.record, write.expected);
+        }
+    }
+
+    /// Carries out a conditional write; returns the new revision.
+    fn store(&mut self, record: &LeaseRecord, expected: Option<u64>) -> Option<u64> {
+        let revision = self.stored.as_ref().map(|(_, revision)| *revision);
+        (revision == expected).then(|| {
+            let next = revision.unwrap_or(0) + 1;
+            self.stored = Some((record.clone(), next));
+            next
+        })
+    }
+
+    fn step(&mut self, index: usize, faults: &[Fault], now: Duration) {
+        if self.instances[index].paused_until > now {
+            return;
+        }
+        self.claim(index, faults, now);
+        self.advance(index, faults, now);
+        self.order(index, now);
+    }
+
+    fn is_linked(&self, index: usize, other: usize, faults: &[Fault], now: Duration) -> bool {
+        let is_cut = faults
+            .iter()
+            .filter(|fault| is_active(fault, now))
+            .any(|fault| match fault.kind {
+                FaultKind::Partition => fault.index == index || fault.index == other,
+                FaultKind::Link => {
+                    (fault.index, fault.other) == (index, other)
+                        || (fault.index, fault.other) == (other, index)
+                }
+                _ => false,
+            });
+        !is_cut && self.instances[other].paused_until <= now
+    }
+
+    /// Sends the claim of an instance to all others and records their answers.
+    fn claim(&mut self, index: usize, faults: &[Fault], now: Duration) {
+        for other in (0..INSTANCES).filter(|other| *other != index) {
+            let Some(epoch) = self.instances[index].lease.epoch() else {
+                return;
+            };
+            if !self.is_linked(index, other, faults, now) {
+                continue;
+            }
+            if self.instances[other].lease.answer_claim(epoch, now) {
+                self.instances[index].acks[other] = Some(now);
+            } else {
+                self.instances[index].lease.release(now);
+            }
+        }
+    }
+
+    fn acked_at(&self, index: usize) -> Option<Duration> {
+        let others = (0..INSTANCES).filter(|other| *other != index);
+        let acks: Option<Vec<Duration>> = others
+            .map(|other| self.instances[index].acks[other])
+            .collect();
+        acks.and_then(|acks| acks.into_iter().min())
+    }
+
+    /// Takes the next step of the lease, as the ownership loop does.
+    fn advance(&mut self, index: usize, faults: &[Fault], now: Duration) {
+        if let Some(call) = &self.instances[index].call {
+            if call.until > now {
+                return;
+            }
+            if call.is_write {
+                self.instances[index].lease.write_lost();
+            }
+            self.instances[index].call = None;
+            self.instances[index].retry_at = now + at(300);
+        }
+        let acked_at = self.acked_at(index);
+        let instance = &mut self.instances[index];
+        if now.saturating_sub(instance.last_tick) > PAUSE_LIMIT {
+            instance.lease.resume_after_pause(now);
+        }
+        instance.last_tick = now;
+        if instance.retry_at > now {
+            return;
+        }
+        let step = instance.lease.next_step(now, acked_at);
+        if step == LeaseStep::Idle {
+            return;
+        }
+        let is_hit = |kind| {
+            faults.iter().any(|fault| {
+                let is_own = fault.kind != FaultKind::StoreCut || fault.index == index;
+                fault.kind == kind && is_active(fault, now) && is_own
+            })
+        };
+        let until = now + CALL_TIMEOUT;
+        if is_hit(FaultKind::StoreSilent) || is_hit(FaultKind::StoreCut) {
+            let is_write = matches!(step, LeaseStep::Write(..));
+            instance.call = Some(StoreCall { until, is_write });
+            return;
+        }
+        if is_hit(FaultKind::StoreBusy) {
+            if matches!(step, LeaseStep::Write(..)) {
+                instance.lease.write_lost();
+            }
+            instance.retry_at = now + at(300);
+            return;
+        }
+        let step = match step {
+            LeaseStep::Read { .. } => instance.lease.read_completed(self.stored.clone(), now),
+            step => step,
+        };
+        let LeaseStep::Write(record, expected) = step else {
+            return;
+        };
+        if is_hit(FaultKind::WriteLate) {
+            let delay = faults
+                .iter()
+                .find(|fault| fault.kind == FaultKind::WriteLate && is_active(fault, now))
+                .map_or(0, |fault| fault.length.min(6000));
+            self.instances[index].call = Some(StoreCall {
+                until,
+                is_write: true,
+            });
+            self.late_writes.push(LateWrite {
+                at: now + at(delay),
+                record,
+                expected,
+            });
+            return;
+        }
+        let written = self.store(&record, expected);
+        let instance = &mut self.instances[index];
+        if is_hit(FaultKind::ReplyLost) {
+            instance.call = Some(StoreCall {
+                until,
+                is_write: true,
+            });
+            return;
+        }
+        match written {
+            Some(revision) => instance.lease.write_completed(record, revision, now),
+            None => instance.lease.write_conflicted(now),
+        }
+    }
+
+    /// Sends an order if the lease permits it.
+    fn order(&mut self, index: usize, now: Duration) {
+        let acked_at = self.acked_at(index);
+        let lease = &self.instances[index].lease;
+        let Some(epoch) = lease.epoch().filter(|_| lease.may_order(now, acked_at)) else {
+            return;
+        };
+        let second = Order {
+            instance: index,
+            epoch,
+            at: now,
+        };
+        let is_wrong = |first: &&Order| {
+            let gap = second.at.saturating_sub(first.at);
+            let is_turn = first.instance != second.instance && gap < DomainLease::QUIET_TIME;
+            is_turn || first.epoch > second.epoch
+        };
+        let violation = self.last_orders.iter().flatten().find(is_wrong);
+        self.violation = violation.map(|first| Violation {
+            first: *first,
+            second,
+        });
+        self.last_orders[index] = Some(second);
+        self.order_count += 1;
+    }
+}
--- a/tests/residency/main.rs
+++ b/tests/residency/main.rs
@@ -5,4 +5,6 @@
 mod fetch_pool;
 mod gossip_tree;
 mod lease;
+mod lease_faults;
+mod lease_fleet;
 mod ledger;
