Keep the epoch of a lease known after it has been given up

What callers saw: orders of two instances for one domain, with the fencing token of a holder after that of its successor.

Cause: an instance remembered only the epochs that it had acknowledged. The epoch of a lease that it held was gone once it gave the lease up, after a contested claim or a changed record, so that it acknowledged the holder before it. Epochs in records that it had read were not remembered either. DomainLease now keeps the highest epoch that it has held, acknowledged or read, and contests claims below it.

Ruled out as the only cause: former_holder_is_not_confirmed_by_restarted_peers and the property test still fail, as a restart loses this memory too. Evidence: released_lease_leaves_its_epoch_known failed before and passes.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -24,8 +24,8 @@
     rank: u32,
     /// Whether a write of a new epoch is in progress.
     is_takeover_pending: bool,
-    /// The highest epoch that was acknowledged to another instance.
-    acked_epoch: u64,
+    /// The highest epoch that this process has held, acknowledged or read.
+    known_epoch: u64,
     /// Whether the record has been read since the start of the process.
     has_read: bool,
 }
@@ -105,7 +105,7 @@
             holder_seen_at: now,
             rank,
             is_takeover_pending: false,
-            acked_epoch: 0,
+            known_epoch: 0,
             has_read: false,
         }
     }
@@ -131,12 +131,12 @@
     /// Answers another instance's claim to the domain; returns whether it is acknowledged.
     ///
     /// A claim is contested if this instance holds the domain with the same or a later epoch, has a
-    /// takeover write in progress, or has acknowledged a later epoch: the claimant may have been
-    /// paused or partitioned while another instance took over. An acknowledgement promises that
-    /// this instance takes over only after the takeover timeout.
+    /// takeover write in progress, or knows of a later epoch: the claimant may have been paused or
+    /// partitioned while another instance took over. An acknowledgement promises that this instance
+    /// takes over only after the takeover timeout.
     pub fn answer_claim(&mut self, epoch: u64, now: Duration) -> bool {
         let is_contested = self.is_takeover_pending
-            || epoch < self.acked_epoch
+            || epoch < self.known_epoch
             || self
                 .held
                 .as_ref()
@@ -147,7 +147,7 @@
         if self.held.is_some() {
             self.release(now);
         }
-        self.acked_epoch = epoch;
+        self.known_epoch = epoch;
         self.observe_holder(now);
         true
     }
@@ -208,6 +208,7 @@
             self.is_takeover_pending = true;
             return LeaseStep::Write(self.takeover_record(1), None);
         };
+        self.known_epoch = self.known_epoch.max(record.epoch);
         let is_known = self
             .seen
             .as_ref()
@@ -225,6 +226,7 @@
     /// Handles a successful write. The lease is valid from `sent_at`, the time of the request.
     pub fn write_completed(&mut self, record: LeaseRecord, revision: u64, sent_at: Duration) {
         self.is_takeover_pending = false;
+        self.known_epoch = self.known_epoch.max(record.epoch);
         self.held = Some(HeldLease {
             record,
             revision,
@@ -270,11 +272,10 @@
         self.held.as_ref().map(|held| held.record.epoch)
     }
 
-    /// Returns the latest epoch that this instance knows of: the one that it holds or has
-    /// acknowledged, or zero.
+    /// Returns the highest epoch that this process has held, acknowledged or read, or zero.
     #[must_use]
-    pub fn known_epoch(&self) -> u64 {
-        self.epoch().unwrap_or_default().max(self.acked_epoch)
+    pub const fn known_epoch(&self) -> u64 {
+        self.known_epoch
     }
 
     /// Returns why a takeover is due, for the log.
