Take a domain at once only by a record whose takeover is known

What callers saw: orders of two instances for one domain within the quiet time, in ascending epochs.

Cause: an instance whose takeover write got no reply believed that it held nothing, and acknowledged the former holder again. When the write had taken effect, or did so seconds later, and the holder was silent for 0.7 s, the instance read its own name and took the domain at once, as a restarted holder does. So a record that names an instance was no proof that nobody else orders. The class of fault: an operation without a reply is taken for one that did not happen.

Change: a new holder renews its record once as soon as it knows of its takeover. Only a renewed record lets a restarted process take the domain at once, or the record of a takeover of this process that has acknowledged no claim since. A reply that arrives after the lease was given up is ignored.

The renewal made the revision that candidates had read outdated, so that a takeover first failed and took a second timeout, as after any renewal before. Claims therefore carry the revision of the record. All candidates know it now, so that they write 100 ms a rank after each other.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -573,6 +573,9 @@
     /// Epoch of the ownership.
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
+    /// Revision of the record of the ownership in the store; zero if the sender does not know it.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
 }
 
 /// Reply to a [`LoadGossip`].
--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::LeaseRecord;
+use super::{LeaseClaim, LeaseRecord};
 use crate::id::{DomainId, InstanceId};
 
 /// Decides whether this instance may send orders to the upstreams of a failure domain.
@@ -22,8 +22,9 @@
     /// start, after a pause, after a write conflict and when the lease is given up.
     holder_seen_at: Duration,
     rank: u32,
-    /// Whether a write of a new epoch is in progress.
-    is_takeover_pending: bool,
+    /// The latest takeover of this process that may take effect, unless it has acknowledged a claim
+    /// since.
+    takeover: Option<PendingTakeover>,
     /// The highest epoch that this process has held, acknowledged or read.
     known_epoch: u64,
     /// Whether the record has been read since the start of the process.
@@ -38,6 +39,14 @@
     renewed_at: Duration,
 }
 
+/// A write of a new epoch.
+#[derive(Debug)]
+struct PendingTakeover {
+    epoch: u64,
+    /// Whether the reply is still awaited.
+    is_in_flight: bool,
+}
+
 /// The record in the store as last read.
 #[derive(Debug)]
 struct SeenRecord {
@@ -89,6 +98,14 @@
     /// Additional delay per rank, so that candidates do not write the record at the same time.
     const RANK_STEP: Duration = Duration::from_millis(600);
 
+    /// Additional takeover delay per rank. It gives the claim of a successor, sent within a gossip
+    /// period, time to arrive before most candidates write the record.
+    const TAKEOVER_STEP: Duration = Duration::from_millis(100);
+
+    /// Rank from which the additional takeover delay stays the same, so that a domain is not left
+    /// without an owner for seconds when all of its own instances have failed.
+    const MAX_DELAYED_RANK: u32 = 10;
+
     /// Delay before the record is read again, counted from `holder_seen_at`; the claim of a live
     /// holder arrives within it.
     const READ_DELAY: Duration = Duration::from_millis(700);
@@ -104,7 +121,7 @@
             seen: None,
             holder_seen_at: now,
             rank,
-            is_takeover_pending: false,
+            takeover: None,
             known_epoch: 0,
             has_read: false,
         }
@@ -134,24 +151,43 @@
     /// takeover write in progress, or knows of a later epoch: the claimant may have been paused or
     /// partitioned while another instance took over. An acknowledgement promises that this instance
     /// takes over only after the takeover timeout.
-    pub fn answer_claim(&mut self, epoch: u64, now: Duration) -> bool {
-        let is_contested = self.is_takeover_pending
-            || epoch < self.known_epoch
+    pub fn answer_claim(&mut self, holder: &InstanceId, claim: LeaseClaim, now: Duration) -> bool {
+        let is_contested = self.is_takeover_in_flight()
+            || claim.epoch < self.known_epoch
             || self
                 .held
                 .as_ref()
-                .is_some_and(|held| held.record.epoch >= epoch);
+                .is_some_and(|held| held.record.epoch >= claim.epoch);
         if is_contested {
             return false;
         }
         if self.held.is_some() {
             self.release(now);
         }
-        self.known_epoch = epoch;
+        self.takeover = None;
+        self.known_epoch = claim.epoch;
         self.observe_holder(now);
+        self.observe_record(holder, claim, now);
         true
     }
 
+    /// Updates the known record by a claim, so that a takeover needs no further read.
+    fn observe_record(&mut self, holder: &InstanceId, claim: LeaseClaim, now: Duration) {
+        let known_revision = self.seen.as_ref().map_or(0, |seen| seen.revision);
+        if claim.revision > known_revision {
+            self.seen = Some(SeenRecord {
+                record: LeaseRecord {
+                    domain: self.domain.clone(),
+                    holder: holder.clone(),
+                    epoch: claim.epoch,
+                    renewals: 0,
+                },
+                revision: claim.revision,
+                unchanged_since: now,
+            });
+        }
+    }
+
     /// Returns the next action; `acked_at` is the least recent of the other instances' latest
     /// acknowledgements, or `None` if one of them has never acknowledged.
     #[must_use]
@@ -159,7 +195,9 @@
         let wait = Self::READ_DELAY + Self::RANK_STEP * self.rank;
         if let Some(held) = &self.held {
             let confirmed_at = held.renewed_at.max(acked_at.unwrap_or_default());
-            if now.saturating_sub(confirmed_at) < Self::RENEW_AFTER {
+            let is_fresh = now.saturating_sub(confirmed_at) < Self::RENEW_AFTER;
+            // The first renewal proves to later processes that this one knew of its takeover.
+            if is_fresh && held.record.renewals > 0 {
                 return LeaseStep::Idle;
             }
             let mut record = held.record.clone();
@@ -178,15 +216,14 @@
                 LeaseStep::Idle
             };
         };
-        let is_own = seen.record.holder == self.instance;
-        let is_stale = now.saturating_sub(seen.unchanged_since) >= Self::TAKEOVER_TIMEOUT
-            && now.saturating_sub(self.holder_seen_at) >= Self::TAKEOVER_TIMEOUT;
+        let is_own = seen.record.holder == self.instance && self.is_sole_orderer(&seen.record);
+        let timeout =
+            Self::TAKEOVER_TIMEOUT + Self::TAKEOVER_STEP * self.rank.min(Self::MAX_DELAYED_RANK);
+        let is_stale = now.saturating_sub(seen.unchanged_since) >= timeout
+            && now.saturating_sub(self.holder_seen_at) >= timeout;
         if is_own || is_stale {
-            self.is_takeover_pending = true;
-            return LeaseStep::Write(
-                self.takeover_record(seen.record.epoch + 1),
-                Some(seen.revision),
-            );
+            let (epoch, revision) = (seen.record.epoch + 1, seen.revision);
+            return self.take_over(epoch, Some(revision));
         }
         // No further reads are needed: the conditional write fails if the record has changed.
         LeaseStep::Idle
@@ -205,8 +242,7 @@
             if now.saturating_sub(self.holder_seen_at) < Self::RANK_STEP * self.rank {
                 return LeaseStep::Idle;
             }
-            self.is_takeover_pending = true;
-            return LeaseStep::Write(self.takeover_record(1), None);
+            return self.take_over(1, None);
         };
         self.known_epoch = self.known_epoch.max(record.epoch);
         let is_known = self
@@ -224,8 +260,13 @@
     }
 
     /// Handles a successful write. The lease is valid from `sent_at`, the time of the request.
+    ///
+    /// Does nothing if the lease was given up in the meantime.
     pub fn write_completed(&mut self, record: LeaseRecord, revision: u64, sent_at: Duration) {
-        self.is_takeover_pending = false;
+        if self.held.is_none() && self.takeover.is_none() {
+            return;
+        }
+        self.takeover = None;
         self.known_epoch = self.known_epoch.max(record.epoch);
         self.held = Some(HeldLease {
             record,
@@ -238,7 +279,7 @@
     /// Handles a write that failed because the record had changed in the store, by a write of
     /// another instance or by an earlier one of this instance whose reply was lost.
     pub fn write_conflicted(&mut self, now: Duration) {
-        self.is_takeover_pending = false;
+        self.end_takeover_call();
         self.held = None;
         self.seen = None;
         self.holder_seen_at = now;
@@ -246,7 +287,7 @@
 
     /// Handles a write without a reply; it may have taken effect or may still do so later.
     pub fn write_lost(&mut self) {
-        self.is_takeover_pending = false;
+        self.end_takeover_call();
         self.seen = None;
     }
 
@@ -290,20 +331,63 @@
         }
     }
 
+    /// Returns the claim to send to the other instances if the lease is held, even while it is
+    /// expired.
+    #[must_use]
+    pub fn claim(&self) -> Option<LeaseClaim> {
+        self.held.as_ref().map(|held| LeaseClaim {
+            epoch: held.record.epoch,
+            revision: held.revision,
+        })
+    }
+
     /// Gives up the lease locally; the record in the store stays.
     pub fn release(&mut self, now: Duration) {
         self.held = None;
+        self.takeover = None;
         self.seen = None;
         self.holder_seen_at = now;
     }
 
-    fn takeover_record(&self, epoch: u64) -> LeaseRecord {
-        LeaseRecord {
+    /// Returns whether a record that names this instance proves that no other one has sent orders
+    /// since the record was written.
+    ///
+    /// A takeover whose reply was lost may take effect after this instance has acknowledged the
+    /// former holder again. A renewed record was known to be written, and the record of a takeover
+    /// of this process is proof until it acknowledges a claim.
+    fn is_sole_orderer(&self, record: &LeaseRecord) -> bool {
+        let takeover = self.takeover.as_ref();
+        record.renewals > 0 || takeover.is_some_and(|takeover| takeover.epoch == record.epoch)
+    }
+
+    const fn is_takeover_in_flight(&self) -> bool {
+        matches!(
+            self.takeover,
+            Some(PendingTakeover {
+                is_in_flight: true,
+                ..
+            })
+        )
+    }
+
+    const fn end_takeover_call(&mut self) {
+        if let Some(takeover) = &mut self.takeover {
+            takeover.is_in_flight = false;
+        }
+    }
+
+    fn take_over(&mut self, epoch: u64, expected: Option<u64>) -> LeaseStep {
+        self.takeover = Some(PendingTakeover {
+            epoch,
+            is_in_flight: true,
+        });
+        let record = LeaseRecord {
             domain: self.domain.clone(),
             holder: self.instance.clone(),
             epoch,
             renewals: 0,
-        }
+        };
+        LeaseStep::Write(record, expected)
     }
 }
 
--- /dev/null
+++ b/src/residency/lease_claim.rs
@@ -0,0 +1,8 @@
+/// The claim of a lease holder that its gossip messages carry to the other instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseClaim {
+    /// The epoch of the lease.
+    pub epoch: u64,
+    /// The revision of the lease record as last written by the holder; zero if it is not known.
+    pub revision: u64,
+}
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -6,7 +6,8 @@
 
 use super::owner_state::{KnownHolder, OwnerState, RunningAdapters, UpstreamLoader};
 use super::{
-    DomainLease, LedgerLimits, LoadPriority, LoadRefusal, LoadWaiter, OrderPort, ResidencyLedger,
+    DomainLease, LeaseClaim, LedgerLimits, LoadPriority, LoadRefusal, LoadWaiter, OrderPort,
+    ResidencyLedger,
 };
 use crate::forward::{FleetState, ModelRef, UpstreamEntry};
 use crate::id::{DomainId, InstanceId, UpstreamId};
@@ -152,9 +153,12 @@
     pub fn owned_domains(&self) -> Vec<OwnedDomain> {
         let state = self.lock();
         let to_claim = |(domain, lease): (&DomainId, &DomainLease)| {
-            let epoch = lease.epoch()?;
-            let domain = domain.as_str().to_owned();
-            Some(OwnedDomain { domain, epoch })
+            let claim = lease.claim()?;
+            Some(OwnedDomain {
+                domain: domain.as_str().to_owned(),
+                epoch: claim.epoch,
+                revision: claim.revision,
+            })
         };
         state.leases.iter().filter_map(to_claim).collect()
     }
@@ -210,7 +214,11 @@
                 continue;
             };
             let known_epoch = lease.known_epoch();
-            let is_acked = lease.answer_claim(claim.epoch, now);
+            let lease_claim = LeaseClaim {
+                epoch: claim.epoch,
+                revision: claim.revision,
+            };
+            let is_acked = lease.answer_claim(peer, lease_claim, now);
             if !is_acked {
                 contested.push(claim.domain.clone());
             }
