Require the acknowledgement of linked instances that the list lacks

What callers would see: orders of two instances for one domain.

Cause: a holder counts the acknowledgements of the instances in its list. A new instance whose entry the holder does not know yet, because its list lags, was linked but not waited for. Since restarted and new instances answer unverified until the holder vouches for them, such an instance no longer put its takeover off by acknowledging the holder. The simulated fleet now has a new instance, replacements, lists that lag, and the removal of dead entries; its shortest failing case is a list of the holder that lags for longer than a takeover timeout.

Change: linked instances count as well as listed ones, so that the holder renews, which vouches for the new instance. The first unverified claim of an epoch restarts the takeover timeout, since the claimant may have ordered until then; later ones don't, so that a holder without the store does not keep its domain without loads.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{ClaimAnswer, LeaseClaim, LeaseRecord};
@@ -32,6 +32,8 @@
     known_epoch: u64,
     /// Whether `known_epoch` covers every epoch that earlier processes of this instance have held.
     is_informed: bool,
+    /// The highest epoch of an unverified claim.
+    unverified_epoch: u64,
     /// Whether the record has been read since the start of the process.
     has_read: bool,
 }
@@ -133,6 +135,7 @@
             takeover: None,
             known_epoch: 0,
             is_informed: false,
+            unverified_epoch: 0,
             has_read: false,
         }
     }
@@ -178,6 +181,12 @@
             return ClaimAnswer::Contested;
         }
         if !self.is_informed && !claim.is_vouched {
+            // The claimant may have sent orders until it learned of this instance, but a claim that
+            // stays unverified does not put a takeover off for ever.
+            if claim.epoch > self.unverified_epoch {
+                self.unverified_epoch = claim.epoch;
+                self.observe_holder(now);
+            }
             return ClaimAnswer::Unverified;
         }
         if self.held.is_some() {
@@ -435,8 +444,8 @@
 /// Returns the least recent of the other instances' latest acknowledgements, or `None` if one of
 /// them has never acknowledged.
 #[must_use]
-pub(super) fn oldest_ack(
-    others: &BTreeSet<InstanceId>,
+pub(super) fn oldest_ack<'a>(
+    others: impl Iterator<Item = &'a InstanceId>,
     acks: &BTreeMap<InstanceId, Duration>,
 ) -> Option<Duration> {
     // Without other instances the result is `None`: only the store can confirm the holder.
--- a/src/residency/owner_state.rs
+++ b/src/residency/owner_state.rs
@@ -84,8 +84,11 @@
 
     /// Returns the least recent of the other instances' latest acknowledgements of the claim to a
     /// domain, or `None` if one of them has never acknowledged.
+    ///
+    /// Linked instances count too, since a list that lags does not name those that registered last.
     pub(super) fn acked_at(&self, domain: &DomainId) -> Option<Duration> {
-        oldest_ack(&self.others, self.acks.get(domain)?)
+        let others = self.others.iter().chain(self.links.keys());
+        oldest_ack(others, self.acks.get(domain)?)
     }
 
     /// Returns the instance whose pool grants permits: among the live holders, the one whose domain
--- a/tests/residency/lease_faults.rs
+++ b/tests/residency/lease_faults.rs
@@ -61,6 +61,19 @@
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
 
+/// Guards against orders of a new instance while the holder, whose list lacks it, orders too.
+#[test]
+fn new_instance_waits_for_a_holder_that_does_not_list_it() {
+    let faults = [
+        fault(FaultKind::Join, 0, 17_400, 200),
+        fault(FaultKind::ListStale, 0, 17_900, 7_400),
+    ];
+
+    let played = play(&faults, RUN_LENGTH);
+
+    assert!(played.is_ok(), "{}", played.unwrap_err());
+}
+
 /// Returns the longest time between two orders, from `start` on.
 fn longest_pause(orders: &[Order], start: Duration) -> Duration {
     let times: Vec<Duration> = orders.iter().map(|order| order.at).collect();
@@ -81,7 +94,9 @@
     let orders = play(&faults, RUN_LENGTH).expect("no two instances order");
 
     // The holder is without an acknowledgement for two seconds, of which one is covered.
-    assert!(longest_pause(&orders, Duration::ZERO) <= Duration::from_millis(1200));
+    let pause = longest_pause(&orders, Duration::ZERO);
+    assert!(pause <= Duration::from_millis(1200), "{pause:?}");
+    assert!(orders.iter().all(|order| order.instance == 0));
     assert!(orders.iter().all(|order| order.instance == 0));
 }
 
--- a/tests/residency/lease_fleet.rs
+++ b/tests/residency/lease_fleet.rs
@@ -1,13 +1,18 @@
 //! A simulated fleet that competes for one lease, with every fault of links, store and processes.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
 
 use comfreychute::id::{DomainId, InstanceId};
 use comfreychute::residency::{ClaimAnswer, DomainLease, LeaseRecord, LeaseStep};
 
-/// The number of simulated instances.
-pub const INSTANCES: usize = 3;
+/// The number of simulated instances; the last one registers only by [`FaultKind::Join`] or
+/// [`FaultKind::Replace`].
+pub const INSTANCES: usize = 4;
+
+/// The instance that is not registered at first.
+const NEWCOMER: usize = INSTANCES - 1;
 
 /// Interval between two checks of each instance.
 const TICK: Duration = Duration::from_millis(100);
@@ -15,6 +20,12 @@
 /// Time after which a call to the store without an answer is given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Interval at which an instance updates its list of instances.
+const LIST_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time without a link after which the holder removes the entry of an instance.
+const DEAD_AGE: Duration = Duration::from_secs(8);
+
 /// Gap between two checks that counts as a pause of the process.
 const PAUSE_LIMIT: Duration = Duration::from_millis(700);
 
@@ -41,10 +52,16 @@
     Restart,
     /// All processes but that of one instance start again.
     RestartOthers,
+    /// A new instance registers.
+    Join,
+    /// An instance is gone for good, and a new one registers.
+    Replace,
+    /// An instance goes on with the list of instances that it knows.
+    ListStale,
 }
 
 /// All kinds of faults.
-pub const ALL_KINDS: [FaultKind; 10] = [
+pub const ALL_KINDS: [FaultKind; 13] = [
     FaultKind::Pause,
     FaultKind::Partition,
     FaultKind::Link,
@@ -55,6 +72,9 @@
     FaultKind::WriteLate,
     FaultKind::Restart,
     FaultKind::RestartOthers,
+    FaultKind::Join,
+    FaultKind::Replace,
+    FaultKind::ListStale,
 ];
 
 /// One fault of a simulated run.
@@ -113,6 +133,10 @@
     call: Option<StoreCall>,
     retry_at: Duration,
     last_tick: Duration,
+    /// The registered instances, as this one knows them.
+    listed: BTreeSet<usize>,
+    listed_at: Duration,
+    unreachable_since: [Option<Duration>; INSTANCES],
 }
 
 #[derive(Debug)]
@@ -132,6 +156,8 @@
 struct SimulatedFleet {
     instances: Vec<SimulatedInstance>,
     stored: Option<(LeaseRecord, u64)>,
+    /// The registered instances, as stored.
+    registered: BTreeSet<usize>,
     late_writes: Vec<LateWrite>,
     last_orders: [Option<Order>; INSTANCES],
     orders: Vec<Order>,
@@ -143,7 +169,7 @@
 }
 
 fn instance_id(index: usize) -> InstanceId {
-    InstanceId::from_name(["a", "b", "c"][index])
+    InstanceId::from_name(["a", "b", "c", "d"][index])
 }
 
 fn new_lease(index: usize, now: Duration) -> DomainLease {
@@ -188,15 +214,21 @@
         call: None,
         retry_at: Duration::ZERO,
         last_tick: Duration::ZERO,
+        listed: (0..NEWCOMER).collect(),
+        listed_at: Duration::ZERO,
+        unreachable_since: [None; INSTANCES],
     };
-    SimulatedFleet {
+    let mut fleet = SimulatedFleet {
         instances: (0..INSTANCES).map(new_instance).collect(),
         stored: None,
+        registered: (0..NEWCOMER).collect(),
         late_writes: Vec::new(),
         last_orders: [None; INSTANCES],
         orders: Vec::new(),
         violation: None,
-    }
+    };
+    fleet.instances[NEWCOMER].paused_until = Duration::MAX;
+    fleet
 }
 
 impl SimulatedFleet {
@@ -213,14 +245,31 @@
                         self.restart(index, fault.length, now);
                     }
                 }
+                FaultKind::Join => self.join(now),
+                FaultKind::Replace => {
+                    self.instances[fault.index].paused_until = Duration::MAX;
+                    self.join(now);
+                }
                 _ => {}
             }
         }
     }
 
+    /// Starts the new instance, which registers when it reaches the store.
+    fn join(&mut self, now: Duration) {
+        if self.instances[NEWCOMER].started_at == Duration::ZERO {
+            self.instances[NEWCOMER].paused_until = now;
+            self.restart(NEWCOMER, 0, now);
+            self.instances[NEWCOMER].listed.clear();
+        }
+    }
+
     fn restart(&mut self, index: usize, length: u64, now: Duration) {
         let started_at = now + at(length.min(2000));
         let instance = &mut self.instances[index];
+        if instance.paused_until == Duration::MAX {
+            return;
+        }
         instance.lease = new_lease(index, started_at);
         instance.acks = [None; INSTANCES];
         instance.started_at = started_at;
@@ -256,9 +305,11 @@
         if self.instances[index].paused_until > now {
             return;
         }
+        self.read_list(index, faults, now);
+        self.remove_dead(index, faults, now);
         self.claim(index, faults, now);
         self.advance(index, faults, now);
-        self.order(index, now);
+        self.order(index, faults, now);
     }
 
     fn is_linked(&self, index: usize, other: usize, faults: &[Fault], now: Duration) -> bool {
@@ -273,7 +324,66 @@
                 }
                 _ => false,
             });
-        !is_cut && self.instances[other].paused_until <= now
+        let (from, to) = (&self.instances[index], &self.instances[other]);
+        let is_known = from.listed.contains(&other) || to.listed.contains(&index);
+        !is_cut && is_known && to.paused_until <= now
+    }
+
+    fn reaches_store(index: usize, faults: &[Fault], now: Duration) -> bool {
+        let is_hit = |fault: &Fault| match fault.kind {
+            FaultKind::StoreBusy | FaultKind::StoreSilent => true,
+            FaultKind::StoreCut => fault.index == index,
+            _ => false,
+        };
+        !faults
+            .iter()
+            .any(|fault| is_active(fault, now) && is_hit(fault))
+    }
+
+    /// Updates the list of instances from the store or through a peer, and registers this instance
+    /// if it is missing.
+    fn read_list(&mut self, index: usize, faults: &[Fault], now: Duration) {
+        let is_stale = faults.iter().any(|fault| {
+            fault.kind == FaultKind::ListStale && fault.index == index && is_active(fault, now)
+        });
+        if is_stale || now < self.instances[index].listed_at + LIST_PERIOD {
+            return;
+        }
+        if Self::reaches_store(index, faults, now) {
+            self.registered.insert(index);
+            self.instances[index].listed = self.registered.clone();
+            self.instances[index].listed_at = now;
+            return;
+        }
+        let is_source = |other: &usize| {
+            *other != index
+                && self.is_linked(index, *other, faults, now)
+                && Self::reaches_store(*other, faults, now)
+        };
+        if let Some(other) = (0..INSTANCES).find(is_source) {
+            self.instances[index].listed = self.instances[other].listed.clone();
+            self.instances[index].listed_at = now;
+        }
+    }
+
+    /// Removes the entry of an instance that the holder has not reached for a long time.
+    fn remove_dead(&mut self, index: usize, faults: &[Fault], now: Duration) {
+        let others = (0..INSTANCES).filter(|other| *other != index);
+        let (linked, missing): (Vec<usize>, Vec<usize>) = others
+            .filter(|other| self.instances[index].listed.contains(other))
+            .partition(|other| self.is_linked(index, *other, faults, now));
+        let instance = &mut self.instances[index];
+        for other in &linked {
+            instance.unreachable_since[*other] = None;
+        }
+        for other in missing {
+            let since = *instance.unreachable_since[other].get_or_insert(now);
+            let is_dead = now.saturating_sub(since) > DEAD_AGE;
+            let may_remove = !linked.is_empty() && instance.lease.epoch().is_some();
+            if is_dead && may_remove && Self::reaches_store(index, faults, now) {
+                self.registered.remove(&other);
+            }
+        }
     }
 
     /// Sends the claim of an instance to all others and records their answers.
@@ -300,11 +410,15 @@
         }
     }
 
-    fn acked_at(&self, index: usize) -> Option<Duration> {
-        let others = (0..INSTANCES).filter(|other| *other != index);
-        let acks: Option<Vec<Duration>> = others
-            .map(|other| self.instances[index].acks[other])
-            .collect();
+    /// Returns the oldest of the latest acknowledgements of the other instances that are listed or
+    /// linked.
+    fn acked_at(&self, index: usize, faults: &[Fault], now: Duration) -> Option<Duration> {
+        let instance = &self.instances[index];
+        let others = (0..INSTANCES).filter(|other| {
+            let is_known = instance.listed.contains(other);
+            *other != index && (is_known || self.is_linked(index, *other, faults, now))
+        });
+        let acks: Option<Vec<Duration>> = others.map(|other| instance.acks[other]).collect();
         acks.and_then(|acks| acks.into_iter().min())
     }
 
@@ -320,9 +434,10 @@
             self.instances[index].call = None;
             self.instances[index].retry_at = now + at(300);
         }
-        let acked_at = self.acked_at(index);
+        let acked_at = self.acked_at(index, faults, now);
         let instance = &mut self.instances[index];
-        if now.saturating_sub(instance.last_tick) > PAUSE_LIMIT {
+        let is_paused = now.saturating_sub(instance.last_tick) > PAUSE_LIMIT;
+        if is_paused || !instance.listed.contains(&index) {
             instance.lease.resume_after_pause(now);
         }
         instance.last_tick = now;
@@ -391,8 +506,8 @@
     }
 
     /// Sends an order if the lease permits it.
-    fn order(&mut self, index: usize, now: Duration) {
-        let acked_at = self.acked_at(index);
+    fn order(&mut self, index: usize, faults: &[Fault], now: Duration) {
+        let acked_at = self.acked_at(index, faults, now);
         let lease = &self.instances[index].lease;
         let Some(epoch) = lease.epoch().filter(|_| lease.may_order(now, acked_at)) else {
             return;
