Keep the record that a claim told over one that was read earlier

What callers would see: a domain whose takeover fails at first, or a contested claim of its live holder.

Cause: a read of the lease record that completes after a claim was acknowledged replaced the newer record by the older one, and an answer that there is no record, which a stale read may give, started a takeover that contests all claims until its conflict. Revisions only rise, so the later one stands now.

Evidence: older_record_does_not_replace_the_one_of_a_claim failed before (a write of epoch 1) and passes.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -286,7 +286,10 @@
     ) -> LeaseStep {
         self.has_read = true;
         let Some((record, revision)) = found else {
-            self.seen = None;
+            // A claim told of a record while the read was in progress.
+            if self.seen.is_some() {
+                return LeaseStep::Idle;
+            }
             if now.saturating_sub(self.holder_seen_at) < Self::RANK_STEP * self.rank {
                 return LeaseStep::Idle;
             }
@@ -296,7 +299,7 @@
         let is_known = self
             .seen
             .as_ref()
-            .is_some_and(|seen| seen.revision == revision);
+            .is_some_and(|seen| seen.revision >= revision);
         if !is_known {
             self.seen = Some(SeenRecord {
                 record,
--- a/tests/residency/lease.rs
+++ b/tests/residency/lease.rs
@@ -127,6 +127,26 @@
     assert!(!holder.vouches_for(linked_at, Some(acked_at), acked_at + at(4900)));
 }
 
+/// Guards against a read that was answered late and replaces what a claim has told meanwhile.
+#[test]
+fn older_record_does_not_replace_the_one_of_a_claim() {
+    let mut successor = lease("b", 0);
+    let claim = LeaseClaim {
+        epoch: 3,
+        revision: 9,
+        is_vouched: true,
+    };
+    let _answer = successor.answer_claim(&InstanceId::from_name("a"), claim, at(2000));
+
+    let step = successor.read_completed(Some((record("b", 2), 7)), at(2100));
+
+    assert_eq!(step, LeaseStep::Idle);
+    assert_eq!(successor.read_completed(None, at(2100)), LeaseStep::Idle);
+    assert_eq!(successor.next_step(at(2200), None), LeaseStep::Idle);
+    let due = successor.next_step(at(6900), None);
+    assert!(matches!(due, LeaseStep::Write(_, Some(9))), "{due:?}");
+}
+
 /// Guards against a takeover that first finds that the holder has renewed its record, which took a
 /// second takeover timeout.
 #[test]
