Leave the time of a pause out of the time without contact

What callers would see: an instance that is live loses its entry in the store, and with it its part in the acknowledgements that a lease rests on, until it has registered again.

Cause: the instance that removes dead entries counted the time in which it was paused itself. After a pause of eight seconds it acted on an observation that had run out: a peer that was unreachable just before the pause counted as dead.

Change: ReachTracker holds these times, as a part of its own that needs no links, and starts them again after a pause.

Evidence: time_of_a_pause_does_not_count; without resume_after_pause its first assertion fails, as the time since the first observation exceeds eight seconds (by the code, not run as a mutant).

--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use super::{LeaseStep, LeaseWrite, LoadOwner, ResidencyDirectory, StorePort};
+use super::{LeaseStep, LeaseWrite, LoadOwner, ReachTracker, ResidencyDirectory, StorePort};
 use crate::error::Result;
 use crate::forward::{FleetState, InFlightTracker, UpstreamEntry};
 use crate::id::{DomainId, InstanceId, UpstreamId};
@@ -62,10 +62,6 @@
 /// Maximum gap between two checks; a longer one means that this process was paused.
 const PAUSE_LIMIT: Duration = Duration::from_millis(700);
 
-/// Time without contact after which an instance counts as dead; longer than most network partitions
-/// and process pauses.
-const DEAD_AGE: Duration = Duration::from_secs(8);
-
 /// Interval at which the instances are passed to the links again although none has changed.
 const SYNC_PERIOD: Duration = Duration::from_millis(500);
 
@@ -85,7 +81,7 @@
         let mut ticks = timers.subscribe(LEASE_PERIOD);
         let mut last = self.clock.now();
         let mut view = FleetView::default();
-        let mut unreachable_since = BTreeMap::new();
+        let mut reach = ReachTracker::new();
         let mut paused_until: BTreeMap<DomainId, Duration> = BTreeMap::new();
         loop {
             ticks.next().await;
@@ -93,11 +89,14 @@
             // Without the acknowledgement of an unregistered instance, a holder may still send
             // orders, so such an instance must not take over until it has been registered for the
             // takeover timeout.
-            let must_wait = now.saturating_sub(last) > PAUSE_LIMIT || !self.is_listed();
+            let was_paused = now.saturating_sub(last) > PAUSE_LIMIT;
+            let must_wait = was_paused || !self.is_listed();
             last = now;
+            if was_paused {
+                reach.resume_after_pause();
+            }
             if self.refresh(&mut view, now) {
-                self.remove_dead_instances(&mut unreachable_since, now)
-                    .await;
+                self.remove_dead_instance(&mut reach, now).await;
             }
             for (domain, rank) in &view.ranks {
                 let (domain, rank) = (domain.clone(), *rank);
@@ -209,41 +208,24 @@
             .collect()
     }
 
-    /// Removes the store entries of instances that have been unreachable for longer than
-    /// [`DEAD_AGE`].
+    /// Removes the store entry of an instance that counts as dead.
     ///
     /// To send orders, an owner needs the acknowledgement of every registered instance or a renewal
     /// in the store. Without the removal, owners would depend on the store alone after an instance
     /// is replaced for good. Only the pool holder removes entries. An instance that was merely
     /// partitioned registers again.
-    async fn remove_dead_instances(
-        &self,
-        unreachable_since: &mut BTreeMap<InstanceId, Duration>,
-        now: Duration,
-    ) {
-        let live: BTreeSet<InstanceId> = self
-            .mesh
-            .live_peers()
-            .into_iter()
-            .map(|peer| peer.id)
+    async fn remove_dead_instance(&self, reach: &mut ReachTracker, now: Duration) {
+        let live = self.mesh.live_peers().into_iter().map(|peer| peer.id);
+        let live: BTreeSet<InstanceId> = live.collect();
+        let listed: BTreeSet<InstanceId> = lock(&self.instances)
+            .iter()
+            .map(|instance| instance.id.clone())
+            .filter(|id| *id != self.instance)
             .collect();
-        let listed = lock(&self.instances).clone();
-        unreachable_since.retain(|id, _| listed.iter().any(|other| other.id == *id));
-        let mut dead = None;
-        for other in listed.iter().filter(|other| other.id != self.instance) {
-            if live.contains(&other.id) {
-                unreachable_since.remove(&other.id);
-                continue;
-            }
-            let since = *unreachable_since.entry(other.id.clone()).or_insert(now);
-            if now.saturating_sub(since) > DEAD_AGE {
-                dead = Some(other.id.clone());
-            }
-        }
+        let dead = reach.observe(&listed, &live, now);
         // An instance without any live peer is more likely to be partitioned itself.
-        let is_connected = !live.is_empty() || listed.len() <= 2;
+        let is_connected = !live.is_empty() || listed.len() <= 1;
         if let Some(dead) = dead.filter(|_| is_connected && self.owner.is_pool_holder(now)) {
-            unreachable_since.remove(&dead);
             match (self.store.remove_instance)(&dead).await {
                 Ok(()) => LogEvent::new(LogName::PeerDead)
                     .with("peer", &dead)
--- a/tests/residency/main.rs
+++ b/tests/residency/main.rs
@@ -8,3 +8,4 @@
 mod lease_faults;
 mod lease_fleet;
 mod ledger;
+mod reach_tracker;
