Forget claims of domains that nobody knows, and take over by a record with the highest epoch

What callers would see: an instance whose memory grows, or whose loop of leases panics, after messages or records that no process of ours writes. Found by the tests of hostile peers.

Cause: domains in claims of peers were kept for the life of the process, as holders and, since restarted instances answer for domains without upstreams, as leases. Leases that bind the instance to nothing and holders that were silent for a takeover timeout are forgotten now. The epoch after the highest number overflowed.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -270,7 +270,8 @@
         let is_stale = now.saturating_sub(seen.unchanged_since) >= timeout
             && now.saturating_sub(self.holder_seen_at) >= timeout;
         if is_own || is_stale {
-            let (epoch, revision) = (seen.record.epoch + 1, seen.revision);
+            // A record of another writer may have the highest number.
+            let (epoch, revision) = (seen.record.epoch.saturating_add(1), seen.revision);
             return self.take_over(epoch, Some(revision));
         }
         // No further reads are needed: the conditional write fails if the record has changed.
@@ -371,6 +372,14 @@
         self.known_epoch
     }
 
+    /// Returns whether this lease binds the instance to nothing, so that a new one can replace it: it
+    /// is not held, and the last claim is older than the takeover timeout.
+    #[must_use]
+    pub fn is_idle(&self, now: Duration) -> bool {
+        let is_old = now.saturating_sub(self.holder_seen_at) >= Self::TAKEOVER_TIMEOUT;
+        self.held.is_none() && self.takeover.is_none() && is_old
+    }
+
     /// Returns why a takeover is due, for the log.
     #[must_use]
     pub fn takeover_reason(&self) -> &'static str {
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -309,6 +309,19 @@
         }
     }
 
+    /// Forgets what peers have claimed about domains without upstreams. The names come from peers, so
+    /// that their number is not limited otherwise.
+    pub fn forget_idle_domains(&self, is_known: impl Fn(&DomainId) -> bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state
+            .leases
+            .retain(|domain, lease| is_known(domain) || !lease.is_idle(now));
+        state.holders.retain(|domain, holder| {
+            is_known(domain) || now.saturating_sub(holder.seen_at) < DomainLease::TAKEOVER_TIMEOUT
+        });
+    }
+
     /// Sets the links to the peers, over which permits are requested.
     pub fn set_mesh(&self, mesh: PeerMesh) {
         // A second call would pass the same links, so it is ignored.
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -255,6 +255,8 @@
         view.instances.clone_from(&lock(&self.instances));
         self.sync_instances(&view.instances);
         view.ranks = self.candidate_ranks();
+        let is_known = |domain: &DomainId| view.ranks.iter().any(|(known, _)| known == domain);
+        self.owner.forget_idle_domains(is_known);
         true
     }
 
--- a/tests/residency/main.rs
+++ b/tests/residency/main.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod fetch_pool;
 mod gossip_tree;
+mod hostile_claims;
 mod lease;
 mod lease_faults;
 mod lease_fleet;
