Count acknowledgements after the removal of an instance only from the next renewal on

What callers would see: orders of two instances with descending fencing tokens.

Cause: a holder needs the acknowledgement of every other instance that is listed or linked. When the entry of an instance is removed that has taken the domain over and still runs, the former holder needs one acknowledgement less, and its set is complete. The same holds for an instance whose takeover is in doubt while it is paused.

Change: AckQuorum holds the instances that are needed. After one has been left out, acknowledgements count for a lease only once its record has been renewed, which fails if that instance has taken over. Cost: one write for each held domain and removal.

The property test draws instances that the list lacks too.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{ClaimAnswer, LeaseClaim, LeaseRecord};
@@ -7,7 +6,7 @@
 /// Decides whether this instance may send orders to the upstreams of a failure domain.
 ///
 /// The holder may send orders if, within the last [`VALIDITY`](Self::VALIDITY), either every other
-/// instance acknowledged a gossip message with its claim, or its record in the store was renewed.
+/// listed or linked instance acknowledged a gossip message with its claim, or its record in the store was renewed.
 /// An acknowledgement is kept in the memory of the instance that gave it. After a restart, the
 /// instance acknowledges only claims of a holder that knows what the instance has forgotten.
 ///
@@ -236,8 +235,8 @@
         }
     }
 
-    /// Returns the next action; `acked_at` is the least recent of the other instances' latest
-    /// acknowledgements, or `None` if one of them has never acknowledged.
+    /// Returns the next action; `acked_at` is the result of
+    /// [`AckQuorum::acked_at`](super::AckQuorum::acked_at).
     #[must_use]
     pub fn next_step(&mut self, now: Duration, acked_at: Option<Duration>) -> LeaseStep {
         let wait = Self::READ_DELAY + Self::RANK_STEP * self.rank;
@@ -392,6 +391,12 @@
         }
     }
 
+    /// Returns when the last successful write of a held lease was sent.
+    #[must_use]
+    pub fn renewed_at(&self) -> Option<Duration> {
+        self.held.as_ref().map(|held| held.renewed_at)
+    }
+
     /// Returns the claim to send to the other instances, without a statement about them, if the lease
     /// is held, even while it is expired.
     #[must_use]
@@ -452,19 +457,3 @@
         LeaseStep::Write(record, expected)
     }
 }
-
-/// Returns the least recent of the other instances' latest acknowledgements, or `None` if one of
-/// them has never acknowledged.
-#[must_use]
-pub(super) fn oldest_ack<'a>(
-    others: impl Iterator<Item = &'a InstanceId>,
-    acks: &BTreeMap<InstanceId, Duration>,
-) -> Option<Duration> {
-    // Without other instances the result is `None`: only the store can confirm the holder.
-    let mut oldest = None;
-    for other in others {
-        let acked_at = *acks.get(other)?;
-        oldest = Some(oldest.map_or(acked_at, |oldest: Duration| oldest.min(acked_at)));
-    }
-    oldest
-}
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -167,7 +167,10 @@
     /// Replaces the set of other instances. A lease stays valid without a renewal in the store only
     /// if all of them acknowledge it.
     pub fn set_others(&self, others: BTreeSet<InstanceId>) {
-        self.lock().others = others;
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.others = others;
+        state.update_quorum(now);
     }
 
     /// Records which processes of the peers are linked. `peers` must have been read just before.
@@ -186,6 +189,7 @@
             (peer.id.clone(), link)
         };
         state.links = peers.iter().map(to_link).collect();
+        state.update_quorum(now);
     }
 
     /// Marks the claims to domains that a peer can't have taken over since their epochs began, so
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -8,6 +8,7 @@
 //! [`ResidencyDirectory`] and requests loads from the owner of an upstream through [`LoadClient`].
 //! [`OwnershipLoop`] renews the leases and exchanges gossip messages with the peers.
 
+mod ack_quorum;
 mod ack_tracker;
 mod claim_answer;
 mod digested_item;
@@ -33,6 +34,7 @@
 mod store_port;
 mod waiting_load;
 
+pub use ack_quorum::AckQuorum;
 pub use ack_tracker::AckTracker;
 pub use claim_answer::ClaimAnswer;
 pub use digested_item::DigestedItem;
--- a/src/residency/owner_state.rs
+++ b/src/residency/owner_state.rs
@@ -4,9 +4,8 @@
 
 use tokio::sync::Notify;
 
-use super::domain_lease::oldest_ack;
 use super::fetch_permits::FetchPermits;
-use super::{DomainLease, FetchPool, ResidencyLedger};
+use super::{AckQuorum, DomainLease, FetchPool, ResidencyLedger};
 use crate::forward::{ModelRef, UpstreamEntry};
 use crate::id::{DomainId, InstanceId, UpstreamId};
 
@@ -16,6 +15,7 @@
     pub(super) leases: BTreeMap<DomainId, DomainLease>,
     /// All other registered instances.
     pub(super) others: BTreeSet<InstanceId>,
+    pub(super) quorum: AckQuorum,
     /// The latest acknowledgement of each other instance, by failure domain.
     pub(super) acks: BTreeMap<DomainId, BTreeMap<InstanceId, Duration>>,
     /// The linked process of each other instance.
@@ -83,12 +83,17 @@
     }
 
     /// Returns the least recent of the other instances' latest acknowledgements of the claim to a
-    /// domain, or `None` if one of them has never acknowledged.
-    ///
-    /// Linked instances count too, since a list that lags does not name those that registered last.
+    /// domain, or `None` if one of them is missing.
     pub(super) fn acked_at(&self, domain: &DomainId) -> Option<Duration> {
+        let lease = self.leases.get(domain)?;
+        self.quorum.acked_at(lease, self.acks.get(domain)?)
+    }
+
+    /// Derives the instances whose acknowledgements a lease needs. Linked instances count too, since a
+    /// list that lags does not name those that registered last.
+    pub(super) fn update_quorum(&mut self, now: Duration) {
         let others = self.others.iter().chain(self.links.keys());
-        oldest_ack(others, self.acks.get(domain)?)
+        self.quorum.set_required(others.cloned().collect(), now);
     }
 
     /// Returns the instance whose pool grants permits: among the live holders, the one whose domain
--- a/tests/residency/lease_faults.rs
+++ b/tests/residency/lease_faults.rs
@@ -74,6 +74,45 @@
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
 
+/// Guards against a holder that needs one acknowledgement less once the entry of its successor, which
+/// its peers can't reach, has been removed.
+#[test]
+fn removed_successor_does_not_confirm_the_former_holder() {
+    let faults = [
+        fault(FaultKind::StoreCut, 0, 5_000, 20_000),
+        fault(FaultKind::Partition, 1, 5_000, 20_000),
+        // Entries are removed after eight seconds; the instance registers again at once.
+        fault(FaultKind::Unlisted, 1, 13_500, 300),
+    ];
+
+    let played = play(&faults, RUN_LENGTH);
+
+    assert!(played.is_ok(), "{}", played.unwrap_err());
+}
+
+/// Guards against two orderers when a successor's entry is removed while its takeover call waits for
+/// the process to wake up.
+#[test]
+fn paused_successor_that_was_removed_waits_after_the_former_holder() {
+    let faults = [
+        fault(FaultKind::StoreCut, 0, 5_000, 20_000),
+        fault(FaultKind::Link, 0, 5_000, 5_400),
+        fault(FaultKind::ReplyLost, 1, 9_900, 300),
+        fault(FaultKind::Pause, 1, 10_200, 9_500),
+        fault(FaultKind::Unlisted, 1, 18_500, 1_500),
+    ];
+    let faults = faults.map(|mut fault| {
+        if fault.kind == FaultKind::Link {
+            fault.other = 1;
+        }
+        fault
+    });
+
+    let played = play(&faults, RUN_LENGTH);
+
+    assert!(played.is_ok(), "{}", played.unwrap_err());
+}
+
 /// Returns the longest time between two orders, from `start` on.
 fn longest_pause(orders: &[Order], start: Duration) -> Duration {
     let times: Vec<Duration> = orders.iter().map(|order| order.at).collect();
--- a/tests/residency/lease_fleet.rs
+++ b/tests/residency/lease_fleet.rs
@@ -1,11 +1,11 @@
 //! A simulated fleet that competes for one lease, with every fault of links, store and processes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
 use comfreychute::id::{DomainId, InstanceId};
-use comfreychute::residency::{ClaimAnswer, DomainLease, LeaseRecord, LeaseStep};
+use comfreychute::residency::{AckQuorum, ClaimAnswer, DomainLease, LeaseRecord, LeaseStep};
 
 /// The number of simulated instances; the last one registers only by [`FaultKind::Join`] or
 /// [`FaultKind::Replace`].
@@ -58,10 +58,12 @@
     Replace,
     /// An instance goes on with the list of instances that it knows.
     ListStale,
+    /// The list lacks an instance, although its process runs.
+    Unlisted,
 }
 
 /// All kinds of faults.
-pub const ALL_KINDS: [FaultKind; 13] = [
+pub const ALL_KINDS: [FaultKind; 14] = [
     FaultKind::Pause,
     FaultKind::Partition,
     FaultKind::Link,
@@ -75,6 +77,7 @@
     FaultKind::Join,
     FaultKind::Replace,
     FaultKind::ListStale,
+    FaultKind::Unlisted,
 ];
 
 /// One fault of a simulated run.
@@ -122,7 +125,8 @@
 #[derive(Debug)]
 struct SimulatedInstance {
     lease: DomainLease,
-    acks: [Option<Duration>; INSTANCES],
+    acks: BTreeMap<InstanceId, Duration>,
+    quorum: AckQuorum,
     /// The start of the process.
     started_at: Duration,
     /// The start of the linked process of each other instance, and when it was first seen.
@@ -207,7 +211,8 @@
 fn new_fleet() -> SimulatedFleet {
     let new_instance = |index| SimulatedInstance {
         lease: new_lease(index, Duration::ZERO),
-        acks: [None; INSTANCES],
+        acks: BTreeMap::new(),
+        quorum: AckQuorum::new(),
         started_at: Duration::ZERO,
         links: [None; INSTANCES],
         paused_until: Duration::ZERO,
@@ -271,7 +276,8 @@
             return;
         }
         instance.lease = new_lease(index, started_at);
-        instance.acks = [None; INSTANCES];
+        instance.acks.clear();
+        instance.quorum = AckQuorum::new();
         instance.started_at = started_at;
         instance.links = [None; INSTANCES];
         instance.paused_until = started_at;
@@ -399,27 +405,38 @@
             let Some(mut claim) = instance.lease.claim() else {
                 continue;
             };
-            let acked_at = instance.acks[other];
+            let acked_at = instance.acks.get(&instance_id(other)).copied();
             claim.is_vouched = instance.lease.vouches_for(linked_at, acked_at, now);
             let lease = &mut self.instances[other].lease;
             match lease.answer_claim(&instance_id(index), claim, now) {
-                ClaimAnswer::Acknowledged => self.instances[index].acks[other] = Some(now),
+                ClaimAnswer::Acknowledged => {
+                    let acks = &mut self.instances[index].acks;
+                    acks.insert(instance_id(other), now);
+                }
                 ClaimAnswer::Contested => self.instances[index].lease.release(now),
                 ClaimAnswer::Unverified => {}
             }
         }
     }
 
-    /// Returns the oldest of the latest acknowledgements of the other instances that are listed or
-    /// linked.
-    fn acked_at(&self, index: usize, faults: &[Fault], now: Duration) -> Option<Duration> {
-        let instance = &self.instances[index];
-        let others = (0..INSTANCES).filter(|other| {
-            let is_known = instance.listed.contains(other);
+    /// Returns the acknowledgements that count for the lease of an instance.
+    fn acked_at(&mut self, index: usize, faults: &[Fault], now: Duration) -> Option<Duration> {
+        let required = (0..INSTANCES).filter(|other| {
+            let is_known = self.lists(index, *other, faults, now);
             *other != index && (is_known || self.is_linked(index, *other, faults, now))
         });
-        let acks: Option<Vec<Duration>> = others.map(|other| instance.acks[other]).collect();
-        acks.and_then(|acks| acks.into_iter().min())
+        let required = required.map(instance_id).collect();
+        let instance = &mut self.instances[index];
+        instance.quorum.set_required(required, now);
+        instance.quorum.acked_at(&instance.lease, &instance.acks)
+    }
+
+    /// Returns whether the list of an instance names another one.
+    fn lists(&self, index: usize, other: usize, faults: &[Fault], now: Duration) -> bool {
+        let is_unlisted = faults.iter().any(|fault| {
+            fault.kind == FaultKind::Unlisted && fault.index == other && is_active(fault, now)
+        });
+        !is_unlisted && self.instances[index].listed.contains(&other)
     }
 
     /// Takes the next step of the lease, as the ownership loop does.
@@ -435,9 +452,10 @@
             self.instances[index].retry_at = now + at(300);
         }
         let acked_at = self.acked_at(index, faults, now);
+        let is_listed = self.lists(index, index, faults, now);
         let instance = &mut self.instances[index];
         let is_paused = now.saturating_sub(instance.last_tick) > PAUSE_LIMIT;
-        if is_paused || !instance.listed.contains(&index) {
+        if is_paused || !is_listed {
             instance.lease.resume_after_pause(now);
         }
         instance.last_tick = now;
