Contest no claim of an epoch that makes the own takeover fail

What callers would see: a domain that loses its owner for nothing, for as long as the store is away.

Cause: a restarted instance may read an old record of its own, from a stale read, and try to take the domain by it. While that write was in progress it contested every claim, also of a holder whose epoch proves that the write must fail. Only claims below the epoch of the takeover are contested now.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -159,8 +159,8 @@
 
     /// Answers another instance's claim to the domain.
     ///
-    /// A claim is contested if this instance holds the domain with the same or a later epoch, has a
-    /// takeover write in progress, or knows of a later epoch: the claimant may have been paused or
+    /// A claim is contested if this instance holds the domain with the same or a later epoch, is
+    /// writing a later one, or knows of a later one: the claimant may have been paused or
     /// partitioned while another instance took over. An acknowledgement promises that this instance
     /// takes over only after the takeover timeout, and that it has not taken over since the claimed
     /// epoch began. A restarted process can promise the latter only if the claimant vouches for it.
@@ -170,7 +170,7 @@
         claim: LeaseClaim,
         now: Duration,
     ) -> ClaimAnswer {
-        let is_contested = self.is_takeover_in_flight()
+        let is_contested = self.is_taking_over_after(claim.epoch)
             || claim.epoch < self.known_epoch
             || self
                 .held
@@ -427,14 +427,10 @@
         record.renewals > 0 || takeover.is_some_and(|takeover| takeover.epoch == record.epoch)
     }
 
-    const fn is_takeover_in_flight(&self) -> bool {
-        matches!(
-            self.takeover,
-            Some(PendingTakeover {
-                is_in_flight: true,
-                ..
-            })
-        )
+    /// Returns whether a takeover after `epoch` is in progress. One of an earlier epoch must fail.
+    fn is_taking_over_after(&self, epoch: u64) -> bool {
+        let takeover = self.takeover.as_ref();
+        takeover.is_some_and(|takeover| takeover.is_in_flight && takeover.epoch > epoch)
     }
 
     const fn end_takeover_call(&mut self) {
--- a/tests/residency/lease.rs
+++ b/tests/residency/lease.rs
@@ -265,6 +265,22 @@
     assert!(answer(&mut successor, 3, now + at(10)));
 }
 
+/// Guards against a holder that gives its lease up because a restarted instance has read an old record
+/// and tries to take the domain by it, which must fail.
+#[test]
+fn takeover_by_an_old_record_does_not_contest_a_later_holder() {
+    let mut restarted = lease("b", 0);
+    let renewed = LeaseRecord {
+        renewals: 1,
+        ..record("b", 3)
+    };
+    let _step = restarted.read_completed(Some((renewed, 1)), at(1000));
+    let step = restarted.next_step(at(1100), None);
+    assert!(matches!(step, LeaseStep::Write(..)), "{step:?}");
+
+    assert!(answer(&mut restarted, 4, at(1110)));
+}
+
 /// Guards against a paused instance that takes over because it received no claims during its pause.
 #[test]
 fn pause_restarts_the_takeover_timeout() {
