Vouch by the age of an acknowledgement at the link, not at the claim

What callers would see: a domain without loads while the store is away, after one restart.

Cause: the holder compared the last acknowledgement of the process that ended with the present time, so that it vouched for some seconds only. Whether that process can have taken over depends on the time of its end, which was before the link of the next one. Compared with the time of the link, the statement stays true.

Evidence: holder_vouches_by_a_renewal_after_the_link_or_a_recent_acknowledgement states the new bounds; the property test passes.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -94,8 +94,8 @@
     /// timers.
     pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(4900);
 
-    /// Age of an instance's acknowledgement up to which the holder vouches that the instance has not
-    /// taken over. It is below the takeover timeout, since clocks differ in speed.
+    /// Age of an instance's acknowledgement, when its present process is linked, up to which the holder
+    /// vouches that the instance has not taken over. It is below the takeover timeout, since clocks differ in speed.
     const VOUCH_LIMIT: Duration = Duration::from_millis(4500);
 
     /// Age of the last acknowledgement or renewal at which the holder renews its record.
@@ -203,16 +203,11 @@
     /// last acknowledged a claim of this instance at `acked_at`, can't have taken over since.
     ///
     /// Earlier processes of that instance ended before the link. A renewal since then would have
-    /// failed if one of them had written the record. Otherwise, an acknowledgement that is younger
-    /// than the takeover timeout rules a takeover out.
+    /// failed if one of them had written the record. Otherwise, an acknowledgement that was younger than
+    /// the takeover timeout at the time of the link rules a takeover out.
     #[must_use]
-    pub fn vouches_for(
-        &self,
-        linked_at: Duration,
-        acked_at: Option<Duration>,
-        now: Duration,
-    ) -> bool {
-        let is_recent = |at: Duration| now.saturating_sub(at) < Self::VOUCH_LIMIT;
+    pub fn vouches_for(&self, linked_at: Duration, acked_at: Option<Duration>) -> bool {
+        let is_recent = |at: Duration| linked_at.saturating_sub(at) < Self::VOUCH_LIMIT;
         self.held
             .as_ref()
             .is_some_and(|held| held.renewed_at >= linked_at || acked_at.is_some_and(is_recent))
--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -195,7 +195,6 @@
     /// Marks the claims to domains that a peer can't have taken over since their epochs began, so
     /// that the peer can acknowledge them after a restart.
     pub fn vouch_claims(&self, peer: &LivePeer, claims: &mut [OwnedDomain]) {
-        let now = self.clock.now();
         let state = self.lock();
         let Some(link) = state.links.get(&peer.id) else {
             return;
@@ -206,7 +205,7 @@
             let lease = state.leases.get(&domain);
             let is_vouched = lease.is_some_and(|lease| {
                 lease.epoch() == Some(claim.epoch)
-                    && lease.vouches_for(link.linked_at, acked_at.copied(), now)
+                    && lease.vouches_for(link.linked_at, acked_at.copied())
             });
             if is_vouched {
                 claim.vouched_incarnation = link.incarnation;
