Keep a lease whose own renewal was carried out without a reply

What callers saw: cold requests refused for about a second after a lost reply of the store, and again after each takeover while replies are lost.

Cause: the retry of a renewal that had taken effect names the old revision, is rejected, and was taken for a write of another instance. The record is read now before the lease is given up; a record of the same epoch is the own one, and its revision is adopted. Meanwhile the holder orders by the acknowledgements of all others only, which an instance that has taken over does not give.

Evidence: lost_reply_to_the_first_renewal_does_not_end_a_lease failed before (no order for 0.9 s) and passes; holder_whose_record_names_another_instance_gives_up keeps the other case.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -43,6 +43,8 @@
     revision: u64,
     /// The time at which the last successful write was sent.
     renewed_at: Duration,
+    /// Whether the record has another revision in the store, so that it has to be read.
+    is_outdated: bool,
 }
 
 /// A write of a new epoch.
@@ -236,6 +238,11 @@
     pub fn next_step(&mut self, now: Duration, acked_at: Option<Duration>) -> LeaseStep {
         let wait = Self::READ_DELAY + Self::RANK_STEP * self.rank;
         if let Some(held) = &self.held {
+            if held.is_outdated {
+                return LeaseStep::Read {
+                    may_be_stale: false,
+                };
+            }
             let confirmed_at = held.renewed_at.max(acked_at.unwrap_or_default());
             let is_fresh = now.saturating_sub(confirmed_at) < Self::RENEW_AFTER;
             // The first renewal proves to later processes that this one knew of its takeover.
@@ -280,6 +287,12 @@
         now: Duration,
     ) -> LeaseStep {
         self.has_read = true;
+        if self.is_renewed_by(found.as_ref()) {
+            return LeaseStep::Idle;
+        }
+        if self.held.is_some() {
+            self.release(now);
+        }
         let Some((record, revision)) = found else {
             // A claim told of a record while the read was in progress.
             if self.seen.is_some() {
@@ -319,15 +332,22 @@
             record,
             revision,
             renewed_at: sent_at,
+            is_outdated: false,
         });
         self.seen = None;
     }
 
     /// Handles a write that failed because the record had changed in the store, by a write of
     /// another instance or by an earlier one of this instance whose reply was lost.
+    ///
+    /// A held lease is kept until the record is read. It needs the acknowledgements of all others
+    /// meanwhile, which an instance that has taken over does not give.
     pub fn write_conflicted(&mut self, now: Duration) {
         self.end_takeover_call();
-        self.held = None;
+        if let Some(held) = &mut self.held {
+            held.is_outdated = true;
+            return;
+        }
         self.seen = None;
         self.holder_seen_at = now;
     }
@@ -411,6 +431,21 @@
         self.holder_seen_at = now;
     }
 
+    /// Returns whether a record in the store is that of the held lease, whose latest revision is then
+    /// known.
+    fn is_renewed_by(&mut self, found: Option<&(LeaseRecord, u64)>) -> bool {
+        let (Some(held), Some((record, revision))) = (&mut self.held, found) else {
+            return false;
+        };
+        let is_own = record.holder == self.instance && record.epoch == held.record.epoch;
+        if is_own {
+            held.record.renewals = record.renewals;
+            held.revision = *revision;
+            held.is_outdated = false;
+        }
+        is_own
+    }
+
     /// Returns whether a record that names this instance proves that no other one has sent orders
     /// since the record was written.
     ///
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -126,8 +126,19 @@
             {
                 Ok(found) => {
                     let now = self.clock.now();
-                    self.owner
-                        .with_lease(domain, rank, |lease, _| lease.read_completed(found, now))
+                    let (was_held, step, is_held) =
+                        self.owner.with_lease(domain, rank, |lease, _| {
+                            let was_held = lease.epoch().is_some();
+                            let step = lease.read_completed(found, now);
+                            (was_held, step, lease.epoch().is_some())
+                        });
+                    if was_held && !is_held {
+                        LogEvent::new(LogName::OwnershipReleased)
+                            .with("domain", domain)
+                            .with("reason", "the lease record was changed by another instance")
+                            .send();
+                    }
+                    step
                 }
                 Err(error) => {
                     log::debug!("reading the lease record of {domain} failed: {error}");
@@ -161,12 +172,6 @@
                 let now = self.clock.now();
                 self.owner
                     .with_lease(domain, rank, |lease, _| lease.write_conflicted(now));
-                if was_held.is_some() {
-                    LogEvent::new(LogName::OwnershipReleased)
-                        .with("domain", domain)
-                        .with("reason", "the lease record was changed by another write")
-                        .send();
-                }
             }
             Err(error) => {
                 self.owner
--- a/tests/residency/lease.rs
+++ b/tests/residency/lease.rs
@@ -280,6 +280,23 @@
     assert!(answer(&mut restarted, 4, at(1110)));
 }
 
+/// Guards against a holder that goes on although another instance has changed its record.
+#[test]
+fn holder_whose_record_names_another_instance_gives_up() {
+    let mut holder = lease("a", 0);
+    let taken_at = take_over(&mut holder, record("b", 3), at(1000));
+    holder.write_conflicted(taken_at + at(100));
+
+    let step = holder.next_step(taken_at + at(200), None);
+    let _step = holder.read_completed(Some((record("c", 5), 4)), taken_at + at(210));
+
+    let read = LeaseStep::Read {
+        may_be_stale: false,
+    };
+    assert_eq!(step, read);
+    assert_eq!((holder.epoch(), holder.known_epoch()), (None, 5));
+}
+
 /// Guards against a paused instance that takes over because it received no claims during its pause.
 #[test]
 fn pause_restarts_the_takeover_timeout() {
--- a/tests/residency/lease_faults.rs
+++ b/tests/residency/lease_faults.rs
@@ -139,6 +139,21 @@
     assert!(orders.iter().all(|order| order.instance == 0));
 }
 
+/// Guards against a holder that gives its lease up because the reply to its own renewal was lost, while
+/// all peers acknowledge it.
+#[test]
+fn lost_reply_to_the_first_renewal_does_not_end_a_lease() {
+    let faults = [fault(FaultKind::ReplyLost, 0, 100, 5_000)];
+
+    let orders = play(&faults, RUN_LENGTH).expect("no two instances order");
+
+    let pause = longest_pause(&orders, Duration::ZERO);
+    assert!(
+        pause <= Duration::from_millis(300),
+        "no order for {pause:?}"
+    );
+}
+
 /// Guards against a domain without loads for two takeover timeouts after its holder renewed once.
 #[test]
 fn successor_orders_within_one_takeover_timeout() {
