Keep answers in chunks of one byte within their size limit

A server that answered with a chunked body of one-byte chunks made the process use many times the limit of the answer's size, until the call timed out. Requests of other callers share that memory.

The limit counted the bytes of the body, but the body was collected as a list of its frames. Each frame takes 32 bytes in that list and holds the buffer in which it arrived. All clients that use HttpTransport are affected: those of the store, of orders and reports, of engines and of plain services.

Ruled out: connections that go on reading after the limit or the timeout; they are closed.

--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use http::{Request, Response, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::body_buffer::{BodyFault, read_bounded};
 use crate::error::{Error, ErrorKind, Result, RunState};
 
 type PooledClient = Client<HttpConnector, Full<Bytes>>;
@@ -112,10 +113,14 @@
     ///
     /// Fails if the body is cut off, exceeds the limit or is not complete within the time limit.
     pub async fn read_body(&self, response: Response<Incoming>, limit: usize) -> Result<Bytes> {
-        let body = Limited::new(response.into_body(), limit).collect();
+        let body = read_bounded(response.into_body(), limit);
         match tokio::time::timeout(self.timeout, body).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) => {
+            Ok(Ok(bytes)) => Ok(bytes),
+            Ok(Err(BodyFault::TooLong)) => Err(self.fail(
+                &format!("answer longer than {limit} bytes"),
+                RunState::Unknown,
+            )),
+            Ok(Err(BodyFault::Broken(error))) => {
                 Err(self.fail(&format!("answer cut off: {error}"), RunState::Unknown))
             }
             Err(_) => {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! The HTTP client shared by the clients of the platform, of upstreams and of the admin endpoints.
 
+mod body_buffer;
 mod http_transport;
 
 pub use http_transport::HttpTransport;
