Keep a caller's body in chunks of one byte within its size limit

A caller that sent its body in chunks of one byte made the instance use many times the configured limit for bodies. Requests of other callers share that memory.

The body was collected as a list of its frames, as the answers were that HttpTransport read.

The body now goes into one buffer. The responses for long, late and malformed bodies are unchanged (ingress tests).

--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -29,6 +28,7 @@
 use crate::residency::{LoadClient, ResidencyDirectory};
 use crate::telemetry::{MetricName, MetricSink};
 use crate::time::ClockSource;
+use crate::transport::{BodyFault, read_bounded};
 
 /// Forwards requests to upstreams, including retries and the adapter loads that they need.
 pub struct RequestRunner {
@@ -140,21 +140,23 @@
                 "the body is too long",
             ));
         }
-        let body = match timeout_at(deadline, Limited::new(body, limit).collect()).await {
+        let body = match timeout_at(deadline, read_bounded(body, limit)).await {
             Err(_) => {
                 return Err(reject(
                     StatusCode::REQUEST_TIMEOUT,
                     "the body did not arrive",
                 ));
             }
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyFault::TooLong)) => {
                 return Err(reject(
                     StatusCode::PAYLOAD_TOO_LARGE,
                     "the body is too long",
                 ));
             }
-            Ok(Err(_)) => return Err(reject(StatusCode::BAD_REQUEST, "the body is malformed")),
+            Ok(Err(BodyFault::Broken(_))) => {
+                return Err(reject(StatusCode::BAD_REQUEST, "the body is malformed"));
+            }
         };
         let service = route
             .select_service(rand::random())
--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -10,7 +10,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use super::body_buffer::{BodyFault, read_bounded};
+use super::{BodyFault, read_bounded};
 use crate::error::{Error, ErrorKind, Result, RunState};
 
 type PooledClient = Client<HttpConnector, Full<Bytes>>;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,4 +3,5 @@
 mod body_buffer;
 mod http_transport;
 
+pub(crate) use body_buffer::{BodyFault, read_bounded};
 pub use http_transport::HttpTransport;
