Stop reading the body of a discarded answer that does not end

An upstream that refused a request with a body without end kept the instance reading as fast as it could until the deadline of the request. A refusal whose stated body never came held its connection, and its place among the requests in flight, for as long.

Discarded answers (refusals, failures that are repeated elsewhere, failed resumptions) were read to their end so that the connection could be used again, with no limit but the deadline.

The rest of a discarded answer is read up to 64 KiB and for up to 250 ms; beyond, the connection is closed, which costs a new one.

--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -4,9 +4,9 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::connection_body::InFlightGuard;
 use super::forward_head::{millis_value, strip_hop_headers};
@@ -55,6 +55,14 @@
     pub(super) record_notice: &'a (dyn Fn(UpstreamNotice) + Sync),
 }
 
+/// Maximum size in bytes of the rest of a discarded response that is read. To read more costs more
+/// than a new connection, and a faulty upstream may never end it.
+const MAX_DRAINED_BYTES: usize = 64 * 1024;
+
+/// Time limit for the rest of a discarded response. Upstreams send it with the head; until it is
+/// read, its request counts as in flight.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Sends a request to one upstream and waits for the head of the response.
 pub(super) async fn send_attempt(
     pool: &Arc<UpstreamPool>,
@@ -239,18 +247,28 @@
     !headers.contains_key(&names.attempt)
 }
 
-/// Reads the rest of a discarded response, so that its connection can be reused.
-pub(super) fn drain(mut body: ConnectionBody) {
-    use http_body_util::BodyExt;
+/// Reads the rest of a discarded response, so that its connection can be reused. The connection is
+/// closed if the rest is longer than [`MAX_DRAINED_BYTES`] or takes longer than [`DRAIN_TIMEOUT`].
+pub(super) fn drain(body: ConnectionBody) {
     tokio::spawn(async move {
-        while let Some(frame) = body.frame().await {
-            if frame.is_err() {
-                return;
-            }
+        if timeout(DRAIN_TIMEOUT, read_rest(body)).await.is_err() {
+            log::debug!("the body of a discarded response did not end; its connection is closed");
         }
     });
 }
 
+/// Reads a body to its end, unless it fails or is longer than [`MAX_DRAINED_BYTES`].
+async fn read_rest(mut body: ConnectionBody) {
+    let mut left = MAX_DRAINED_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        if length > left {
+            return;
+        }
+        left -= length;
+    }
+}
+
 /// Returns the idle timeout that a `Keep-Alive` header states.
 fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(HeaderName::from_static("keep-alive"))?;
