Limit the heads of answers to 64 KiB

An upstream whose answer began with a head without end made each of its connections hold up to 408 KiB, the default of the HTTP library for the read buffer of a connection. With 100 connections, one faulty upstream takes about 40 MB (computed), a sixth of the memory of some machines. The buffer grows to that size with bodies that arrive fast, too.

The pool of connections to upstreams and HttpTransport now state the size of the buffer, 64 KiB, and the number of headers, 100 as before. Callers' heads have a limit from the configuration already.

--- a/src/forward/upstream_pool.rs
+++ b/src/forward/upstream_pool.rs
@@ -14,6 +14,7 @@
 
 use crate::error::{Error, ErrorKind, Result, RunState};
 use crate::id::UpstreamId;
+use crate::transport::{MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADERS};
 
 /// A pool of HTTP/1.1 connections to upstreams.
 #[derive(Debug, Default)]
@@ -93,7 +94,10 @@
             .map_err(|error| fail(ErrorKind::Unavailable, &error))?
             .map_err(|error| fail(connect_error_kind(&error), &error))?;
         configure_socket(&stream).map_err(|error| fail(ErrorKind::Internal, &error))?;
-        let (sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .max_headers(MAX_RESPONSE_HEADERS)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| fail(ErrorKind::Upstream, &error))?;
         tokio::spawn(async move {
--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -10,7 +10,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use super::{BodyFault, read_bounded};
+use super::{BodyFault, MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADERS, read_bounded};
 use crate::error::{Error, ErrorKind, Result, RunState};
 
 type PooledClient = Client<HttpConnector, Full<Bytes>>;
@@ -159,6 +159,8 @@
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
+        .http1_max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+        .http1_max_headers(MAX_RESPONSE_HEADERS)
         .build(connector)
 }
 
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,7 +1,9 @@
 //! The HTTP client shared by the clients of the platform, of upstreams and of the admin endpoints.
 
 mod body_buffer;
+mod head_limits;
 mod http_transport;
 
 pub(crate) use body_buffer::{BodyFault, read_bounded};
+pub(crate) use head_limits::{MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADERS};
 pub use http_transport::HttpTransport;
