Let other requests run while an upstream sends without end

An upstream that sent interim responses without end, or a chunk size of zeros without end, as fast as they were read stopped all other requests of the instance.

hyper parses as long as a connection has bytes and yields nothing to its caller. The cooperative budget of tokio counts reads, 128 of up to 64 KiB each, and not bytes, so that one connection held the only thread for seconds in an unoptimized build.

Ruled out: memory; the bytes are not kept. Chunk extensions and trailers end at limits of hyper.

Without the yield, other_requests_are_served_during_endless_answers failed with a request to another service that had no answer after 10 s, and endless_answer_to_an_order_or_report_is_given_up with a request for an adapter that was refused after 5.49 s with a deadline of 0.5 s (unoptimized builds). Connections of UpstreamPool and HttpTransport now yield after each 16 KiB, and both pass.

endless_bytes_after_an_answer_close_the_idle_connection and endless_bodies_for_callers_that_do_not_read_pin_little_memory passed at once.

--- a/src/forward/upstream_pool.rs
+++ b/src/forward/upstream_pool.rs
@@ -14,7 +14,7 @@
 
 use crate::error::{Error, ErrorKind, Result, RunState};
 use crate::id::UpstreamId;
-use crate::transport::{MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADERS};
+use crate::transport::{MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADERS, YieldingStream};
 
 /// A pool of HTTP/1.1 connections to upstreams.
 #[derive(Debug, Default)]
@@ -97,7 +97,7 @@
         let (sender, driver) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
             .max_headers(MAX_RESPONSE_HEADERS)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(YieldingStream::new(stream)))
             .await
             .map_err(|error| fail(ErrorKind::Upstream, &error))?;
         tokio::spawn(async move {
--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -10,10 +10,11 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::yielding_connector::YieldingConnector;
 use super::{BodyFault, MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADERS, read_bounded};
 use crate::error::{Error, ErrorKind, Result, RunState};
 
-type PooledClient = Client<HttpConnector, Full<Bytes>>;
+type PooledClient = Client<YieldingConnector, Full<Bytes>>;
 
 /// Time after which an idle connection is closed; shorter than the idle timeouts of common servers,
 /// so that requests rarely use a connection that the server is closing.
@@ -161,7 +162,7 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .http1_max_buf_size(MAX_RESPONSE_HEAD_BYTES)
         .http1_max_headers(MAX_RESPONSE_HEADERS)
-        .build(connector)
+        .build(YieldingConnector::new(connector))
 }
 
 /// Formats an error with its causes, since the client's own text names only the step that failed.
