Measure the time without the store from call to call, with the age that a relayed page states

As a page did not say when the sender had last read the store, it counted as 2.3 s old, so that the next response of the store to this instance, 0.1 s later or more, looked like the first one after an outage of 2.4 s, in which entries of working upstreams may expire. The removal that this response contained was kept for the recovery period.

- A page states the ages of the sender's last call and of its response.
A page without them, as those of earlier versions, counts as before.
- Between two responses, the time from call to call and that from response to response count, each by itself, in place of the time from the earlier call to the later response, which contains the waits of both calls.
A store that rejects calls accepted both when they were sent; one that delays responses held back the later one at most.
With waits of 1 s and a refusal of the peer 1.3 s after its last response, both are up to 2.3 s, below the 2.4 s.

Ruled out: a late copy, and a removal that was not read; the log of the test shows the response with the removal, refused as "entries may have expired".

The tests of the relay pass the time of the call and look into the page; what they check is the same.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -634,6 +634,12 @@
     /// Revision of the store that the reply covers; later changes follow from here.
     #[prost(uint64, tag = "3")]
     pub covered: u64,
+    /// Time in milliseconds since the replying instance sent the last call that the store answered.
+    #[prost(uint32, optional, tag = "4")]
+    pub call_age_ms: Option<u32>,
+    /// Time in milliseconds since the response to that call arrived.
+    #[prost(uint32, optional, tag = "5")]
+    pub answer_age_ms: Option<u32>,
 }
 
 /// An object that was created or replaced in the store.
--- a/src/relay/change_log.rs
+++ b/src/relay/change_log.rs
@@ -38,6 +38,8 @@
     newest_change: u64,
     /// When the store last answered this instance.
     confirmed_at: Option<Duration>,
+    /// When the call was sent that the store answered last.
+    called_at: Duration,
 }
 
 #[derive(Debug)]
@@ -104,9 +106,17 @@
         self.covered = self.covered.max(page.covered);
     }
 
-    /// Records that the store itself, not a peer, answered this instance at `now`.
-    pub const fn confirm(&mut self, now: Duration) {
+    /// Records that the store itself, not a peer, answered this instance at `now`, `call_time` after the
+    /// call.
+    pub const fn confirm(&mut self, now: Duration, call_time: Duration) {
         self.confirmed_at = Some(now);
+        self.called_at = now.saturating_sub(call_time);
+    }
+
+    /// Returns the time at which the call was sent that the store answered last; zero if there is none.
+    #[must_use]
+    pub const fn called_at(&self) -> Duration {
+        self.called_at
     }
 
     /// Returns the time at which the store last answered this instance, or `None` if it never did.
--- a/src/relay/change_page.rs
+++ b/src/relay/change_page.rs
@@ -71,6 +71,7 @@
             objects: objects.collect(),
             deleted: self.deleted,
             covered: self.covered,
+            ..ChangeReply::default()
         }
     }
 }
--- a/src/relay/change_relay.rs
+++ b/src/relay/change_relay.rs
@@ -4,7 +4,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::{ChangeLog, ChangePage, ObjectKind, RelayedObject};
+use super::{ChangeLog, ChangePage, ContactAge, ObjectKind, RelayedObject, RelayedPage};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
 use crate::peer::{ChangeRequest, PeerReply, RefusalBody, reply};
@@ -69,19 +69,25 @@
         lock(&self.watcher).clone()
     }
 
-    /// Records a complete list that the store returned to this instance.
-    pub fn record_list(&self, kind: ObjectKind, objects: &[RelayedObject], covered: u64) {
+    /// Records a complete list that the store returned to this instance, `call_time` after the call.
+    pub fn record_list(
+        &self,
+        kind: ObjectKind,
+        objects: &[RelayedObject],
+        covered: u64,
+        call_time: Duration,
+    ) {
         self.update(kind, |log| {
             log.replace_all(objects, covered);
-            log.confirm(self.clock.now());
+            log.confirm(self.clock.now(), call_time);
         });
     }
 
-    /// Records changes that the store returned to this instance.
-    pub fn record_changes(&self, kind: ObjectKind, page: &ChangePage) {
+    /// Records changes that the store returned to this instance, `call_time` after the call.
+    pub fn record_changes(&self, kind: ObjectKind, page: &ChangePage, call_time: Duration) {
         self.update(kind, |log| {
             log.apply(page);
-            log.confirm(self.clock.now());
+            log.confirm(self.clock.now(), call_time);
         });
     }
 
@@ -105,7 +111,7 @@
         kind: ObjectKind,
         revision: u64,
         wait: Duration,
-    ) -> Result<ChangePage> {
+    ) -> Result<RelayedPage> {
         let state = &self.states[kind.index()];
         let mut updates = state.updates.subscribe();
         let ends_at = self.clock.now() + wait;
@@ -115,17 +121,22 @@
             let stale_at = {
                 let log = lock(&state.log);
                 let limit = Self::reply_age_limit(kind);
-                let stale_at = log.confirmed_at().map(|confirmed| confirmed + limit);
-                let Some(stale_at) = stale_at.filter(|stale_at| *stale_at > now) else {
+                let confirmed_at = log.confirmed_at();
+                let Some(confirmed_at) = confirmed_at.filter(|confirmed| *confirmed + limit > now)
+                else {
                     return Err(unavailable("the store does not answer the watcher"));
                 };
-                let Some(page) = log.changes_since(revision) else {
+                let Some(changes) = log.changes_since(revision) else {
                     return Err(unavailable("the watcher does not know the history"));
                 };
                 if log.has_changed_since(revision) || now >= ends_at {
-                    return Ok(page);
+                    let age = ContactAge {
+                        called: now.saturating_sub(log.called_at()),
+                        answered: now.saturating_sub(confirmed_at),
+                    };
+                    return Ok(RelayedPage { changes, age });
                 }
-                stale_at
+                confirmed_at + limit
             };
             let pause = stale_at.min(ends_at).saturating_sub(now);
             // The next iteration evaluates the log again, whether it changed or the time elapsed.
--- a/src/relay/relay_client.rs
+++ b/src/relay/relay_client.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::substitute_state::SubstituteState;
-use super::{ChangePage, ChangeRelay, ObjectKind, choose_substitutes};
+use super::{ChangeRelay, ObjectKind, RelayedPage, choose_substitutes};
 use crate::error::{Error, ErrorKind, Result};
 use crate::id::InstanceId;
 use crate::peer::{ChangeRequest, PeerMesh, PeerRequest, ask, reply};
@@ -76,7 +76,7 @@
         watcher: &InstanceId,
         kind: ObjectKind,
         revision: u64,
-    ) -> Result<ChangePage> {
+    ) -> Result<RelayedPage> {
         let wait = kind.watch_wait();
         let page = self.request_changes(watcher, kind, revision, wait).await;
         if page.is_err() {
@@ -94,7 +94,7 @@
         &self,
         kind: ObjectKind,
         revision: u64,
-    ) -> Option<(InstanceId, ChangePage)> {
+    ) -> Option<(InstanceId, RelayedPage)> {
         let peers = self.substitute_candidates();
         let requests = peers.into_iter().map(|peer| async move {
             let page = self.request_changes(&peer, kind, revision, Duration::ZERO);
@@ -140,7 +140,7 @@
         kind: ObjectKind,
         revision: u64,
         wait: Duration,
-    ) -> Result<ChangePage> {
+    ) -> Result<RelayedPage> {
         let request = ChangeRequest {
             // The indices of four kinds and a wait of some seconds fit in 32 bits.
             kind: u32::try_from(kind.index()).unwrap_or(u32::MAX),
@@ -151,7 +151,7 @@
         let pending = self.mesh.request(watcher, PeerRequest { body });
         match timeout(wait + REPLY_MARGIN, pending).await {
             Ok(answer) => match answer?.body {
-                Some(reply::Body::Changes(reply)) => Ok(ChangePage::from_reply(reply)),
+                Some(reply::Body::Changes(reply)) => Ok(RelayedPage::from_reply(reply, kind)),
                 Some(reply::Body::Refused(body)) => Err(body.to_error()),
                 _ => Err(Error::new(
                     ErrorKind::Protocol,
--- a/tests/relay/replies.rs
+++ b/tests/relay/replies.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use comfreychute::ErrorKind;
-use comfreychute::peer::{ChangeRequest, reply};
-use comfreychute::relay::{ChangePage, ChangeRelay, ObjectKind, RelayedObject};
+use comfreychute::peer::{ChangeReply, ChangeRequest, reply};
+use comfreychute::relay::{
+    ChangePage, ChangeRelay, ContactAge, ObjectKind, RelayedObject, RelayedPage,
+};
 use comfreychute::time::ClockSource;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -32,7 +34,7 @@
 
 fn relay(clock: &ClockSource) -> Arc<ChangeRelay> {
     let relay = ChangeRelay::new(clock.clone());
-    relay.record_list(ObjectKind::Config, &[object(5)], 8);
+    relay.record_list(ObjectKind::Config, &[object(5)], 8, Duration::ZERO);
     Arc::new(relay)
 }
 
@@ -44,14 +46,14 @@
     let later = Arc::clone(&relay);
     tokio::spawn(async move {
         sleep(SHORT).await;
-        later.record_changes(ObjectKind::Config, &change(9));
+        later.record_changes(ObjectKind::Config, &change(9), Duration::ZERO);
     });
 
     let pending = relay.changes(ObjectKind::Config, 8, WAIT_LIMIT);
     let page = timeout(Duration::from_secs(1), pending).await;
 
     let page = page.expect("within a second").expect("a known history");
-    assert_eq!(page, change(9));
+    assert_eq!(page.changes, change(9));
 }
 
 /// Guards against a request that gets no reply while nothing changes.
@@ -63,7 +65,7 @@
     let page = relay.changes(ObjectKind::Config, 8, SHORT).await;
 
     let page = page.expect("a known history");
-    assert_eq!((page.objects.len(), page.covered), (0, 8));
+    assert_eq!((page.changes.objects.len(), page.changes.covered), (0, 8));
     assert!(started.elapsed() >= SHORT);
 }
 
@@ -95,6 +97,42 @@
     result.expect_err("only the store's own answer counts");
 }
 
+/// Guards against a peer that takes the time since its last page for an outage of the store, because it
+/// does not know how recently the store answered the sender.
+#[tokio::test]
+async fn page_states_the_age_of_the_last_call_that_the_store_answered() {
+    let clock = ClockSource::virtual_time();
+    clock.advance(Duration::from_secs(5));
+    let relay = relay(&clock);
+    let call_time = Duration::from_millis(900);
+    relay.record_changes(ObjectKind::Config, &change(9), call_time);
+    clock.advance(Duration::from_millis(300));
+
+    let page = relay.changes(ObjectKind::Config, 8, SHORT).await;
+
+    let page = page.expect("a known history");
+    let age = ContactAge {
+        called: Duration::from_millis(1200),
+        answered: Duration::from_millis(300),
+    };
+    assert_eq!(page.age, age);
+    let reply = page.clone().into_reply();
+    assert_eq!(RelayedPage::from_reply(reply, ObjectKind::Config), page);
+}
+
+/// Guards against a page of an instance that states no age, as those of earlier versions, that counts as
+/// a contact with the store at its arrival.
+#[test]
+fn page_without_an_age_counts_as_the_oldest_that_is_sent() {
+    let reply = ChangeReply::default();
+
+    let page = RelayedPage::from_reply(reply, ObjectKind::Upstreams);
+
+    let answered = ChangeRelay::reply_age_limit(ObjectKind::Upstreams);
+    let called = answered + ObjectKind::Upstreams.watch_wait();
+    assert_eq!(page.age, ContactAge { called, answered });
+}
+
 /// Guards against a peer that receives only part of the changes because the log's history does not
 /// reach back to its revision.
 #[tokio::test]
