--- a/src/forward/runner_notices.rs
+++ b/src/forward/runner_notices.rs
@@ -99,6 +99,7 @@
             let upstreams = self.fleet.upstreams();
             let is_listed = |upstream: &UpstreamId| upstreams.contains_key(upstream);
             self.notices.remove_departed(is_listed);
+            self.directory.retain(is_listed);
         }
     }
 }
