Move the claims of leases into files of their own, and name two states after what they mean

Functions are moved as they were; is_informed is covers_earlier_processes and is_sole_orderer is allows_immediate_retake now. No logic changes.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -1,13 +1,13 @@
 use std::time::Duration;
 
-use super::{ClaimAnswer, LeaseClaim, LeaseRecord};
+use super::LeaseRecord;
 use crate::id::{DomainId, InstanceId};
 
 /// Decides whether this instance may send orders to the upstreams of a failure domain.
 ///
 /// The holder may send orders if, within the last [`VALIDITY`](Self::VALIDITY), either every other
-/// listed or linked instance acknowledged a gossip message with its claim, or its record in the store was renewed.
-/// An acknowledgement is kept in the memory of the instance that gave it. After a restart, the
+/// listed or linked instance acknowledged a gossip message with its claim, or its record in the
+/// store was renewed. An acknowledgement is kept in the memory of the instance that gave it. After a restart, the
 /// instance acknowledges only claims of a holder that knows what the instance has forgotten.
 ///
 /// Another instance takes over once, for [`TAKEOVER_TIMEOUT`](Self::TAKEOVER_TIMEOUT), it has
@@ -16,52 +16,52 @@
 /// all peers acknowledge does not call the store.
 #[derive(Debug)]
 pub struct DomainLease {
-    domain: DomainId,
-    instance: InstanceId,
-    held: Option<HeldLease>,
-    seen: Option<SeenRecord>,
+    pub(super) domain: DomainId,
+    pub(super) instance: InstanceId,
+    pub(super) held: Option<HeldLease>,
+    pub(super) seen: Option<SeenRecord>,
     /// The time at which this instance last acknowledged a claim of another one; also set at the
     /// start, after a pause, after a write conflict and when the lease is given up.
-    holder_seen_at: Duration,
-    rank: u32,
+    pub(super) holder_seen_at: Duration,
+    pub(super) rank: u32,
     /// The latest takeover of this process that may take effect, unless it has acknowledged a claim
     /// since.
-    takeover: Option<PendingTakeover>,
+    pub(super) takeover: Option<PendingTakeover>,
     /// The highest epoch that this process has held, acknowledged or read.
-    known_epoch: u64,
-    /// Whether `known_epoch` covers every epoch that earlier processes of this instance have held.
-    is_informed: bool,
+    pub(super) known_epoch: u64,
+    /// Whether `known_epoch` is not below any epoch that earlier processes of this instance have held.
+    pub(super) covers_earlier_processes: bool,
     /// The highest epoch of an unverified claim.
-    unverified_epoch: u64,
+    pub(super) unverified_epoch: u64,
     /// Whether the record has been read since the start of the process.
-    has_read: bool,
+    pub(super) has_read: bool,
 }
 
 #[derive(Debug)]
-struct HeldLease {
-    record: LeaseRecord,
-    revision: u64,
+pub(super) struct HeldLease {
+    pub(super) record: LeaseRecord,
+    pub(super) revision: u64,
     /// The time at which the last successful write was sent.
-    renewed_at: Duration,
+    pub(super) renewed_at: Duration,
     /// Whether the record has another revision in the store, so that it has to be read.
-    is_outdated: bool,
+    pub(super) is_outdated: bool,
 }
 
 /// A write of a new epoch.
 #[derive(Debug)]
-struct PendingTakeover {
-    epoch: u64,
+pub(super) struct PendingTakeover {
+    pub(super) epoch: u64,
     /// Whether the reply is still awaited.
-    is_in_flight: bool,
+    pub(super) is_in_flight: bool,
 }
 
 /// The record in the store as last read.
 #[derive(Debug)]
-struct SeenRecord {
-    record: LeaseRecord,
-    revision: u64,
+pub(super) struct SeenRecord {
+    pub(super) record: LeaseRecord,
+    pub(super) revision: u64,
     /// The time at which this revision was first read, or the end of a later pause.
-    unchanged_since: Duration,
+    pub(super) unchanged_since: Duration,
 }
 
 /// The action that the ownership loop has to take for a lease.
@@ -96,9 +96,10 @@
     /// timers.
     pub const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(4900);
 
-    /// Age of an instance's acknowledgement, when its present process is linked, up to which the holder
-    /// vouches that the instance has not taken over. It is below the takeover timeout, since clocks differ in speed.
-    const VOUCH_LIMIT: Duration = Duration::from_millis(4500);
+    /// Age of an instance's acknowledgement, when its present process is linked, up to which the
+    /// holder vouches that the instance has not taken over. It is below the takeover timeout, since
+    /// clocks differ in speed.
+    pub(super) const VOUCH_LIMIT: Duration = Duration::from_millis(4500);
 
     /// Age of the last acknowledgement or renewal at which the holder renews its record.
     const RENEW_AFTER: Duration = Duration::from_millis(450);
@@ -135,7 +136,7 @@
             rank,
             takeover: None,
             known_epoch: 0,
-            is_informed: false,
+            covers_earlier_processes: false,
             unverified_epoch: 0,
             has_read: false,
         }
@@ -159,79 +160,6 @@
         }
     }
 
-    /// Answers another instance's claim to the domain.
-    ///
-    /// A claim is contested if this instance holds the domain with the same or a later epoch, is
-    /// writing a later one, or knows of a later one: the claimant may have been paused or
-    /// partitioned while another instance took over. An acknowledgement promises that this instance
-    /// takes over only after the takeover timeout, and that it has not taken over since the claimed
-    /// epoch began. A restarted process can promise the latter only if the claimant vouches for it.
-    pub fn answer_claim(
-        &mut self,
-        holder: &InstanceId,
-        claim: LeaseClaim,
-        now: Duration,
-    ) -> ClaimAnswer {
-        let is_contested = self.is_taking_over_after(claim.epoch)
-            || claim.epoch < self.known_epoch
-            || self
-                .held
-                .as_ref()
-                .is_some_and(|held| held.record.epoch >= claim.epoch);
-        if is_contested {
-            return ClaimAnswer::Contested;
-        }
-        if !self.is_informed && !claim.is_vouched {
-            // The claimant may have sent orders until it learned of this instance, but a claim that
-            // stays unverified does not put a takeover off for ever.
-            if claim.epoch > self.unverified_epoch {
-                self.unverified_epoch = claim.epoch;
-                self.observe_holder(now);
-            }
-            return ClaimAnswer::Unverified;
-        }
-        if self.held.is_some() {
-            self.release(now);
-        }
-        self.is_informed = true;
-        self.takeover = None;
-        self.known_epoch = claim.epoch;
-        self.observe_holder(now);
-        self.observe_record(holder, claim, now);
-        ClaimAnswer::Acknowledged
-    }
-
-    /// Returns whether an instance whose present process was first linked at `linked_at`, and that
-    /// last acknowledged a claim of this instance at `acked_at`, can't have taken over since.
-    ///
-    /// Earlier processes of that instance ended before the link. A renewal since then would have
-    /// failed if one of them had written the record. Otherwise, an acknowledgement that was younger than
-    /// the takeover timeout at the time of the link rules a takeover out.
-    #[must_use]
-    pub fn vouches_for(&self, linked_at: Duration, acked_at: Option<Duration>) -> bool {
-        let is_recent = |at: Duration| linked_at.saturating_sub(at) < Self::VOUCH_LIMIT;
-        self.held
-            .as_ref()
-            .is_some_and(|held| held.renewed_at >= linked_at || acked_at.is_some_and(is_recent))
-    }
-
-    /// Updates the known record by a claim, so that a takeover needs no further read.
-    fn observe_record(&mut self, holder: &InstanceId, claim: LeaseClaim, now: Duration) {
-        let known_revision = self.seen.as_ref().map_or(0, |seen| seen.revision);
-        if claim.revision > known_revision {
-            self.seen = Some(SeenRecord {
-                record: LeaseRecord {
-                    domain: self.domain.clone(),
-                    holder: holder.clone(),
-                    epoch: claim.epoch,
-                    renewals: 0,
-                },
-                revision: claim.revision,
-                unchanged_since: now,
-            });
-        }
-    }
-
     /// Returns the next action; `acked_at` is the result of
     /// [`AckQuorum::acked_at`](super::AckQuorum::acked_at).
     #[must_use]
@@ -265,7 +193,8 @@
                 LeaseStep::Idle
             };
         };
-        let is_own = seen.record.holder == self.instance && self.is_sole_orderer(&seen.record);
+        let is_own =
+            seen.record.holder == self.instance && self.allows_immediate_retake(&seen.record);
         let timeout =
             Self::TAKEOVER_TIMEOUT + Self::TAKEOVER_STEP * self.rank.min(Self::MAX_DELAYED_RANK);
         let is_stale = now.saturating_sub(seen.unchanged_since) >= timeout
@@ -326,7 +255,7 @@
             return;
         }
         self.takeover = None;
-        self.is_informed = true;
+        self.covers_earlier_processes = true;
         self.known_epoch = self.known_epoch.max(record.epoch);
         self.held = Some(HeldLease {
             record,
@@ -412,17 +341,6 @@
         self.held.as_ref().map(|held| held.renewed_at)
     }
 
-    /// Returns the claim to send to the other instances, without a statement about them, if the lease
-    /// is held, even while it is expired.
-    #[must_use]
-    pub fn claim(&self) -> Option<LeaseClaim> {
-        self.held.as_ref().map(|held| LeaseClaim {
-            epoch: held.record.epoch,
-            revision: held.revision,
-            is_vouched: false,
-        })
-    }
-
     /// Gives up the lease locally; the record in the store stays.
     pub fn release(&mut self, now: Duration) {
         self.held = None;
@@ -452,17 +370,11 @@
     /// A takeover whose reply was lost may take effect after this instance has acknowledged the
     /// former holder again. A renewed record was known to be written, and the record of a takeover
     /// of this process is proof until it acknowledges a claim.
-    fn is_sole_orderer(&self, record: &LeaseRecord) -> bool {
+    fn allows_immediate_retake(&self, record: &LeaseRecord) -> bool {
         let takeover = self.takeover.as_ref();
         record.renewals > 0 || takeover.is_some_and(|takeover| takeover.epoch == record.epoch)
     }
 
-    /// Returns whether a takeover after `epoch` is in progress. One of an earlier epoch must fail.
-    fn is_taking_over_after(&self, epoch: u64) -> bool {
-        let takeover = self.takeover.as_ref();
-        takeover.is_some_and(|takeover| takeover.is_in_flight && takeover.epoch > epoch)
-    }
-
     const fn end_takeover_call(&mut self) {
         if let Some(takeover) = &mut self.takeover {
             takeover.is_in_flight = false;
