Log each order with its fencing token and the time since its decision

The lines order_answered and order_lost carry the token, the upstream, the outcome and the time since the lease permitted the order; report_lost replaces the load_failed of reports.

--- a/src/residency/loader_task.rs
+++ b/src/residency/loader_task.rs
@@ -5,11 +5,11 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use super::order_log::{log_lost_report, log_order};
 use super::owner_state::OwnerState;
 use super::{EngineOrder, LedgerAction, LoadOwner, OrderKind, ResidencyLedger};
 use crate::forward::{ModelRef, UpstreamEntry};
 use crate::id::{DomainId, UpstreamId};
-use crate::telemetry::{LogEvent, LogName};
 
 /// Time after which an order or report counts as lost. Engines answer within a few milliseconds.
 /// Giving up early is safe, because the next order carries the same sequence number.
@@ -198,11 +198,11 @@
             Ok(Ok(report)) => loader.ledger.report_read(&report, now),
             Ok(Err(error)) => {
                 loader.ledger.report_lost(now);
-                log_lost_call(upstream, "report", error.detail());
+                log_lost_report(upstream, error.detail());
             }
             Err(_) => {
                 loader.ledger.report_lost(now);
-                log_lost_call(upstream, "report", "timed out");
+                log_lost_report(upstream, "timed out");
             }
         }
     }
@@ -213,31 +213,27 @@
         entry: Arc<UpstreamEntry>,
         order: EngineOrder,
     ) {
-        let (kind, model, version) = (order.kind, order.model.clone(), order.version);
-        let expected = order.expected.unwrap_or(0);
-        let sent = timeout(ORDER_TIMEOUT, (self.port.order)(entry, order)).await;
-        let now = self.clock.now();
+        let decided_at = self.clock.now();
+        let answer = timeout(ORDER_TIMEOUT, (self.port.order)(entry, order.clone())).await;
+        let (now, answer) = (self.clock.now(), answer.ok());
+        log_order(upstream, &order, now.saturating_sub(decided_at), &answer);
         let mut state = self.lock();
         let Some(loader) = state.loaders.get_mut(upstream) else {
             return;
         };
-        match sent {
-            Ok(Ok(outcome)) => {
-                log::debug!(
-                    "order {kind:?} {model}@{version} at {upstream}, sequence {expected}: {outcome:?}"
-                );
+        let EngineOrder {
+            kind,
+            model,
+            version,
+            ..
+        } = order;
+        match answer {
+            Some(Ok(outcome)) => {
                 loader
                     .ledger
                     .order_answered(kind, &model, version, outcome, now);
             }
-            Ok(Err(error)) => {
-                loader.ledger.order_lost(kind, &model, now);
-                log_lost_call(upstream, "order", error.detail());
-            }
-            Err(_) => {
-                loader.ledger.order_lost(kind, &model, now);
-                log_lost_call(upstream, "order", "timed out");
-            }
+            Some(Err(_)) | None => loader.ledger.order_lost(kind, &model, now),
         }
     }
 }
@@ -250,11 +246,3 @@
     let mut loaders = state.loaders.values();
     !loaders.any(|loader| loader.entry.domain == *domain && loader.ledger.is_loading_model())
 }
-
-fn log_lost_call(upstream: &UpstreamId, call: &str, reason: &str) {
-    LogEvent::new(LogName::LoadFailed)
-        .with("upstream", upstream)
-        .with("call", call)
-        .with("reason", reason)
-        .send();
-}
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -25,6 +25,7 @@
 mod load_owner;
 mod load_priority;
 mod loader_task;
+mod order_log;
 mod order_port;
 mod owner_claims;
 mod owner_permits;
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -79,6 +79,12 @@
     EvictOrdered,
     /// an adapter eviction failed
     EvictFailed,
+    /// an upstream answered an order
+    OrderAnswered,
+    /// an order was not answered; it may have taken effect
+    OrderLost,
+    /// an upstream's report could not be read
+    ReportLost,
     /// load permits are held by this instance
     PermitHolderTaken,
     /// a request was refused before it ran
@@ -121,7 +127,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 56] = [
+    pub const ALL: [Self; 59] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -159,6 +165,9 @@
         Self::LoadFailed,
         Self::EvictOrdered,
         Self::EvictFailed,
+        Self::OrderAnswered,
+        Self::OrderLost,
+        Self::ReportLost,
         Self::PermitHolderTaken,
         Self::RequestRefused,
         Self::RequestLate,
@@ -221,6 +230,9 @@
             Self::LoadFailed => "load_failed",
             Self::EvictOrdered => "evict_ordered",
             Self::EvictFailed => "evict_failed",
+            Self::OrderAnswered => "order_answered",
+            Self::OrderLost => "order_lost",
+            Self::ReportLost => "report_lost",
             Self::PermitHolderTaken => "permit_holder_taken",
             Self::RequestRefused => "request_refused",
             Self::RequestLate => "request_late",
@@ -262,6 +274,8 @@
             | Self::UpstreamUnreachable
             | Self::UpstreamRestarted
             | Self::LoadFailed
+            | Self::OrderLost
+            | Self::ReportLost
             | Self::EvictFailed
             | Self::AnswerTruncated
             | Self::AnswerMismatch
