Reset connections that are closed, so that the kernel discards unsent bytes

Cause: a call that was given up closed its connection in the ordinary way. The kernel then goes on to send what the other side has not acknowledged, and a cut link that heals delivers it: an order of a former owner with its lower token, or a request whose caller has left. The connections of calls to upstreams and to the store now have a linger time of zero from the start, so that a call that is given up, and the end of the process, discard the bytes. An idle connection has none, so that its reset loses nothing.

Ruled out: that TCP_USER_TIMEOUT alone prevents this. It allowed two seconds.

--- a/src/transport/yielding_stream.rs
+++ b/src/transport/yielding_stream.rs
@@ -6,7 +6,11 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A connection that lets other tasks run after each 16 KiB that it has read.
+/// A connection that lets other tasks run after each 16 KiB that it has read, and that is reset when it
+/// is closed.
+///
+/// The reset discards the bytes that the kernel has not sent yet. Otherwise, a request that was given up on
+/// a link that is cut would be delivered when the link heals, even after the process has ended.
 ///
 /// hyper reads and parses without a pause while bytes arrive that yield nothing to its caller, such as
 /// interim responses without end. On a single thread, other requests would wait for seconds.
@@ -22,7 +26,10 @@
 const READ_QUANTUM: usize = 16 * 1024;
 
 impl YieldingStream {
-    pub(crate) const fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        if let Err(error) = stream.set_zero_linger() {
+            log::warn!("a connection will be closed without a reset: {error}");
+        }
         Self {
             stream,
             left: READ_QUANTUM,
