Stop sending a call's bytes after its time limit, also for a frozen process

Cause: the kernel sent the bytes of an order for up to two seconds, while the takeover timeout allows 0.7 s between the write and the arrival. The process gives an order up earlier, unless it stands still: then the order arrives up to three seconds after the last confirmation of the lease, 1.9 s before a successor may order instead of 3 s. TCP_USER_TIMEOUT is now at most the time limit of the call, and that of an order is the bound that the lease assumes.

--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -37,7 +37,8 @@
 
 impl HttpTransport {
     /// Creates a transport whose failures have the kind `kind`; `timeout` limits the wait for a
-    /// response body, and half of it the wait for a connection.
+    /// response body and the time that the kernel goes on to send a request, and half of it the wait for
+    /// a connection.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Duration, kind: ErrorKind) -> Self {
         Self {
@@ -156,7 +157,8 @@
     connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-    connector.set_tcp_user_timeout(Some(KEEPALIVE_INTERVAL * KEEPALIVE_RETRIES));
+    // A process that stands still can't give a call up, but its kernel goes on to send the bytes.
+    connector.set_tcp_user_timeout(Some(timeout.min(KEEPALIVE_INTERVAL * KEEPALIVE_RETRIES)));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
