Write an order only before the permission of its lease has ended

Cause: an order was permitted when the loader decided it, and written after the wait for the lock, for a connection and for its task. A timeout is checked after the call that it limits, so that a process that was paused in between wrote the order first when it went on, seconds after its lease had expired. An order now carries the end of its permission, and its body checks it when it is about to be passed to the kernel. The decision reads the clock under the lock.

Ruled out: a check before the call alone, which the wait for a connection and a pause defeat.

The steps from the decision to the arrival are now bounded by what the takeover timeout assumes: the validity up to the write, MAX_ORDER_TIME up to the arrival.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -291,10 +291,17 @@
     /// Returns whether this instance holds the lease and may send an order now.
     #[must_use]
     pub fn may_order(&self, now: Duration, acked_at: Option<Duration>) -> bool {
-        self.held.as_ref().is_some_and(|held| {
-            let confirmed_at = held.renewed_at.max(acked_at.unwrap_or_default());
-            now.saturating_sub(confirmed_at) < Self::VALIDITY
-        })
+        self.order_deadline(now, acked_at).is_some()
+    }
+
+    /// Returns the time before which an order that is decided now must be written to its connection, or
+    /// `None` if no order may be sent.
+    #[must_use]
+    pub fn order_deadline(&self, now: Duration, acked_at: Option<Duration>) -> Option<Duration> {
+        let held = self.held.as_ref()?;
+        let confirmed_at = held.renewed_at.max(acked_at.unwrap_or_default());
+        let is_valid = now.saturating_sub(confirmed_at) < Self::VALIDITY;
+        is_valid.then_some(confirmed_at + Self::VALIDITY)
     }
 
     /// Returns whether the lease is held but expired more than [`REGAIN_TIME`](Self::REGAIN_TIME)
--- a/src/residency/loader_task.rs
+++ b/src/residency/loader_task.rs
@@ -48,7 +48,7 @@
         loop {
             let now = self.clock.now();
             self.balance_permits(now);
-            let Some((entry, step)) = self.next_step(&upstream, &wake, now) else {
+            let Some((entry, step)) = self.next_step(&upstream, &wake) else {
                 return;
             };
             match step {
@@ -72,21 +72,22 @@
         &self,
         upstream: &UpstreamId,
         wake: &Arc<Notify>,
-        now: Duration,
     ) -> Option<(Arc<UpstreamEntry>, LoaderStep)> {
         let mut state = self.lock();
+        // The lock may be held for a while, in which the lease can expire.
+        let now = self.clock.now();
         let entry = Arc::clone(&state.loaders.get(upstream)?.entry);
         let acked_at = state.acked_at(&entry.domain);
-        let epoch = state.leases.get(&entry.domain).and_then(|lease| {
-            let epoch = lease.epoch()?;
-            lease.may_order(now, acked_at).then_some(epoch)
+        let permission = state.leases.get(&entry.domain).and_then(|lease| {
+            let deadline = lease.order_deadline(now, acked_at)?;
+            Some((lease.epoch()?, deadline))
         });
         let missing = self.missing_model(&state, upstream, &entry, now);
         let loader = state.loaders.get_mut(upstream)?;
         if !Arc::ptr_eq(&loader.wake, wake) {
             return None;
         }
-        let Some(epoch) = epoch else {
+        let Some((epoch, deadline)) = permission else {
             return Some((entry, LoaderStep::Wait(now + LEASE_RETRY_PAUSE)));
         };
         let order = |kind, model, version, expected| EngineOrder {
@@ -96,6 +97,7 @@
             expected,
             holder: self.instance.clone(),
             fencing_token: epoch,
+            deadline,
         };
         if let Some((model, version)) = missing {
             let expected = loader.ledger.sequence();
--- a/src/residency/order_port.rs
+++ b/src/residency/order_port.rs
@@ -2,6 +2,7 @@
 use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::error::Result;
 use crate::forward::{ModelRef, UpstreamEntry};
@@ -36,6 +37,9 @@
     pub holder: InstanceId,
     /// The epoch of the holder's lease.
     pub fencing_token: u64,
+    /// The time on the owner's clock before which the order must be written to its connection; see
+    /// [`DomainLease::order_deadline`](super::DomainLease::order_deadline).
+    pub deadline: Duration,
 }
 
 /// An engine's answer to an order.
@@ -72,7 +76,8 @@
 
 /// The calls to engines that order loads and read reports.
 pub struct OrderPort {
-    /// Sends an order; after an error, the order may have taken effect or may still do so later.
+    /// Sends an order before its deadline; after an error, the order may have taken effect or may still do
+    /// so within [`DomainLease::MAX_ORDER_TIME`](super::DomainLease::MAX_ORDER_TIME).
     pub order: Box<SendOrder>,
     /// Reads the current report of an engine.
     pub report: Box<ReadReport>,
--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -1,3 +1,4 @@
+use std::error::Error as StdError;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -10,11 +11,12 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::timed_body::{TimedBody, WriteLimitError};
 use super::yielding_connector::YieldingConnector;
-use super::{BodyFault, MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADERS, read_bounded};
+use super::{BodyFault, MAX_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEADERS, WriteLimit, read_bounded};
 use crate::error::{Error, ErrorKind, Result, RunState};
 
-type PooledClient = Client<YieldingConnector, Full<Bytes>>;
+type PooledClient = Client<YieldingConnector, TimedBody>;
 
 /// Time after which an idle connection is closed; shorter than the idle timeouts of common servers,
 /// so that requests rarely use a connection that the server is closing.
@@ -75,17 +77,42 @@
 
     /// Sends a request and waits up to `wait` for the head of the response.
     ///
-    /// The run state of the error is "not run" only if no connection was established, so that no
-    /// byte of the request was written.
-    ///
     /// # Errors
     ///
-    /// Fails if no connection is established or no head arrives in time.
+    /// As [`send_before`](Self::send_before).
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<Response<Incoming>> {
+        self.send_limited(request, wait, None).await
+    }
+
+    /// Sends a request, which must have a body, unless `limit` passes before it is written, and waits up
+    /// to `wait` for the head of the response.
+    ///
+    /// The run state of the error is "not run" only if no connection was established or the limit has
+    /// passed, so that no byte of the request was written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection is established, the limit passes, or no head arrives in time.
+    pub async fn send_before(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+        limit: WriteLimit,
+    ) -> Result<Response<Incoming>> {
+        self.send_limited(request, wait, Some(limit)).await
+    }
+
+    async fn send_limited(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+        limit: Option<WriteLimit>,
+    ) -> Result<Response<Incoming>> {
+        let request = request.map(|body| TimedBody::new(body, limit));
         let client = self
             .client
             .lock()
@@ -94,7 +121,7 @@
         match tokio::time::timeout(wait, client.request(request)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) => {
-                let run_state = if error.is_connect() {
+                let run_state = if error.is_connect() || is_late(&error) {
                     RunState::NotRun
                 } else {
                     RunState::Unknown
@@ -167,8 +194,13 @@
         .build(YieldingConnector::new(connector))
 }
 
+/// Returns whether a request failed because its write limit had passed.
+fn is_late(error: &(dyn StdError + 'static)) -> bool {
+    error.is::<WriteLimitError>() || error.source().is_some_and(is_late)
+}
+
 /// Formats an error with its causes, since the client's own text names only the step that failed.
-fn describe(error: &dyn std::error::Error) -> String {
+fn describe(error: &dyn StdError) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
     while let Some(error) = cause {
