--- a/src/residency/loader_task.rs
+++ b/src/residency/loader_task.rs
@@ -218,7 +218,12 @@
         let decided_at = self.clock.now();
         let answer = timeout(ORDER_TIMEOUT, (self.port.order)(entry, order.clone())).await;
         let (now, answer) = (self.clock.now(), answer.ok());
-        log_order(upstream, &order, now.saturating_sub(decided_at), &answer);
+        log_order(
+            upstream,
+            &order,
+            now.saturating_sub(decided_at),
+            answer.as_ref(),
+        );
         let mut state = self.lock();
         let Some(loader) = state.loaders.get_mut(upstream) else {
             return;
--- a/src/residency/order_log.rs
+++ b/src/residency/order_log.rs
@@ -7,18 +7,15 @@
 use crate::id::UpstreamId;
 use crate::telemetry::{LogEvent, LogName};
 
-/// The answer to a call, or `None` if it did not arrive in time.
-pub(super) type TimedAnswer<T> = Option<Result<T>>;
-
 /// Logs an order with its fencing token once it has been answered or given up.
 ///
 /// `waited` is the time since the lease permitted the order, so that the time of that decision can be
-/// told from the time of the line.
+/// told from the time of the line; `answer` is `None` if none arrived in time.
 pub(super) fn log_order(
     upstream: &UpstreamId,
     order: &EngineOrder,
     waited: Duration,
-    answer: &TimedAnswer<OrderOutcome>,
+    answer: Option<&Result<OrderOutcome>>,
 ) {
     let (name, outcome) = match answer {
         Some(Ok(outcome)) => (LogName::OrderAnswered, format!("{outcome:?}")),
