Do not handle frames of a link that a newer one has replaced

Callers could see a call, a request or an answer handled after the link that carried it had been closed and a newer link of the same process was up.

The reader of a link checked for the close only when it had to wait for bytes. Frames that were already in its buffer, up to a whole read, were still dispatched. Later polls were ruled out: they check for the close first.

The reader now checks before each frame. The new test holds the reader between two frames while a newer link replaces it; before, the second call was run ("calls of the replaced link were run").

--- a/src/peer/link_reader.rs
+++ b/src/peer/link_reader.rs
@@ -56,6 +56,10 @@
             let frame = next
                 .transpose()?
                 .ok_or_else(|| Error::new(ErrorKind::Peer, "the peer closed the connection"))?;
+            if self.core.is_closed() {
+                // Another task closed the link, for example because a newer one replaced it.
+                return Ok(());
+            }
             self.core.record_received();
             shrink_empty(self.frames.read_buffer_mut());
             self.handle_frame(frame)?;
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -10,5 +10,6 @@
 mod link_rules;
 mod panics;
 mod raw_peer;
+mod replaced_links;
 mod test_proxy;
 mod traffic;
