Reset links between instances that are given up

A request to a peer, such as one for an adapter or a permit, could be delivered and acted on after its sender had given it up together with the link. Callers could see its effect as a load or a claim that nobody waits for.

A link that was given up was closed in order. The kernel then goes on to send the frames that the peer has not acknowledged, and a link that was cut delivers them once it is back, as long as the peer has not closed its end. That end waits for the link timeout, and on an idle link for a multiple of it. While frames of the peer still arrive, the sender does not even give the link up, so that a request was sent long after its time limit.

Links have a linger time of zero from the start, so that any close, also that of a killed process, discards what was not sent. A user timeout closes a link whose frames are not acknowledged within the silence limit. A planned stop of the mesh restores the orderly close, which the user timeout bounds.

--- a/src/peer/link_heartbeats.rs
+++ b/src/peer/link_heartbeats.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Returns whether the mesh was stopped, rather than this link given up.
+    pub(super) fn is_mesh_stopped(&self) -> bool {
+        self.mesh.stop.is_cancelled()
+    }
+
     /// Returns the next heartbeat frame, if one is due.
     ///
     /// Only the primary link of a peer carries content; other links send an occasional keep-alive
--- a/src/peer/link_writer.rs
+++ b/src/peer/link_writer.rs
@@ -2,7 +2,8 @@
 use std::time::Duration;
 
 use futures_util::SinkExt;
-use tokio::io::AsyncWrite;
+use socket2::SockRef;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::FramedWrite;
@@ -19,17 +20,20 @@
 const MAX_BATCH_FRAMES: usize = 32;
 
 /// Writes heartbeats and queued frames of one link.
-pub(super) struct LinkWriter<W> {
+///
+/// A link that is given up is reset, since the kernel would go on to send the frames of an orderly
+/// close, and a cut link would deliver them seconds later.
+pub(super) struct LinkWriter {
     pub(super) core: Arc<LinkCore>,
     pub(super) queues: LinkQueues,
-    pub(super) frames: FramedWrite<W, FrameCodec>,
+    pub(super) frames: FramedWrite<OwnedWriteHalf, FrameCodec>,
     pub(super) write_timeout: Duration,
     /// Receives the state of the node at each heartbeat.
     pub(super) ticks: watch::Receiver<Arc<NodeHeartbeat>>,
     pub(super) heartbeats: LinkHeartbeats,
 }
 
-impl<W: AsyncWrite + Unpin> LinkWriter<W> {
+impl LinkWriter {
     /// Writes until the link closes or fails.
     pub(super) async fn run(mut self) {
         let core = Arc::clone(&self.core);
@@ -40,6 +44,9 @@
     }
 
     async fn write_all(&mut self) -> Result<()> {
+        // Set from the start, so that it also applies if the process is killed.
+        self.socket().set_linger(Some(Duration::ZERO))?;
+        let mut factor = 0;
         // Sends the first heartbeat immediately, which confirms the link to the dialling side.
         self.ticks.mark_changed();
         loop {
@@ -61,11 +68,23 @@
                 };
                 self.feed(outgoing).await?;
             }
+            let current = self.core.heartbeat_factor();
+            if current != factor {
+                factor = current;
+                // Frames that the peer's kernel does not acknowledge within the silence limit are
+                // not delivered later, even while frames of the peer arrive.
+                let limit = self.write_timeout * factor;
+                self.socket().set_tcp_user_timeout(Some(limit))?;
+            }
             with_timeout(self.write_timeout, self.frames.flush()).await?;
             shrink_empty(self.frames.write_buffer_mut());
         }
     }
 
+    fn socket(&self) -> SockRef<'_> {
+        SockRef::from(self.frames.get_ref().as_ref())
+    }
+
     async fn feed(&mut self, outgoing: OutgoingFrame) -> Result<()> {
         if outgoing.call.is_some_and(|call| !call.begin_write()) {
             return Ok(());
@@ -97,6 +116,18 @@
     }
 }
 
+impl Drop for LinkWriter {
+    fn drop(&mut self) {
+        // A planned stop still delivers the frames that were written before it.
+        if self.heartbeats.is_mesh_stopped()
+            && !self.core.is_closed()
+            && let Err(error) = self.socket().set_linger(None)
+        {
+            log::debug!("the last frames of a link may be lost: {error}");
+        }
+    }
+}
+
 async fn with_timeout(limit: Duration, write: impl Future<Output = Result<()>>) -> Result<()> {
     timeout(limit, write).await.unwrap_or_else(|_| {
         Err(Error::new(
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -5,6 +5,7 @@
 mod dial_grace;
 mod failures;
 mod fixture;
+mod given_up;
 mod handshake;
 mod idle_links;
 mod link_rules;
