Do not write requests to peers that have been given up

A request to a peer, such as one for an adapter or a permit, could reach it after its time limit, when the sender had already turned to another way.

A request whose time limit passed while it waited in the send queue of a slow link was written nevertheless. Calls were not affected: their first frame is marked as cancelled. The kernel's buffers are another cause, which the reset of links covers.

Requests now carry the same mark as calls.

--- a/src/peer/call_state.rs
+++ b/src/peer/call_state.rs
@@ -6,17 +6,18 @@
 const WRITTEN: u8 = 1;
 const CANCELLED: u8 = 2;
 
-/// Whether the first frame of a call was written, which decides the run state after a lost link.
+/// Whether a request or the first frame of a call was written, which decides the run state of a call
+/// after a lost link.
 #[derive(Debug, Default)]
 pub(super) struct CallState(AtomicU8);
 
 impl CallState {
-    /// Marks the call as written; returns `false` if it was already cancelled.
+    /// Marks the frame as written; returns `false` if it was already cancelled.
     pub(super) fn begin_write(&self) -> bool {
         self.move_to(WRITTEN)
     }
 
-    /// Cancels a call that was not written; returns `false` if it was already written.
+    /// Cancels a frame that was not written; returns `false` if it was already written.
     pub(super) fn cancel(&self) -> bool {
         self.move_to(CANCELLED)
     }
--- a/src/peer/outgoing_frame.rs
+++ b/src/peer/outgoing_frame.rs
@@ -8,7 +8,7 @@
 #[derive(Debug)]
 pub(super) struct OutgoingFrame {
     pub(super) frame: PeerFrame,
-    /// Set for the first frame of a call.
+    /// Set for a request and for the first frame of a call, which are not written once cancelled.
     pub(super) call: Option<Arc<CallState>>,
     /// Bytes of the queue that the frame occupies, released when the frame is dropped.
     pub(super) _queue_permit: Option<OwnedSemaphorePermit>,
--- a/src/peer/peer_link.rs
+++ b/src/peer/peer_link.rs
@@ -96,13 +96,18 @@
             ));
         }
         let stream = core.new_stream();
-        let slot = RequestSlot { core, stream };
+        let state = Arc::new(CallState::default());
+        let slot = RequestSlot {
+            core,
+            stream,
+            state: Arc::clone(&state),
+        };
         let exchange = async {
             // The semaphore is never closed.
             let _permit = core.request_permits.acquire().await;
             let (sender, receiver) = oneshot::channel();
             core.insert_request(slot.stream, sender)?;
-            core.queue_data(stream, frame::Body::Ask(request), None)
+            core.queue_data(stream, frame::Body::Ask(request), Some(state))
                 .await?;
             receiver
                 .await
@@ -125,14 +130,16 @@
     }
 }
 
-/// Removes a pending request when its future is dropped.
+/// Removes a pending request when its future is dropped, also from the send queue.
 struct RequestSlot<'a> {
     core: &'a LinkCore,
     stream: u64,
+    state: Arc<CallState>,
 }
 
 impl Drop for RequestSlot<'_> {
     fn drop(&mut self) {
         self.core.streams().requests.remove(&self.stream);
+        self.state.cancel();
     }
 }
--- a/tests/peer/given_up.rs
+++ b/tests/peer/given_up.rs
@@ -3,14 +3,16 @@
 use std::time::Duration;
 
 use comfreychute::peer::{
-    AdapterRequest, FrameCodec, HeartbeatBody, PROTOCOL_VERSION, PeerFrame, PeerRequest, ask, frame,
+    AdapterRequest, FrameCodec, HeartbeatBody, MeshConfig, PROTOCOL_VERSION, PeerFrame,
+    PeerRequest, ask, frame,
 };
+use futures_util::future::join_all;
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
-use crate::fixture::{LIMIT, TestNode, id, listed, until};
+use crate::fixture::{LIMIT, TestNode, answer_three, config, id, listed, until};
 use crate::raw_peer::{RawLink, hello, next_hello};
 
 /// Receive buffer of a peer, in bytes, so small that most of a frame stays in the sender's kernel.
@@ -31,6 +33,13 @@
 /// Time within which a link with an unread request ends, a multiple of the link timeout.
 const UNREAD_LIMIT: Duration = Duration::from_secs(10);
 
+/// Number and length in bytes of requests that fill the kernel's buffers and the queue of a link.
+const FLOOD_COUNT: usize = 40;
+const FLOOD_LEN: usize = 180_000;
+
+/// Time limit of the requests of a flood, shorter than the link timeout.
+const FLOOD_LIMIT: Duration = Duration::from_millis(500);
+
 fn small_listener() -> TcpListener {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_recv_buffer_size(TINY_BUFFER).expect("set");
@@ -63,10 +72,10 @@
     }
 }
 
-fn long_request() -> PeerRequest {
+fn long_request(len: usize) -> PeerRequest {
     PeerRequest {
         body: Some(ask::Body::Want(AdapterRequest {
-            upstream: "u".repeat(NAME_LEN),
+            upstream: "u".repeat(len),
             ..AdapterRequest::default()
         })),
     }
@@ -84,16 +93,22 @@
     count
 }
 
-/// Starts a node that has sent a request to a peer that does not read.
-async fn start_with_unread_request() -> (TestNode, RawLink) {
-    let node = TestNode::start("a");
+/// Starts a node with a link to a peer that does not read.
+async fn start_linked(config: MeshConfig) -> (TestNode, RawLink) {
+    let node = TestNode::start_with(config, answer_three);
     let listener = small_listener();
     let address = listener.local_addr().expect("bound");
     node.mesh.dial(&[listed("raw", address)]);
     let link = accept_link(&listener).await;
     node.wait_for_link("raw").await;
+    (node, link)
+}
+
+/// Starts a node that has sent a request to a peer that does not read.
+async fn start_with_unread_request() -> (TestNode, RawLink) {
+    let (node, link) = start_linked(config("a", 1)).await;
     let mesh = node.mesh.clone();
-    tokio::spawn(async move { mesh.request(&id("raw"), long_request()).await });
+    tokio::spawn(async move { mesh.request(&id("raw"), long_request(NAME_LEN)).await });
     sleep(WRITE_TIME).await;
     (node, link)
 }
@@ -141,3 +156,23 @@
 
     assert_eq!(count_requests(&mut link).await, 1);
 }
+
+/// Guards against requests that are written to a slow link although their senders have given them up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn queued_requests_are_not_written_after_their_time_limit() {
+    let mut limited = config("a", 1);
+    limited.request_timeout = FLOOD_LIMIT;
+    let (node, mut link) = start_linked(limited).await;
+    let peer = id("raw");
+    let flood = (0..FLOOD_COUNT).map(|_| node.mesh.request(&peer, long_request(FLOOD_LEN)));
+
+    let replies = join_all(flood).await;
+    let stop = async {
+        sleep(DELIVERY_TIME).await;
+        node.mesh.stop();
+    };
+    let (delivered, ()) = tokio::join!(count_requests(&mut link), stop);
+
+    assert!(replies.iter().all(Result::is_err));
+    assert!(delivered < FLOOD_COUNT / 2, "{delivered} were delivered");
+}
