Check an epoch that only claims have told of against the lease record

After one claim with an epoch that the store has not reached, an instance contested the sound holder of a domain until it was restarted: the holder released its lease each time, and the domain was without loads in between.

The cause: an acknowledged claim raised the known epoch for ever, and no record could lower it. Ruled out: the record (it was read with the lower epoch each time a read was due) and a takeover in progress (there is none in the test). Also ruled out were three rules that are not safe: to let a claimed epoch expire, since a removed successor may have held it; to trust a read for having begun after the claim, since a read may be an old copy; and to keep only the highest claim, since its refutation would drop a sound one below it.

A claim states the revision at which the record had its epoch, and the epoch of the record never decreases from one revision to the next, because each write depends on the revision before it. A record with a lower epoch at the highest revision that any acknowledged claim has stated, or later, therefore refutes all claims of later epochs, however old the read is. The known epoch then falls to the highest one that was written or read. As the refuted claim may be the one that was vouched for, the instance again needs one. Such a record is looked for, by cheap reads at least a second apart, only once a claim has been contested for an epoch that only claims have told of.

A new test guards the safe side: a record from before a claim does not refute its epoch.

Not covered: a false claim that also states a revision beyond that of the store. No read refutes it by this rule, and the instance contests as before. The rule further relies on records that are never deleted, which no code does.

--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -27,8 +27,17 @@
     /// The latest takeover of this process that may take effect, unless it has acknowledged a claim
     /// since.
     pub(super) takeover: Option<PendingTakeover>,
-    /// The highest epoch that this process has held, acknowledged or read.
+    /// The highest epoch that this process has held, acknowledged or read, without those that the
+    /// store has refuted.
     pub(super) known_epoch: u64,
+    /// The highest epoch that this process has written to the store or read there.
+    pub(super) stored_epoch: u64,
+    /// The highest revision of the record that an acknowledged claim has stated.
+    pub(super) claimed_revision: u64,
+    /// Whether a claim was contested because of an epoch that only claims have told of.
+    pub(super) is_disputed: bool,
+    /// The time of the last completed read.
+    read_at: Duration,
     /// Whether `known_epoch` is not below any epoch that earlier processes of this instance have held.
     pub(super) covers_earlier_processes: bool,
     /// The highest epoch of an unverified claim.
@@ -124,6 +133,10 @@
     /// holder arrives within it.
     const READ_DELAY: Duration = Duration::from_millis(700);
 
+    /// Minimum time between the reads that check a disputed epoch, so that a faulty peer, which may
+    /// claim the domain at any rate, does not determine the number of calls to the store.
+    const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
     /// Creates a lease that is not held; `rank` is this instance's position among the candidates,
     /// starting at zero.
     #[must_use]
@@ -137,6 +150,10 @@
             rank,
             takeover: None,
             known_epoch: 0,
+            stored_epoch: 0,
+            claimed_revision: 0,
+            is_disputed: false,
+            read_at: now,
             covers_earlier_processes: false,
             unverified_epoch: 0,
             has_read: false,
@@ -182,6 +199,9 @@
             record.renewals += 1;
             return LeaseStep::Write(record, Some(held.revision));
         }
+        if self.is_disputed && now.saturating_sub(self.read_at) >= Self::CHECK_INTERVAL {
+            return LeaseStep::Read { may_be_stale: true };
+        }
         let Some(seen) = &self.seen else {
             // The first read needs no delay: if the record names this instance, its process was
             // restarted and it reacquires the lease at once.
@@ -217,6 +237,11 @@
         now: Duration,
     ) -> LeaseStep {
         self.has_read = true;
+        self.is_disputed = false;
+        self.read_at = now;
+        if let Some((record, revision)) = &found {
+            self.observe_stored(record.epoch, *revision);
+        }
         if self.is_renewed_by(found.as_ref()) {
             return LeaseStep::Idle;
         }
@@ -233,7 +258,6 @@
             }
             return self.take_over(1, None);
         };
-        self.known_epoch = self.known_epoch.max(record.epoch);
         let is_known = self
             .seen
             .as_ref()
@@ -256,8 +280,8 @@
             return;
         }
         self.takeover = None;
+        self.observe_stored(record.epoch, revision);
         self.covers_earlier_processes = true;
-        self.known_epoch = self.known_epoch.max(record.epoch);
         self.held = Some(HeldLease {
             record,
             revision,
@@ -317,7 +341,8 @@
         self.held.as_ref().map(|held| held.record.epoch)
     }
 
-    /// Returns the highest epoch that this process has held, acknowledged or read, or zero.
+    /// Returns the highest epoch that this process has held, acknowledged or read, without those that
+    /// the store has refuted, or zero.
     #[must_use]
     pub const fn known_epoch(&self) -> u64 {
         self.known_epoch
@@ -383,6 +408,23 @@
         record.renewals > 0 || takeover.is_some_and(|takeover| takeover.epoch == record.epoch)
     }
 
+    /// Updates the known epochs by the record that the store has, or had, at a revision.
+    ///
+    /// The epoch of the record never decreases from one revision to the next, and a holder states the
+    /// revision at which the record had its epoch. A lower epoch at the highest revision that any
+    /// acknowledged claim has stated, or after it, hence refutes all claims of later epochs, also if
+    /// the record is an old one.
+    fn observe_stored(&mut self, epoch: u64, revision: u64) {
+        self.stored_epoch = self.stored_epoch.max(epoch);
+        if revision >= self.claimed_revision {
+            // The refuted claim may be the only one that was vouched for.
+            self.covers_earlier_processes &= self.known_epoch <= self.stored_epoch;
+            self.known_epoch = self.stored_epoch;
+        } else {
+            self.known_epoch = self.known_epoch.max(epoch);
+        }
+    }
+
     const fn end_takeover_call(&mut self) {
         if let Some(takeover) = &mut self.takeover {
             takeover.is_in_flight = false;
--- a/src/residency/lease_answers.rs
+++ b/src/residency/lease_answers.rs
@@ -38,6 +38,7 @@
                 .as_ref()
                 .is_some_and(|held| held.record.epoch >= claim.epoch);
         if is_contested {
+            self.is_disputed |= (self.stored_epoch..self.known_epoch).contains(&claim.epoch);
             return ClaimAnswer::Contested;
         }
         if !self.covers_earlier_processes && !claim.is_vouched {
@@ -55,6 +56,7 @@
         self.covers_earlier_processes = true;
         self.takeover = None;
         self.known_epoch = claim.epoch;
+        self.claimed_revision = self.claimed_revision.max(claim.revision);
         self.observe_holder(now);
         self.observe_record(holder, claim, now);
         ClaimAnswer::Acknowledged
--- a/tests/residency/lease.rs
+++ b/tests/residency/lease.rs
@@ -146,6 +146,31 @@
     assert!(matches!(due, LeaseStep::Write(_, Some(9))), "{due:?}");
 }
 
+/// Guards against a former holder that is confirmed again because an old copy of the record seems to
+/// refute the epoch of its successor.
+#[test]
+fn record_from_before_a_claim_does_not_refute_its_epoch() {
+    let former = InstanceId::from_name("a");
+    let mut third = lease("c", 2);
+    let _step = third.read_completed(Some((record("a", 3), 5)), at(100));
+    let claim = |epoch, revision| LeaseClaim {
+        epoch,
+        revision,
+        is_vouched: true,
+    };
+    let _answer = third.answer_claim(&InstanceId::from_name("b"), claim(4, 9), at(1000));
+    let before = third.answer_claim(&former, claim(3, 8), at(2000));
+    let check = third.next_step(at(2000), None);
+
+    let _step = third.read_completed(Some((record("a", 3), 8)), at(2100));
+
+    assert_eq!(before, ClaimAnswer::Contested);
+    assert_eq!(check, LeaseStep::Read { may_be_stale: true });
+    assert_eq!(third.next_step(at(2200), None), LeaseStep::Idle);
+    let after = third.answer_claim(&former, claim(3, 8), at(2300));
+    assert_eq!(after, ClaimAnswer::Contested);
+}
+
 /// Guards against a takeover that first finds that the holder has renewed its record, which took a
 /// second takeover timeout.
 #[test]
