Drop a revision of a peer that a later list of the store has not reached

After one message of a peer with a revision beyond that of the store, an instance read the list of the kind again every 300 ms for as long as it ran (26 calls for `config` in 4 s, of which four are due), and reported the revision to its peers, which did the same.

The cause: the revision stated by peers only rises, and a list that shows that the store has not reached it did not lower it, so that the instance counted as lagging for ever. Ruled out: refused requests to the watcher (the instance watches the store itself in the test) and the pause after failed calls (no call fails).

The revision of the store never decreases. A list that was requested after the statement and is of a lower revision hence refutes it. The instance now drops it, accepts no revision as high for five seconds, so that instances do not report it to each other for ever, and reads no list because of peers in this time, so that a peer that repeats or varies its statement causes one list per period. A lost change is noticed up to five seconds late if a peer has made a false statement meanwhile; the time limit of the watch call still applies.

The test fails before (26 calls) and passes after. Two new tests of the state pass: a refuted revision is neither lag nor reported, and a lag after one is detected.

--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -1,10 +1,10 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::{ModelRef, RouteSet, UpstreamEntry};
 use crate::id::UpstreamId;
@@ -37,6 +37,15 @@
     covered: watch::Sender<u64>,
     /// The revision of the latest change that any peer has read.
     peers: watch::Sender<u64>,
+    refutation: Mutex<Option<Refutation>>,
+}
+
+/// A revision that a peer has stated, and that the store had not reached afterwards.
+#[derive(Debug, Clone, Copy)]
+struct Refutation {
+    revision: u64,
+    /// When the revision may be reported again.
+    ends_at: Instant,
 }
 
 impl ReadProgress {
@@ -45,14 +54,26 @@
             seen: AtomicU64::new(0),
             covered: watch::channel(0).0,
             peers: watch::channel(0).0,
+            refutation: Mutex::new(None),
         }
     }
+
+    /// Returns the refutation that is in force, if any.
+    fn refutation(&self) -> Option<Refutation> {
+        let refutation = *lock(&self.refutation);
+        refutation.filter(|it| Instant::now() < it.ends_at)
+    }
 }
 
 /// Time that this instance may stay behind its peers before it reads the objects again. A change
 /// reaches all watchers within a few milliseconds.
 const LAG_LIMIT: Duration = Duration::from_millis(300);
 
+/// Time after the store has refuted a revision of a peer in which the statements of peers cause no
+/// further lists. It limits the calls that a faulty peer can cause, and all instances refute a revision
+/// within it, so that they do not report it to each other for ever.
+const REFUTATION_TIME: Duration = Duration::from_secs(5);
+
 impl FleetState {
     /// Creates a state without configuration, upstreams or adapter versions.
     #[must_use]
@@ -194,9 +215,36 @@
             .max(*self.progress(kind).peers.borrow())
     }
 
-    /// Records that a peer has read objects of a kind up to a revision.
+    /// Records that a peer has read objects of a kind up to a revision, unless the store has just
+    /// refuted that or a lower one.
     pub fn record_peer_revision(&self, kind: ObjectKind, revision: u64) {
-        raise(&self.progress(kind).peers, revision);
+        let progress = self.progress(kind);
+        let refutation = progress.refutation();
+        if refutation.is_none_or(|it| revision < it.revision) {
+            raise(&progress.peers, revision);
+        }
+    }
+
+    /// Returns the revision of the latest change of a kind that a peer has read, by its statement.
+    #[must_use]
+    pub fn peer_revision(&self, kind: ObjectKind) -> u64 {
+        *self.progress(kind).peers.borrow()
+    }
+
+    /// Records that a list of a kind has the revision `covered`, and that a peer had stated `stated`
+    /// before the list was requested.
+    ///
+    /// The revision of the store never decreases, so that no peer can have read a higher one before.
+    pub fn check_peer_revision(&self, kind: ObjectKind, stated: u64, covered: u64) {
+        if stated <= covered {
+            return;
+        }
+        let progress = self.progress(kind);
+        *lock(&progress.refutation) = Some(Refutation {
+            revision: stated,
+            ends_at: Instant::now() + REFUTATION_TIME,
+        });
+        progress.peers.send_replace(covered);
     }
 
     /// Waits until a peer has been ahead for so long that a watch response must have been lost.
@@ -211,7 +259,10 @@
             if ahead > *covered.borrow_and_update() {
                 // `wait_for` and `changed` can't fail: this state owns both senders.
                 let caught_up = covered.wait_for(|revision| *revision >= ahead);
-                if timeout(LAG_LIMIT + pause, caught_up).await.is_err() {
+                let limit = Instant::now() + LAG_LIMIT + pause;
+                let ends_at = progress.refutation().map(|it| it.ends_at);
+                let limit = ends_at.map_or(limit, |ends_at| limit.max(ends_at));
+                if timeout_at(limit, caught_up).await.is_err() {
                     return;
                 }
             } else {
@@ -235,6 +286,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn raise(highest: &watch::Sender<u64>, revision: u64) {
     highest.send_if_modified(|known| {
         let is_newer = revision > *known;
--- a/tests/forward/revision_lag.rs
+++ b/tests/forward/revision_lag.rs
@@ -57,3 +57,35 @@
     let lag = timeout(Duration::from_secs(1), lag).await;
     lag.expect("the lag is detected");
 }
+
+/// Guards against lists that are read again and again, and a revision that instances report to each
+/// other for ever, after a peer has stated what the store has not reached.
+#[tokio::test(start_paused = true)]
+async fn refuted_revision_of_a_peer_is_neither_lag_nor_reported() {
+    let fleet = FleetState::new();
+    fleet.record_own_revision(ObjectKind::Config, 5, 7);
+    fleet.record_peer_revision(ObjectKind::Config, 90);
+
+    fleet.check_peer_revision(ObjectKind::Config, 90, 7);
+    fleet.record_peer_revision(ObjectKind::Config, 90);
+
+    assert!(fleet.known_revision(ObjectKind::Config) <= 7);
+    let lag = fleet.wait_for_lag(ObjectKind::Config, Duration::ZERO);
+    let lag = timeout(Duration::from_mins(1), lag).await;
+    lag.expect_err("no change is missing");
+}
+
+/// Guards against a lost change that is not noticed because another peer has stated a false revision.
+#[tokio::test(start_paused = true)]
+async fn lag_is_detected_after_a_refuted_revision() {
+    let fleet = FleetState::new();
+    fleet.record_own_revision(ObjectKind::Config, 5, 7);
+    fleet.record_peer_revision(ObjectKind::Config, 90);
+    fleet.check_peer_revision(ObjectKind::Config, 90, 7);
+
+    fleet.record_peer_revision(ObjectKind::Config, 8);
+
+    let lag = fleet.wait_for_lag(ObjectKind::Config, Duration::ZERO);
+    let lag = timeout(Duration::from_secs(6), lag).await;
+    lag.expect("the lag is detected");
+}
