List the objects again if the store is below a revision that a peer relayed

After a peer of the same domain had relayed a page with a revision beyond that of the store, an instance adopted no change of that kind any more, from the store or otherwise, until it was restarted: in the red test, a new configuration is not adopted within 10 s.

The cause: the relayed revision counts as the one up to which this instance has read, and an answer of the store with a lower one is refused as a late copy of an earlier response. So every watch call and every list was refused. Ruled out: the pause of the watcher (it is gone, and the calls to the store are made) and the statements of peers in gossip messages (there are none in the test).

The state now also holds the highest revision that the store itself has stated to this instance.

A new test of the log guards against passing on the false revision.

Not covered: as long as a sound peer is the watcher, it answers a request after a false revision with an empty page up to that revision, so that the follower does not call the store.

--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -35,6 +35,8 @@
     seen: AtomicU64,
     /// The revision up to which this instance has read all changes.
     covered: watch::Sender<u64>,
+    /// The highest revision that the store itself has stated to this instance.
+    stored: AtomicU64,
     /// The revision of the latest change that any peer has read.
     peers: watch::Sender<u64>,
     refutation: Mutex<Option<Refutation>>,
@@ -53,6 +55,7 @@
         Self {
             seen: AtomicU64::new(0),
             covered: watch::channel(0).0,
+            stored: AtomicU64::new(0),
             peers: watch::channel(0).0,
             refutation: Mutex::new(None),
         }
@@ -208,6 +211,28 @@
         *self.progress(kind).covered.borrow()
     }
 
+    /// Records that the store itself, not a peer, has answered this instance with a revision.
+    pub fn record_stored_revision(&self, kind: ObjectKind, revision: u64) {
+        let stored = &self.progress(kind).stored;
+        stored.fetch_max(revision, Ordering::AcqRel);
+    }
+
+    /// Returns the highest revision that the store itself has stated to this instance.
+    #[must_use]
+    pub fn stored_revision(&self, kind: ObjectKind) -> u64 {
+        self.progress(kind).stored.load(Ordering::Acquire)
+    }
+
+    /// Lowers the revisions that this instance has read to `revision`, because a peer has relayed higher
+    /// ones that the store has not reached.
+    pub fn lower_own_revision(&self, kind: ObjectKind, revision: u64) {
+        let progress = self.progress(kind);
+        progress.seen.fetch_min(revision, Ordering::AcqRel);
+        progress
+            .covered
+            .send_modify(|covered| *covered = revision.min(*covered));
+    }
+
     /// Returns the revision of the latest change of a kind that this instance or a peer has read.
     #[must_use]
     pub fn known_revision(&self, kind: ObjectKind) -> u64 {
--- a/src/relay/change_log.rs
+++ b/src/relay/change_log.rs
@@ -61,8 +61,16 @@
 
     /// Records a complete list that is valid at the revision `covered` of the store.
     ///
-    /// Objects that are missing from the list are recorded as deleted.
+    /// Objects that are missing from the list are recorded as deleted. If a peer has relayed a higher
+    /// revision, which the store has not reached, the history starts again.
     pub fn replace_all(&mut self, objects: &[RelayedObject], covered: u64) {
+        if covered < self.covered {
+            *self = Self {
+                confirmed_at: self.confirmed_at,
+                called_at: self.called_at,
+                ..Self::default()
+            };
+        }
         if self.covered == 0 {
             self.history_start = covered;
         }
--- a/tests/relay/change_log.rs
+++ b/tests/relay/change_log.rs
@@ -67,6 +67,23 @@
     assert_eq!(log.changes_since(10), Some(page(vec![], &[], 12)));
 }
 
+/// Guards against a false revision of a peer that is relayed to others after a list of the store.
+#[test]
+fn list_below_a_relayed_revision_starts_the_history_again() {
+    let mut log = listed();
+    log.apply(&page(
+        vec![object("c", u64::MAX, "ready")],
+        &["a"],
+        u64::MAX,
+    ));
+
+    log.replace_all(&[object("a", 3, "ready"), object("b", 11, "ready")], 12);
+
+    assert!(log.changes_since(10).is_none());
+    assert_eq!(log.changes_since(12), Some(page(vec![], &[], 12)));
+    assert!(!log.has_changed_since(12));
+}
+
 /// Guards against an upstream that remains deleted for a reader although it was created again.
 #[test]
 fn object_that_was_created_again_is_present() {
