Follow the simulated orders of a lease to their arrival

The simulated fleet ended where the lease permits an order. An order that is written later, or that the kernel retransmits after a cut, was not judged, so that the property could not fail for it.

An order is now written after a delay or a pause, only before its deadline, and arrives up to MAX_ORDER_TIME later. Arrivals of two instances must be QUIET_TIME apart, and their tokens must not descend. The check of the decisions stays as it was. The end of a process resets its connections, and an upstream is sent one order at a time; without either, tokens of one instance that starts or retakes the lease within MAX_ORDER_TIME descend.

--- a/tests/residency/lease_faults.rs
+++ b/tests/residency/lease_faults.rs
@@ -11,6 +11,9 @@
 /// The length of a simulated run.
 const RUN_LENGTH: Duration = Duration::from_secs(40);
 
+/// Seed of the delays of orders.
+const DELAY_SEED: u64 = 1;
+
 /// Cases in CI; `LEASE_CASES` sets another number.
 const CASES: u32 = 2000;
 
@@ -56,7 +59,7 @@
         fault(FaultKind::RestartOthers, 0, 11_000, 300),
     ];
 
-    let played = play(&faults, RUN_LENGTH);
+    let played = play(&faults, DELAY_SEED, RUN_LENGTH);
 
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
@@ -69,7 +72,7 @@
         fault(FaultKind::ListStale, 0, 17_900, 7_400),
     ];
 
-    let played = play(&faults, RUN_LENGTH);
+    let played = play(&faults, DELAY_SEED, RUN_LENGTH);
 
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
@@ -85,7 +88,7 @@
         fault(FaultKind::Unlisted, 1, 13_500, 300),
     ];
 
-    let played = play(&faults, RUN_LENGTH);
+    let played = play(&faults, DELAY_SEED, RUN_LENGTH);
 
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
@@ -108,7 +111,7 @@
         fault
     });
 
-    let played = play(&faults, RUN_LENGTH);
+    let played = play(&faults, DELAY_SEED, RUN_LENGTH);
 
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
@@ -130,7 +133,7 @@
         fault(FaultKind::Restart, 2, 12_000, 2_000),
     ];
 
-    let orders = play(&faults, RUN_LENGTH).expect("no two instances order");
+    let orders = play(&faults, DELAY_SEED, RUN_LENGTH).expect("no two instances order");
 
     // The holder is without an acknowledgement for two seconds, of which one is covered.
     let pause = longest_pause(&orders, Duration::ZERO);
@@ -145,7 +148,7 @@
 fn lost_reply_to_the_first_renewal_does_not_end_a_lease() {
     let faults = [fault(FaultKind::ReplyLost, 0, 100, 5_000)];
 
-    let orders = play(&faults, RUN_LENGTH).expect("no two instances order");
+    let orders = play(&faults, DELAY_SEED, RUN_LENGTH).expect("no two instances order");
 
     let pause = longest_pause(&orders, Duration::ZERO);
     assert!(
@@ -159,7 +162,7 @@
 fn successor_orders_within_one_takeover_timeout() {
     let faults = [fault(FaultKind::Pause, 0, 10_000, 20_000)];
 
-    let orders = play(&faults, RUN_LENGTH).expect("no two instances order");
+    let orders = play(&faults, DELAY_SEED, RUN_LENGTH).expect("no two instances order");
 
     let limit = DomainLease::TAKEOVER_TIMEOUT + Duration::from_millis(300);
     assert!(longest_pause(&orders, Duration::ZERO) <= limit);
@@ -170,7 +173,7 @@
 fn restart_of_the_holder_costs_no_takeover_timeout() {
     let faults = [fault(FaultKind::Restart, 0, 10_000, 300)];
 
-    let orders = play(&faults, RUN_LENGTH).expect("no two instances order");
+    let orders = play(&faults, DELAY_SEED, RUN_LENGTH).expect("no two instances order");
 
     assert!(longest_pause(&orders, Duration::ZERO) <= Duration::from_secs(1));
 }
@@ -188,8 +191,9 @@
     #[test]
     fn orders_are_apart_and_their_tokens_ascend(
         faults in prop::collection::vec(any_fault(), 0..10),
+        delay_seed in any::<u64>(),
     ) {
-        if let Err(violation) = play(&faults, RUN_LENGTH) {
+        if let Err(violation) = play(&faults, delay_seed, RUN_LENGTH) {
             prop_assert!(false, "{violation}");
         }
     }
--- a/tests/residency/lease_fleet.rs
+++ b/tests/residency/lease_fleet.rs
@@ -29,6 +29,10 @@
 /// Gap between two checks that counts as a pause of the process.
 const PAUSE_LIMIT: Duration = Duration::from_millis(700);
 
+/// Time after which an order that is not answered is given up, and not written any more unless the
+/// process was paused in between.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The kind of a fault; the fields `index` and `other` of [`Fault`] name the instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultKind {
@@ -96,9 +100,20 @@
     pub length: u64,
 }
 
+/// The point at which two orders are compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderStage {
+    /// The lease permits the order.
+    Decision,
+    /// The order arrives at the upstream.
+    Arrival,
+}
+
 /// Two orders that must not follow each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Violation {
+    /// The point at which the orders are too close or their tokens descend.
+    pub stage: OrderStage,
     /// The earlier order.
     pub first: Order,
     /// The later order.
@@ -107,7 +122,12 @@
 
 impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?} after {:?}", self.second, self.first)
+        let Self {
+            stage,
+            first,
+            second,
+        } = self;
+        write!(f, "{stage:?}: {second:?} after {first:?}")
     }
 }
 
@@ -118,10 +138,48 @@
     pub instance: usize,
     /// Its fencing token.
     pub epoch: u64,
-    /// The time at which it is sent.
+    /// The time at which it is decided, or arrives.
     pub at: Duration,
 }
 
+/// An order between its decision and its write to the connection.
+#[derive(Debug)]
+struct PendingOrder {
+    instance: usize,
+    epoch: u64,
+    write_at: Duration,
+    /// The end of the permission to write it.
+    deadline: Duration,
+}
+
+/// A seeded generator of delays.
+#[derive(Debug)]
+struct DelaySource {
+    state: u64,
+}
+
+impl DelaySource {
+    /// Returns the next number of the SplitMix64 sequence.
+    const fn next(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mixed = (self.state ^ (self.state >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Returns a delay up to `limit`: mostly short, often any, often the longest.
+    fn delay(&mut self, limit: Duration) -> Duration {
+        let limit = u64::try_from(limit.as_millis()).expect("limits are short");
+        let any = self.next();
+        let millis = match self.next() % 4 {
+            0 | 1 => any % (limit / 20 + 1),
+            2 => any % (limit + 1),
+            _ => limit,
+        };
+        at(millis)
+    }
+}
+
 #[derive(Debug)]
 struct SimulatedInstance {
     lease: DomainLease,
@@ -165,6 +223,10 @@
     late_writes: Vec<LateWrite>,
     last_orders: [Option<Order>; INSTANCES],
     orders: Vec<Order>,
+    pending_orders: Vec<PendingOrder>,
+    /// The orders that arrive at the upstream, in the order of their writes.
+    arrivals: Vec<Order>,
+    delays: DelaySource,
     violation: Option<Violation>,
 }
 
@@ -189,14 +251,16 @@
     at(fault.start) <= now && now < at(fault.start) + TICK
 }
 
-/// Plays `length` of a fleet under `faults`; returns the first two orders that are too close or
-/// whose tokens descend, and otherwise all orders.
-pub fn play(faults: &[Fault], length: Duration) -> Result<Vec<Order>, Violation> {
-    let mut fleet = new_fleet();
+/// Plays `length` of a fleet under `faults`, with the delays of `seed`; returns the first two orders
+/// that are too close or whose tokens descend, at their decisions or else at their arrivals, and
+/// otherwise all orders as decided.
+pub fn play(faults: &[Fault], seed: u64, length: Duration) -> Result<Vec<Order>, Violation> {
+    let mut fleet = new_fleet(seed);
     let mut now = Duration::ZERO;
     while now < length {
         fleet.begin_faults(faults, now);
         fleet.complete_late_writes(now);
+        fleet.write_orders(now);
         for index in 0..INSTANCES {
             fleet.step(index, faults, now);
             if let Some(violation) = fleet.violation {
@@ -205,10 +269,37 @@
         }
         now += TICK;
     }
-    Ok(fleet.orders)
+    match find_wrong_arrival(fleet.arrivals) {
+        Some(violation) => Err(violation),
+        None => Ok(fleet.orders),
+    }
+}
+
+/// Returns the first two arrivals that are too close or whose tokens descend.
+fn find_wrong_arrival(mut arrivals: Vec<Order>) -> Option<Violation> {
+    arrivals.sort_by_key(|order| order.at);
+    let mut last_arrivals = [None; INSTANCES];
+    for second in arrivals {
+        let first = last_arrivals.iter().flatten();
+        if let Some(first) = first.copied().find(|first| must_not_follow(first, &second)) {
+            return Some(Violation {
+                stage: OrderStage::Arrival,
+                first,
+                second,
+            });
+        }
+        last_arrivals[second.instance] = Some(second);
+    }
+    None
+}
+
+fn must_not_follow(first: &Order, second: &Order) -> bool {
+    let gap = second.at.saturating_sub(first.at);
+    let is_turn = first.instance != second.instance && gap < DomainLease::QUIET_TIME;
+    is_turn || first.epoch > second.epoch
 }
 
-fn new_fleet() -> SimulatedFleet {
+fn new_fleet(seed: u64) -> SimulatedFleet {
     let new_instance = |index| SimulatedInstance {
         lease: new_lease(index, Duration::ZERO),
         acks: BTreeMap::new(),
@@ -230,6 +321,9 @@
         late_writes: Vec::new(),
         last_orders: [None; INSTANCES],
         orders: Vec::new(),
+        pending_orders: Vec::new(),
+        arrivals: Vec::new(),
+        delays: DelaySource { state: seed },
         violation: None,
     };
     fleet.instances[NEWCOMER].paused_until = Duration::MAX;
@@ -284,6 +378,28 @@
         instance.call = None;
         instance.retry_at = started_at;
         instance.last_tick = started_at;
+        // The end of a process resets its connections.
+        self.pending_orders.retain(|order| order.instance != index);
+        self.arrivals
+            .retain(|order| order.instance != index || order.at <= now);
+    }
+
+    /// Writes the orders that are due before the next tick, unless their permission has ended.
+    fn write_orders(&mut self, now: Duration) {
+        for mut order in std::mem::take(&mut self.pending_orders) {
+            let paused_until = self.instances[order.instance].paused_until;
+            order.write_at = order.write_at.max(paused_until);
+            if order.write_at >= now + TICK {
+                self.pending_orders.push(order);
+            } else if order.write_at < order.deadline {
+                let transit = self.delays.delay(DomainLease::MAX_ORDER_TIME);
+                self.arrivals.push(Order {
+                    instance: order.instance,
+                    epoch: order.epoch,
+                    at: order.write_at + transit,
+                });
+            }
+        }
     }
 
     fn complete_late_writes(&mut self, now: Duration) {
@@ -523,26 +639,34 @@
         }
     }
 
-    /// Sends an order if the lease permits it.
+    /// Decides an order if the lease permits it; it is written after a delay.
     fn order(&mut self, index: usize, faults: &[Fault], now: Duration) {
         let acked_at = self.acked_at(index, faults, now);
         let lease = &self.instances[index].lease;
         let Some(epoch) = lease.epoch().filter(|_| lease.may_order(now, acked_at)) else {
             return;
         };
+        let deadline = lease.order_deadline(now, acked_at);
+        let mut pending = self.pending_orders.iter();
+        // An upstream is sent one order at a time.
+        if pending.all(|order| order.instance != index) {
+            self.pending_orders.push(PendingOrder {
+                instance: index,
+                epoch,
+                write_at: now + self.delays.delay(ORDER_TIMEOUT),
+                deadline: deadline.expect("an order is permitted until its deadline"),
+            });
+        }
         let second = Order {
             instance: index,
             epoch,
             at: now,
         };
-        let is_wrong = |first: &&Order| {
-            let gap = second.at.saturating_sub(first.at);
-            let is_turn = first.instance != second.instance && gap < DomainLease::QUIET_TIME;
-            is_turn || first.epoch > second.epoch
-        };
-        let violation = self.last_orders.iter().flatten().find(is_wrong);
-        self.violation = violation.map(|first| Violation {
-            first: *first,
+        let first = self.last_orders.iter().flatten();
+        let first = first.copied().find(|first| must_not_follow(first, &second));
+        self.violation = first.map(|first| Violation {
+            stage: OrderStage::Decision,
+            first,
             second,
         });
         self.last_orders[index] = Some(second);
