--- a/tests/residency/lease_faults.rs
+++ b/tests/residency/lease_faults.rs
@@ -1,5 +1,6 @@
 //! The lease of a failure domain while processes restart, and replies and writes are lost or late.
 
+use std::str::FromStr;
 use std::time::Duration;
 
 use comfreychute::residency::DomainLease;
@@ -17,9 +18,11 @@
 /// Cases in CI; `LEASE_CASES` sets another number.
 const CASES: u32 = 2000;
 
-fn cases() -> u32 {
-    let text = std::env::var("LEASE_CASES").ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(CASES)
+/// Seed of the cases in CI; `LEASE_SEED` sets another one.
+const SEED: u64 = 20_261_205;
+
+fn number_from_env<T: FromStr>(name: &str) -> Option<T> {
+    std::env::var(name).ok()?.parse().ok()
 }
 
 fn any_fault() -> impl Strategy<Value = Fault> {
@@ -180,8 +183,8 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: cases(),
-        rng_seed: RngSeed::Fixed(20_261_205),
+        cases: number_from_env("LEASE_CASES").unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(number_from_env("LEASE_SEED").unwrap_or(SEED)),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
