Add one-way links, late lists and removed entries to the simulated faults of a lease

Instances could not disagree on who acknowledges a claim by a list that changes late, by a link that only carries claims, or by the removal of a running instance. A list is never replaced by an older one.

--- a/tests/residency/lease_fleet.rs
+++ b/tests/residency/lease_fleet.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use comfreychute::id::{DomainId, InstanceId};
-use comfreychute::residency::{AckQuorum, ClaimAnswer, DomainLease, LeaseRecord, LeaseStep};
+use comfreychute::residency::{
+    AckQuorum, ClaimAnswer, DomainLease, LeaseClaim, LeaseRecord, LeaseStep,
+};
 
 /// The number of simulated instances; the last one registers only by [`FaultKind::Join`] or
 /// [`FaultKind::Replace`].
@@ -23,6 +25,9 @@
 /// Interval at which an instance updates its list of instances.
 const LIST_PERIOD: Duration = Duration::from_millis(500);
 
+/// Longest delay of a late list.
+const MAX_LIST_DELAY: Duration = Duration::from_secs(4);
+
 /// Time without a link after which the holder removes the entry of an instance.
 const DEAD_AGE: Duration = Duration::from_secs(8);
 
@@ -64,10 +69,16 @@
     ListStale,
     /// The list lacks an instance, although its process runs.
     Unlisted,
+    /// Claims of one instance arrive at another one, but replies and all messages back are lost.
+    OneWay,
+    /// Changes of the list reach two instances late.
+    ListLate,
+    /// The entry of a running instance is removed and can't be written again.
+    Removed,
 }
 
 /// All kinds of faults.
-pub const ALL_KINDS: [FaultKind; 14] = [
+pub const ALL_KINDS: [FaultKind; 17] = [
     FaultKind::Pause,
     FaultKind::Partition,
     FaultKind::Link,
@@ -82,6 +93,9 @@
     FaultKind::Replace,
     FaultKind::ListStale,
     FaultKind::Unlisted,
+    FaultKind::OneWay,
+    FaultKind::ListLate,
+    FaultKind::Removed,
 ];
 
 /// One fault of a simulated run.
@@ -96,7 +110,7 @@
     /// Start in milliseconds.
     pub start: u64,
     /// Duration in milliseconds; for a late write, its delay; for a restart, the time without the
-    /// process, up to two seconds.
+    /// process, up to two seconds; for a late list, also the delay, up to [`MAX_LIST_DELAY`].
     pub length: u64,
 }
 
@@ -198,6 +212,8 @@
     /// The registered instances, as this one knows them.
     listed: BTreeSet<usize>,
     listed_at: Duration,
+    /// The number of the change of the registered instances that `listed` contains.
+    list_revision: usize,
     unreachable_since: [Option<Duration>; INSTANCES],
 }
 
@@ -220,6 +236,8 @@
     stored: Option<(LeaseRecord, u64)>,
     /// The registered instances, as stored.
     registered: BTreeSet<usize>,
+    /// The registered instances after each change, and its time.
+    list_changes: Vec<(Duration, BTreeSet<usize>)>,
     late_writes: Vec<LateWrite>,
     last_orders: [Option<Order>; INSTANCES],
     orders: Vec<Order>,
@@ -312,12 +330,14 @@
         last_tick: Duration::ZERO,
         listed: (0..NEWCOMER).collect(),
         listed_at: Duration::ZERO,
+        list_revision: 0,
         unreachable_since: [None; INSTANCES],
     };
     let mut fleet = SimulatedFleet {
         instances: (0..INSTANCES).map(new_instance).collect(),
         stored: None,
         registered: (0..NEWCOMER).collect(),
+        list_changes: vec![(Duration::ZERO, (0..NEWCOMER).collect())],
         late_writes: Vec::new(),
         last_orders: [None; INSTANCES],
         orders: Vec::new(),
@@ -349,17 +369,31 @@
                     self.instances[fault.index].paused_until = Duration::MAX;
                     self.join(now);
                 }
+                FaultKind::Removed => self.register(fault.index, false, now),
                 _ => {}
             }
         }
     }
 
+    /// Writes or removes the entry of an instance.
+    fn register(&mut self, index: usize, is_present: bool, now: Duration) {
+        let is_changed = if is_present {
+            self.registered.insert(index)
+        } else {
+            self.registered.remove(&index)
+        };
+        if is_changed {
+            self.list_changes.push((now, self.registered.clone()));
+        }
+    }
+
     /// Starts the new instance, which registers when it reaches the store.
     fn join(&mut self, now: Duration) {
         if self.instances[NEWCOMER].started_at == Duration::ZERO {
             self.instances[NEWCOMER].paused_until = now;
             self.restart(NEWCOMER, 0, now);
             self.instances[NEWCOMER].listed.clear();
+            self.instances[NEWCOMER].list_revision = 0;
         }
     }
 
@@ -444,6 +478,10 @@
                     (fault.index, fault.other) == (index, other)
                         || (fault.index, fault.other) == (other, index)
                 }
+                FaultKind::OneWay => {
+                    (fault.index, fault.other) == (index, other)
+                        || (fault.index, fault.other) == (other, index)
+                }
                 _ => false,
             });
         let (from, to) = (&self.instances[index], &self.instances[other]);
@@ -465,16 +503,29 @@
     /// Updates the list of instances from the store or through a peer, and registers this instance
     /// if it is missing.
     fn read_list(&mut self, index: usize, faults: &[Fault], now: Duration) {
-        let is_stale = faults.iter().any(|fault| {
-            fault.kind == FaultKind::ListStale && fault.index == index && is_active(fault, now)
-        });
-        if is_stale || now < self.instances[index].listed_at + LIST_PERIOD {
+        let is_hit = |kind| {
+            faults
+                .iter()
+                .any(|fault| fault.kind == kind && fault.index == index && is_active(fault, now))
+        };
+        if is_hit(FaultKind::ListStale) || now < self.instances[index].listed_at + LIST_PERIOD {
             return;
         }
         if Self::reaches_store(index, faults, now) {
-            self.registered.insert(index);
-            self.instances[index].listed = self.registered.clone();
-            self.instances[index].listed_at = now;
+            let is_kept_out = is_hit(FaultKind::Removed);
+            if !is_kept_out {
+                self.register(index, true, now);
+            }
+            let delay = faults.iter().filter(|fault| {
+                let is_affected = fault.index == index || fault.other == index;
+                fault.kind == FaultKind::ListLate && is_affected && is_active(fault, now)
+            });
+            let delay = delay.map(|fault| at(fault.length)).max();
+            let delay = delay.unwrap_or_default().min(MAX_LIST_DELAY);
+            let changes = self.list_changes.iter();
+            let seen = changes.take_while(|(changed_at, _)| *changed_at + delay <= now);
+            let revision = seen.count().saturating_sub(1);
+            self.adopt_list(index, revision, now);
             return;
         }
         let is_source = |other: &usize| {
@@ -483,8 +534,18 @@
                 && Self::reaches_store(*other, faults, now)
         };
         if let Some(other) = (0..INSTANCES).find(is_source) {
-            self.instances[index].listed = self.instances[other].listed.clone();
-            self.instances[index].listed_at = now;
+            let revision = self.instances[other].list_revision;
+            self.adopt_list(index, revision, now);
+        }
+    }
+
+    /// Replaces the list of an instance unless it knows a later one.
+    fn adopt_list(&mut self, index: usize, revision: usize, now: Duration) {
+        let instance = &mut self.instances[index];
+        instance.listed_at = now;
+        if revision >= instance.list_revision {
+            instance.list_revision = revision;
+            instance.listed = self.list_changes[revision].1.clone();
         }
     }
 
@@ -499,11 +560,12 @@
             instance.unreachable_since[*other] = None;
         }
         for other in missing {
+            let instance = &mut self.instances[index];
             let since = *instance.unreachable_since[other].get_or_insert(now);
             let is_dead = now.saturating_sub(since) > DEAD_AGE;
             let may_remove = !linked.is_empty() && instance.lease.epoch().is_some();
             if is_dead && may_remove && Self::reaches_store(index, faults, now) {
-                self.registered.remove(&other);
+                self.register(other, false, now);
             }
         }
     }
@@ -511,20 +573,22 @@
     /// Sends the claim of an instance to all others and records their answers.
     fn claim(&mut self, index: usize, faults: &[Fault], now: Duration) {
         for other in (0..INSTANCES).filter(|other| *other != index) {
-            if !self.is_linked(index, other, faults, now) {
+            let is_heard = self.is_linked(index, other, faults, now);
+            if !is_heard && !self.is_sent_one_way(index, other, faults, now) {
                 continue;
             }
-            let started_at = self.instances[other].started_at;
-            let instance = &mut self.instances[index];
-            let known = instance.links[other].filter(|link| link.0 == started_at);
-            let (_, linked_at) = *instance.links[other].insert(known.unwrap_or((started_at, now)));
-            let Some(mut claim) = instance.lease.claim() else {
+            let Some(mut claim) = self.observe_link(index, other, is_heard, now) else {
                 continue;
             };
-            let acked_at = instance.acks.get(&instance_id(other)).copied();
-            claim.is_vouched = instance.lease.vouches_for(linked_at, acked_at);
+            let instance = &self.instances[index];
+            if let Some((_, linked_at)) = instance.links[other].filter(|_| is_heard) {
+                let acked_at = instance.acks.get(&instance_id(other)).copied();
+                claim.is_vouched = instance.lease.vouches_for(linked_at, acked_at);
+            }
             let lease = &mut self.instances[other].lease;
-            match lease.answer_claim(&instance_id(index), claim, now) {
+            let answer = lease.answer_claim(&instance_id(index), claim, now);
+            match answer {
+                _ if !is_heard => {}
                 ClaimAnswer::Acknowledged => {
                     let acks = &mut self.instances[index].acks;
                     acks.insert(instance_id(other), now);
@@ -535,6 +599,41 @@
         }
     }
 
+    /// Records the process of another instance that this one hears; returns the claim to send.
+    fn observe_link(
+        &mut self,
+        index: usize,
+        other: usize,
+        is_heard: bool,
+        now: Duration,
+    ) -> Option<LeaseClaim> {
+        let started_at = self.instances[other].started_at;
+        let instance = &mut self.instances[index];
+        if is_heard {
+            let known = instance.links[other].filter(|link| link.0 == started_at);
+            instance.links[other] = Some(known.unwrap_or((started_at, now)));
+        }
+        instance.lease.claim()
+    }
+
+    /// Returns whether messages of an instance arrive at another one that it does not hear.
+    fn is_sent_one_way(&self, index: usize, other: usize, faults: &[Fault], now: Duration) -> bool {
+        let is_open = |fault: &Fault| {
+            fault.kind == FaultKind::OneWay && (fault.index, fault.other) == (index, other)
+        };
+        let is_cut = |fault: &Fault| match fault.kind {
+            FaultKind::Partition => fault.index == index || fault.index == other,
+            FaultKind::Link | FaultKind::OneWay => {
+                (fault.index, fault.other) == (other, index)
+                    || (fault.kind, fault.index, fault.other) == (FaultKind::Link, index, other)
+            }
+            _ => false,
+        };
+        let mut active = faults.iter().filter(|fault| is_active(fault, now));
+        let is_running = self.instances[other].paused_until <= now;
+        is_running && active.clone().any(is_open) && !active.any(is_cut)
+    }
+
     /// Returns the acknowledgements that count for the lease of an instance.
     fn acked_at(&mut self, index: usize, faults: &[Fault], now: Duration) -> Option<Duration> {
         let required = (0..INSTANCES).filter(|other| {
