--- a/tests/residency/lease_fleet.rs
+++ b/tests/residency/lease_fleet.rs
@@ -173,7 +173,7 @@
 }
 
 impl DelaySource {
-    /// Returns the next number of the SplitMix64 sequence.
+    /// Returns the next number of the `SplitMix64` sequence.
     const fn next(&mut self) -> u64 {
         self.state = self.state.wrapping_add(0x9E37_79B9_7F4A_7C15);
         let mixed = (self.state ^ (self.state >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
@@ -474,11 +474,7 @@
             .filter(|fault| is_active(fault, now))
             .any(|fault| match fault.kind {
                 FaultKind::Partition => fault.index == index || fault.index == other,
-                FaultKind::Link => {
-                    (fault.index, fault.other) == (index, other)
-                        || (fault.index, fault.other) == (other, index)
-                }
-                FaultKind::OneWay => {
+                FaultKind::Link | FaultKind::OneWay => {
                     (fault.index, fault.other) == (index, other)
                         || (fault.index, fault.other) == (other, index)
                 }
@@ -545,7 +541,7 @@
         instance.listed_at = now;
         if revision >= instance.list_revision {
             instance.list_revision = revision;
-            instance.listed = self.list_changes[revision].1.clone();
+            instance.listed.clone_from(&self.list_changes[revision].1);
         }
     }
 
