Add a failing test of a takeover by a removed instance with an old list

Two instances could send orders at once: an instance that was cut off until its entry was removed reaches the store again, while its list still names it. The holder and the other instances no longer require its acknowledgement, and the record does not change while they acknowledge each other, so that the instance takes over after the takeover timeout. A list may be old for as long as its calls fail.

The test fails with an order of instance 0 at 21.2 s and one of instance 1 at 21.1 s.

--- a/tests/residency/lease_faults.rs
+++ b/tests/residency/lease_faults.rs
@@ -119,6 +119,21 @@
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
 
+/// Guards against a takeover by an instance whose entry was removed while it was cut off, if the store
+/// answers it again but its list stays old.
+#[test]
+fn removed_instance_with_an_old_list_does_not_take_over() {
+    let faults = [
+        fault(FaultKind::Partition, 0, 5_000, 17_000),
+        fault(FaultKind::StoreCut, 0, 5_000, 9_500),
+        fault(FaultKind::ListStale, 0, 5_000, 17_000),
+    ];
+
+    let played = play(&faults, DELAY_SEED, RUN_LENGTH);
+
+    assert!(played.is_ok(), "{}", played.unwrap_err());
+}
+
 /// Returns the longest time between two orders, from `start` on.
 fn longest_pause(orders: &[Order], start: Duration) -> Duration {
     let times: Vec<Duration> = orders.iter().map(|order| order.at).collect();
