Read the own entry before a takeover, since the list of instances may be old

Two instances could order at once: an instance that was cut off until its entry was removed reaches the store again while its list still names it. The holder and its peers no longer ask it, the record does not change while they acknowledge each other, and it takes over after the takeover timeout.

Cause: the permission to take over rests on the list as last read. It is now checked at the time of its use, by a read of the own entry, which is removed by others and created by this instance alone. An entry that is removed after that read makes the holder renew its record first, so that one of the two conditional writes fails. A takeover costs one read more.

Ruled out: a limit of the age of the list. It depends on the clock of a list that a peer relays.

The simulated fleet reads the entry as the ownership loop does.

--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{LeaseStep, LeaseWrite, LoadOwner, ReachTracker, ResidencyDirectory, StorePort};
-use crate::error::Result;
+use crate::error::{Error, ErrorKind, Result};
 use crate::forward::{FleetState, InFlightTracker, UpstreamEntry};
 use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::member::rendezvous_score;
@@ -150,11 +150,14 @@
         let LeaseStep::Write(record, expected) = step else {
             return Ok(());
         };
-        let sent_at = self.clock.now();
         let epoch = record.epoch;
         let (was_held, reason) = self.owner.with_lease(domain, rank, |lease, _| {
             (lease.epoch(), lease.takeover_reason())
         });
+        if was_held.is_none() {
+            self.check_entry(domain, rank).await?;
+        }
+        let sent_at = self.clock.now();
         match (self.store.write)(record.clone(), expected).await {
             Ok(LeaseWrite::Written(revision)) => {
                 self.owner.with_lease(domain, rank, |lease, _| {
@@ -183,6 +186,22 @@
         Ok(())
     }
 
+    /// Gives up a takeover unless the store has the entry of this instance. The list may be old, and a
+    /// holder does not ask an instance whose entry was removed.
+    async fn check_entry(&self, domain: &DomainId, rank: u32) -> Result<()> {
+        let found = (self.store.has_instance)(&self.instance).await;
+        if matches!(found, Ok(true)) {
+            return Ok(());
+        }
+        let now = self.clock.now();
+        self.owner
+            .with_lease(domain, rank, |lease, _| lease.release(now));
+        found.and_then(|_| {
+            let detail = format!("{} is not registered; wait for its entry", self.instance);
+            Err(Error::new(ErrorKind::Platform, detail))
+        })
+    }
+
     /// Lists the domains with this instance's rank among the candidates for each.
     ///
     /// Instances in the domain rank first, since they stay connected to its upstreams during a
--- a/src/residency/store_port.rs
+++ b/src/residency/store_port.rs
@@ -19,6 +19,7 @@
 type ReadLease = dyn Fn(&DomainId, bool) -> PortFuture<Result<FoundLease>> + Send + Sync;
 type WriteLease = dyn Fn(LeaseRecord, Option<u64>) -> PortFuture<Result<LeaseWrite>> + Send + Sync;
 
+type HasInstance = dyn Fn(&InstanceId) -> PortFuture<Result<bool>> + Send + Sync;
 type RemoveInstance = dyn Fn(&InstanceId) -> PortFuture<Result<()>> + Send + Sync;
 
 /// The calls to the store that ownership of failure domains needs.
@@ -29,6 +30,8 @@
     /// Writes a record if its revision is still the given one, or creates it if the revision is
     /// `None`.
     pub write: Box<WriteLease>,
+    /// Returns whether the store has the entry of an instance now.
+    pub has_instance: Box<HasInstance>,
     /// Removes the entry of an instance that has failed or was replaced.
     pub remove_instance: Box<RemoveInstance>,
 }
--- a/tests/residency/lease_fleet.rs
+++ b/tests/residency/lease_fleet.rs
@@ -703,6 +703,15 @@
         let LeaseStep::Write(record, expected) = step else {
             return;
         };
+        let is_unlisted = faults.iter().any(|fault| {
+            fault.kind == FaultKind::Unlisted && fault.index == index && is_active(fault, now)
+        });
+        // A takeover is preceded by a read of the own entry.
+        let is_takeover = instance.lease.epoch().is_none();
+        if is_takeover && (is_unlisted || !self.registered.contains(&index)) {
+            instance.lease.release(now);
+            return;
+        }
         if is_hit(FaultKind::WriteLate) {
             let delay = faults
                 .iter()
