--- a/src/residency/domain_lease.rs
+++ b/src/residency/domain_lease.rs
@@ -97,8 +97,8 @@
     /// that do not check the fencing token could otherwise carry out both.
     pub const QUIET_TIME: Duration = Duration::from_secs(3);
 
-    /// Upper bound on the time between writing an order to its connection and its arrival. A connection
-    /// that does not acknowledge the bytes in this time is reset, which discards them.
+    /// Time between writing an order to its connection and its arrival that the takeover timeout allows for.
+    /// The connection of an order must discard bytes that are not acknowledged in this time.
     pub const MAX_ORDER_TIME: Duration = Duration::from_millis(700);
 
     /// Time without a claim or renewal of the holder after which another instance takes over: the
--- a/src/transport/http_transport.rs
+++ b/src/transport/http_transport.rs
@@ -184,7 +184,7 @@
     connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-    // A process that stands still can't give a call up, but its kernel goes on to send the bytes.
+    // A paused process cannot give up a call, but its kernel goes on sending.
     connector.set_tcp_user_timeout(Some(timeout.min(KEEPALIVE_INTERVAL * KEEPALIVE_RETRIES)));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
--- a/src/transport/yielding_stream.rs
+++ b/src/transport/yielding_stream.rs
@@ -9,11 +9,11 @@
 /// A connection that lets other tasks run after each 16 KiB that it has read, and that is reset when it
 /// is closed.
 ///
-/// The reset discards the bytes that the kernel has not sent yet. Otherwise, a request that was given up on
-/// a link that is cut would be delivered when the link heals, even after the process has ended.
-///
 /// hyper reads and parses without a pause while bytes arrive that yield nothing to its caller, such as
 /// interim responses without end. On a single thread, other requests would wait for seconds.
+///
+/// The reset discards the bytes that the kernel has not sent yet. Otherwise, a request that was given up on
+/// a link that is cut would be delivered when the link heals, even after the process has ended.
 #[derive(Debug)]
 pub(crate) struct YieldingStream {
     stream: TcpStream,
