Count the waiting time of an order from the decision of its lease

The line of an order stated the time since its sending, so that a pause between the decision and the call did not show (found by the reviewer).

--- a/src/residency/loader_task.rs
+++ b/src/residency/loader_task.rs
@@ -25,8 +25,15 @@
     /// Wait until this time or a wake-up.
     Wait(Duration),
     Report,
-    /// Send an order; the flag tells whether it starts a load from the weight store.
-    Order(EngineOrder, bool),
+    Order(PermittedOrder),
+}
+
+/// An order that the lease permits.
+struct PermittedOrder {
+    order: EngineOrder,
+    decided_at: Duration,
+    /// Whether it starts a load from the weight store.
+    is_fetch: bool,
 }
 
 /// The loader task of one engine, which reads reports and sends orders one at a time.
@@ -58,8 +65,9 @@
                     let _woken = timeout(pause, wake.notified()).await;
                 }
                 LoaderStep::Report => self.read_report(&upstream, entry).await,
-                LoaderStep::Order(order, is_fetch) => {
-                    self.send_order(&upstream, entry, order).await;
+                LoaderStep::Order(permitted) => {
+                    let is_fetch = permitted.is_fetch;
+                    self.send_order(&upstream, entry, permitted).await;
                     if is_fetch {
                         self.lock().unanswered_fetches -= 1;
                     }
@@ -90,14 +98,20 @@
         let Some((epoch, deadline)) = permission else {
             return Some((entry, LoaderStep::Wait(now + LEASE_RETRY_PAUSE)));
         };
-        let order = |kind, model, version, expected| EngineOrder {
-            kind,
-            model,
-            version,
-            expected,
-            holder: self.instance.clone(),
-            fencing_token: epoch,
-            deadline,
+        let permit_order = |kind, model, version, expected, is_fetch| {
+            LoaderStep::Order(PermittedOrder {
+                order: EngineOrder {
+                    kind,
+                    model,
+                    version,
+                    expected,
+                    holder: self.instance.clone(),
+                    fencing_token: epoch,
+                    deadline,
+                },
+                decided_at: now,
+                is_fetch,
+            })
         };
         if let Some((model, version)) = missing {
             let expected = loader.ledger.sequence();
@@ -105,8 +119,8 @@
                 .model_loads
                 .retain(|at| now.saturating_sub(*at) < MODEL_LOAD_WINDOW);
             state.model_loads.push(now);
-            let order = order(OrderKind::Load, model, version, expected);
-            return Some((entry, LoaderStep::Order(order, false)));
+            let step = permit_order(OrderKind::Load, model, version, expected, false);
+            return Some((entry, step));
         }
         let may_fetch = state.permits.has_free();
         let busy = state.running_at(upstream, now);
@@ -126,7 +140,7 @@
                     state.permits.consume();
                     state.unanswered_fetches += 1;
                 }
-                LoaderStep::Order(order(kind, model, version, expected), is_fetch)
+                permit_order(kind, model, version, expected, is_fetch)
             }
         };
         Some((entry, step))
@@ -209,13 +223,15 @@
         }
     }
 
-    pub(super) async fn send_order(
+    async fn send_order(
         &self,
         upstream: &UpstreamId,
         entry: Arc<UpstreamEntry>,
-        order: EngineOrder,
+        permitted: PermittedOrder,
     ) {
-        let decided_at = self.clock.now();
+        let PermittedOrder {
+            order, decided_at, ..
+        } = permitted;
         let answer = timeout(ORDER_TIMEOUT, (self.port.order)(entry, order.clone())).await;
         let (now, answer) = (self.clock.now(), answer.ok());
         log_order(
