Do not count acknowledgements while a peer knows a later list of instances

Two instances could order at once: the holder's list is old and lacks a new instance that reaches the store only. The peers, which know the new one, acknowledge the holder, whose record stays as it is, so that the new instance takes over.

Cause: who has to acknowledge a claim rests on the list as last read. Peers state the revision of their list in each gossip message. While it is later than the own one, the holder renews its record, and a takeover conflicts.

The simulated fleet follows the rule. Not covered: a list that is old at all linked peers too.

--- a/src/residency/load_owner.rs
+++ b/src/residency/load_owner.rs
@@ -80,7 +80,7 @@
         let mut state = self.lock();
         let loader = state.loaders.get(upstream).ok_or(LoadRefusal::NotOwner)?;
         let domain = &loader.entry.domain;
-        let acked_at = state.acked_at(domain);
+        let acked_at = self.acked_at(&state, domain);
         let lease = state.leases.get(domain);
         if lease.is_some_and(|lease| lease.is_regain_overdue(now, acked_at)) {
             return Err(LoadRefusal::Unconfirmed);
@@ -181,7 +181,7 @@
     /// Calls `work` with the lease of a domain while the state is locked; creates the lease if it
     /// does not exist.
     ///
-    /// The second argument of `work` is the result of [`OwnerState::acked_at`] for the domain.
+    /// The second argument of `work` is the result of [`acked_at`](Self::acked_at) for the domain.
     pub(super) fn with_lease<T>(
         &self,
         domain: &DomainId,
@@ -190,7 +190,7 @@
     ) -> T {
         let now = self.clock.now();
         let mut state = self.lock();
-        let acked_at = state.acked_at(domain);
+        let acked_at = self.acked_at(&state, domain);
         let lease = state
             .leases
             .entry(domain.clone())
--- a/src/residency/loader_task.rs
+++ b/src/residency/loader_task.rs
@@ -85,7 +85,7 @@
         // The lock may be held for a while, in which the lease can expire.
         let now = self.clock.now();
         let entry = Arc::clone(&state.loaders.get(upstream)?.entry);
-        let acked_at = state.acked_at(&entry.domain);
+        let acked_at = self.acked_at(&state, &entry.domain);
         let permission = state.leases.get(&entry.domain).and_then(|lease| {
             let deadline = lease.order_deadline(now, acked_at)?;
             Some((lease.epoch()?, deadline))
--- a/src/residency/owner_claims.rs
+++ b/src/residency/owner_claims.rs
@@ -2,13 +2,22 @@
 
 use std::time::Duration;
 
-use super::owner_state::ProcessLink;
+use super::owner_state::{OwnerState, ProcessLink};
 use super::{ClaimAnswer, DomainLease, LeaseClaim, LoadOwner};
 use crate::id::{DomainId, InstanceId};
 use crate::peer::{GossipReply, LivePeer, OwnedDomain};
+use crate::relay::ObjectKind;
 use crate::telemetry::{LogEvent, LogName};
 
 impl LoadOwner {
+    /// Returns the result of [`OwnerState::acked_at`], or `None` while a peer knows a later list of
+    /// instances: the list may lack one whose acknowledgement is needed, and which takes over.
+    pub(super) fn acked_at(&self, state: &OwnerState, domain: &DomainId) -> Option<Duration> {
+        let covered = self.fleet.covered_revision(ObjectKind::Instances);
+        let is_current = covered >= self.fleet.peer_revision(ObjectKind::Instances);
+        state.acked_at(domain).filter(|_| is_current)
+    }
+
     /// Lists the domains that this instance holds, with the epochs of its leases.
     #[must_use]
     pub fn owned_domains(&self) -> Vec<OwnedDomain> {
--- a/tests/residency/lease_faults.rs
+++ b/tests/residency/lease_faults.rs
@@ -134,6 +134,21 @@
     assert!(played.is_ok(), "{}", played.unwrap_err());
 }
 
+/// Guards against a takeover by a new instance that reaches no other one, while the list of the holder
+/// lacks it and its peers already know it.
+#[test]
+fn partitioned_new_instance_waits_for_a_holder_with_an_old_list() {
+    let faults = [
+        fault(FaultKind::ListStale, 0, 4_900, 8_000),
+        fault(FaultKind::Join, 0, 5_000, 200),
+        fault(FaultKind::Partition, INSTANCES - 1, 5_000, 8_000),
+    ];
+
+    let played = play(&faults, DELAY_SEED, RUN_LENGTH);
+
+    assert!(played.is_ok(), "{}", played.unwrap_err());
+}
+
 /// Returns the longest time between two orders, from `start` on.
 fn longest_pause(orders: &[Order], start: Duration) -> Duration {
     let times: Vec<Duration> = orders.iter().map(|order| order.at).collect();
--- a/tests/residency/lease_fleet.rs
+++ b/tests/residency/lease_fleet.rs
@@ -630,8 +630,14 @@
         is_running && active.clone().any(is_open) && !active.any(is_cut)
     }
 
-    /// Returns the acknowledgements that count for the lease of an instance.
+    /// Returns the acknowledgements that count for the lease of an instance; none do while a linked
+    /// instance knows a later list.
     fn acked_at(&mut self, index: usize, faults: &[Fault], now: Duration) -> Option<Duration> {
+        let known = self.instances[index].list_revision;
+        let is_behind = (0..INSTANCES).any(|other| {
+            let is_linked = other != index && self.is_linked(index, other, faults, now);
+            is_linked && self.instances[other].list_revision > known
+        });
         let required = (0..INSTANCES).filter(|other| {
             let is_known = self.lists(index, *other, faults, now);
             *other != index && (is_known || self.is_linked(index, *other, faults, now))
@@ -639,7 +645,8 @@
         let required = required.map(instance_id).collect();
         let instance = &mut self.instances[index];
         instance.quorum.set_required(required, now);
-        instance.quorum.acked_at(&instance.lease, &instance.acks)
+        let acked_at = instance.quorum.acked_at(&instance.lease, &instance.acks);
+        acked_at.filter(|_| !is_behind)
     }
 
     /// Returns whether the list of an instance names another one.
