--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -186,19 +186,22 @@
         Ok(())
     }
 
-    /// Gives up a takeover unless the store has the entry of this instance. The list may be old, and a
+    /// Gives up a takeover unless the store has the entry of this instance: the list may be old, and a
     /// holder does not ask an instance whose entry was removed.
     async fn check_entry(&self, domain: &DomainId, rank: u32) -> Result<()> {
         let found = (self.store.has_instance)(&self.instance).await;
-        if matches!(found, Ok(true)) {
-            return Ok(());
-        }
-        let now = self.clock.now();
-        self.owner
-            .with_lease(domain, rank, |lease, _| lease.release(now));
-        found.and_then(|_| {
-            let detail = format!("{} is not registered; wait for its entry", self.instance);
-            Err(Error::new(ErrorKind::Platform, detail))
+        self.owner.with_lease(domain, rank, |lease, _| match found {
+            Ok(true) => Ok(()),
+            Ok(false) => {
+                lease.release(self.clock.now());
+                let detail = "this instance has no entry in the store; wait for it";
+                Err(Error::new(ErrorKind::Platform, detail))
+            }
+            Err(error) => {
+                // Nothing was written, so that the takeover stays due.
+                lease.write_lost();
+                Err(error)
+            }
         })
     }
 
