--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -1,11 +1,12 @@
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
+use super::read_progress::{ReadProgress, Refutation};
 use super::{ModelRef, RouteSet, UpstreamEntry};
 use crate::id::UpstreamId;
 use crate::relay::ObjectKind;
@@ -28,46 +29,6 @@
     progress: [ReadProgress; 4],
 }
 
-/// The revisions up to which this instance and its peers have read one kind of object.
-#[derive(Debug)]
-struct ReadProgress {
-    /// The revision of the latest change that this instance has read.
-    seen: AtomicU64,
-    /// The revision up to which this instance has read all changes.
-    covered: watch::Sender<u64>,
-    /// The highest revision that the store itself has stated to this instance.
-    stored: AtomicU64,
-    /// The revision of the latest change that any peer has read.
-    peers: watch::Sender<u64>,
-    refutation: Mutex<Option<Refutation>>,
-}
-
-/// A revision that a peer has stated, and that the store had not reached afterwards.
-#[derive(Debug, Clone, Copy)]
-struct Refutation {
-    revision: u64,
-    /// When the revision may be reported again.
-    ends_at: Instant,
-}
-
-impl ReadProgress {
-    fn new() -> Self {
-        Self {
-            seen: AtomicU64::new(0),
-            covered: watch::channel(0).0,
-            stored: AtomicU64::new(0),
-            peers: watch::channel(0).0,
-            refutation: Mutex::new(None),
-        }
-    }
-
-    /// Returns the refutation that is in force, if any.
-    fn refutation(&self) -> Option<Refutation> {
-        let refutation = *lock(&self.refutation);
-        refutation.filter(|it| Instant::now() < it.ends_at)
-    }
-}
-
 /// Time that this instance may stay behind its peers before it reads the objects again. A change
 /// reaches all watchers within a few milliseconds.
 const LAG_LIMIT: Duration = Duration::from_millis(300);
@@ -265,7 +226,7 @@
             return;
         }
         let progress = self.progress(kind);
-        *lock(&progress.refutation) = Some(Refutation {
+        *progress.lock_refutation() = Some(Refutation {
             revision: stated,
             ends_at: Instant::now() + REFUTATION_TIME,
         });
@@ -311,10 +272,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn raise(highest: &watch::Sender<u64>, revision: u64) {
     highest.send_if_modified(|known| {
         let is_newer = revision > *known;
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -24,6 +24,7 @@
 mod local_response;
 mod model_ref;
 mod notice_recorder;
+mod read_progress;
 mod relay_body;
 mod reply_body;
 mod request_runner;
--- a/src/residency/mod.rs
+++ b/src/residency/mod.rs
@@ -15,6 +15,7 @@
 mod domain_lease;
 mod fetch_permits;
 mod fetch_pool;
+mod fleet_view;
 mod gossip_tree;
 mod lease_answers;
 mod lease_claim;
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -3,10 +3,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use super::fleet_view::FleetView;
 use super::{LeaseStep, LeaseWrite, LoadOwner, ReachTracker, ResidencyDirectory, StorePort};
 use crate::error::{Error, ErrorKind, Result};
-use crate::forward::{FleetState, InFlightTracker, UpstreamEntry};
-use crate::id::{DomainId, InstanceId, UpstreamId};
+use crate::forward::{FleetState, InFlightTracker};
+use crate::id::{DomainId, InstanceId};
 use crate::member::rendezvous_score;
 use crate::peer::PeerMesh;
 use crate::platform_client::ListedInstance;
@@ -65,16 +66,6 @@
 /// Interval at which the instances are passed to the links again although none has changed.
 const SYNC_PERIOD: Duration = Duration::from_millis(500);
 
-/// What the checks of the leases derive from the instances and upstreams. Deriving it takes time in
-/// proportion to the size of the fleet, so it is not done at each check.
-#[derive(Debug, Default)]
-struct FleetView {
-    synced_at: Option<Duration>,
-    instances: Vec<ListedInstance>,
-    upstreams: Arc<BTreeMap<UpstreamId, Arc<UpstreamEntry>>>,
-    ranks: Vec<(DomainId, u32)>,
-}
-
 impl OwnershipLoop {
     /// Checks the leases until the process ends.
     pub async fn run(self: Arc<Self>, timers: TimerService) {
