--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -27,6 +27,7 @@
     guard: InFlightGuard,
     /// Counts a response that is cut off as a crash; `None` if it is not a response of a run.
     crashes: Option<CrashRecorder>,
+    began_at: Instant,
     deadline: Pin<Box<Sleep>>,
 }
 
@@ -97,6 +98,7 @@
             idle,
             guard,
             crashes: None,
+            began_at: Instant::now(),
             deadline: Box::pin(sleep_until(deadline)),
         };
         // Without a body, the response is already complete, and it may never be polled.
@@ -125,7 +127,7 @@
     /// it.
     pub(super) fn record_crash(&self) {
         if let Some(crashes) = &self.crashes {
-            crashes.record_crash(self.upstream());
+            crashes.record_crash(self.upstream(), Some(self.began_at.elapsed()));
         }
     }
 
--- a/src/forward/crash_recorder.rs
+++ b/src/forward/crash_recorder.rs
@@ -1,5 +1,8 @@
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
+use super::PromptParts;
+use super::forward_run::millis;
 use super::request_runner::lock;
 use crate::id::UpstreamId;
 use crate::policy::SuspectList;
@@ -13,19 +16,25 @@
     pub(super) clock: ClockSource,
     /// Identifies the request and its repeats.
     pub(super) fingerprint: u64,
+    pub(super) prompt: Arc<PromptParts>,
     pub(super) attempt: String,
 }
 
 impl CrashRecorder {
-    /// Counts and logs a crash of an upstream that was running the request.
-    pub(super) fn record_crash(&self, upstream: &UpstreamId) {
+    /// Counts and logs a crash of an upstream that was running the request; `running` is the time since
+    /// its response began, or `None` if it had not.
+    pub(super) fn record_crash(&self, upstream: &UpstreamId, running: Option<Duration>) {
         let now = self.clock.now();
         let crashes = lock(&self.suspects).record_crash(self.fingerprint, now);
-        LogEvent::new(LogName::CrashCounted)
+        let mut event = LogEvent::new(LogName::CrashCounted)
             .with("attempt", &self.attempt)
             .with("upstream", upstream)
             .with("fingerprint", format!("{:016x}", self.fingerprint))
-            .with_count("crashes", u64::from(crashes))
-            .send();
+            .with("prompt", self.prompt.text())
+            .with_count("crashes", u64::from(crashes));
+        if let Some(running) = running {
+            event = event.with_count("running_ms", millis(running));
+        }
+        event.send();
     }
 }
--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -12,8 +12,8 @@
 use super::local_response::{LocalResponse, reject, to_response};
 use super::upstream_attempt::RequestParts;
 use super::{
-    ConnectionBody, ForwardRoute, ForwardService, HeaderNames, ModelRef, ReplyBody, RouteSet,
-    RunUpstreams, UpstreamEntry,
+    ConnectionBody, ForwardRoute, ForwardService, HeaderNames, ModelRef, PromptParts, ReplyBody,
+    RouteSet, RunUpstreams, UpstreamEntry,
 };
 use crate::id::UpstreamId;
 use crate::telemetry::{LogEvent, LogName};
@@ -26,6 +26,7 @@
     pub(super) parts: RequestParts,
     /// Hash of the request, by which crashes of upstreams are attributed to it.
     pub(super) fingerprint: u64,
+    pub(super) prompt: Arc<PromptParts>,
     pub(super) deadline: Instant,
     pub(super) arrived: Instant,
     /// Upstreams at which an attempt was made, in order.
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -21,8 +21,8 @@
 use super::upstream_attempt::{RequestParts, drain};
 use super::{
     AttemptFailure, FleetState, ForwardHead, ForwardRoute, ForwardSettings, HeaderNames,
-    InFlightLoad, InFlightTracker, NoticeRecorder, ReplyBody, RunUpstreams, ShutdownPlan,
-    UpstreamHealth, UpstreamPace, UpstreamPool, UpstreamResponse,
+    InFlightLoad, InFlightTracker, NoticeRecorder, PromptParts, ReplyBody, RunUpstreams,
+    ShutdownPlan, UpstreamHealth, UpstreamPace, UpstreamPool, UpstreamResponse,
 };
 use crate::policy::{RetryBudget, SuspectList};
 use crate::residency::{LoadClient, ResidencyDirectory};
@@ -164,12 +164,15 @@
             .cloned()
             .ok_or_else(|| unavailable("the route has no service", RETRY_AFTER_LOAD))?;
         let fingerprint = fingerprint(&head, &body, &self.names);
+        let prompt = head.headers.get_all(&self.names.prompt_parts);
+        let prompt = Arc::new(PromptParts::from_headers(&service.name, prompt));
         let parts = self.request_parts(head, body, &parsed, &route);
         Ok(ForwardRun {
             route,
             service,
             parts,
             fingerprint,
+            prompt,
             deadline,
             arrived,
             tried: Vec::new(),
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -161,7 +161,7 @@
             }
             AttemptFailure::Broken(_) => {
                 self.health.record_unreachable(upstream, now);
-                self.crash_recorder(run).record_crash(upstream);
+                self.crash_recorder(run).record_crash(upstream, None);
             }
         }
         let service = &run.service.name;
--- a/src/forward/runner_crashes.rs
+++ b/src/forward/runner_crashes.rs
@@ -21,6 +21,7 @@
             suspects: Arc::clone(&self.suspects),
             clock: self.clock.clone(),
             fingerprint: run.fingerprint,
+            prompt: Arc::clone(&run.prompt),
             attempt: run.parts.attempt.clone(),
         }
     }
