Refuse requests with a prompt part that crashes the upstreams which answer on it

Cause: crashes were counted for the whole request, and no two of these requests are alike, so that each was new.

A crash is now also counted for the shared parts of each prompt whose answer had begun and was not sound yet. A sound answer (complete, or going on for a second) anywhere clears a part, so that parts which sound requests share are not refused, and crashes that a refused part explains do not count for others. Instances exchange what they observe, as changes since the peer's acknowledgement. The verdict is looked at before each attempt, during waits for loads, and until the answer begins.

Ruled out: counts that are late or lost (2 of 461 fingerprints had more than three crashes), and requests that are sent on after a verdict (there was none).

--- a/src/forward/attempt_failure.rs
+++ b/src/forward/attempt_failure.rs
@@ -21,6 +21,8 @@
     TimedOut,
     /// A newer version of the adapter was announced and the response head did not arrive soon after.
     Outdated,
+    /// A part of the prompt was refused before the response head arrived.
+    Withdrawn,
     /// The response belongs to another attempt, or lacks a signature or attempt id.
     Mismatch(String),
 }
@@ -49,6 +51,7 @@
             Self::Broken(_) => "broken",
             Self::TimedOut => "timed_out",
             Self::Outdated => "outdated",
+            Self::Withdrawn => "withdrawn",
             Self::Mismatch(_) => "mismatch",
         }
     }
--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -28,9 +28,17 @@
     /// Counts a response that is cut off as a crash; `None` if it is not a response of a run.
     crashes: Option<CrashRecorder>,
     began_at: Instant,
+    /// Whether the answer is known to be sound: it is complete, or has gone on for [`SOUND_TIME`].
+    is_sound: bool,
+    /// Whether the end of the body shows that the answer is sound, as far as its framing shows that.
+    has_sound_end: bool,
     deadline: Pin<Box<Sleep>>,
 }
 
+/// Time after the start of an answer at which bytes of it prove that the prompt does not crash the
+/// upstream. One that does ends its upstream within a few events.
+const SOUND_TIME: Duration = Duration::from_secs(1);
+
 /// Keeps a request counted as in flight until the guard is dropped.
 #[derive(Debug)]
 pub(super) struct InFlightGuard {
@@ -99,6 +107,8 @@
             guard,
             crashes: None,
             began_at: Instant::now(),
+            is_sound: false,
+            has_sound_end: false,
             deadline: Box::pin(sleep_until(deadline)),
         };
         // Without a body, the response is already complete, and it may never be polled.
@@ -128,6 +138,33 @@
     pub(super) fn record_crash(&self) {
         if let Some(crashes) = &self.crashes {
             crashes.record_crash(self.upstream(), Some(self.began_at.elapsed()));
+            if !self.is_sound {
+                crashes.suspect_parts(self.upstream());
+            }
+        }
+    }
+
+    /// Takes the end of the body as proof of a sound answer. Without this, the reader of the body calls
+    /// [`ConnectionBody::record_sound_end`], if what it has read is whole.
+    pub(super) const fn end_proves_sound(&mut self) {
+        self.has_sound_end = true;
+    }
+
+    /// Records that the answer has ended and is whole. The end of a connection proves nothing, as an
+    /// upstream that crashes may close it in order.
+    pub(super) fn record_sound_end(&mut self) {
+        if self.framing != BodyFraming::Connection {
+            self.record_sound();
+        }
+    }
+
+    /// Records once that the answer is sound.
+    fn record_sound(&mut self) {
+        if !self.is_sound {
+            self.is_sound = true;
+            if let Some(crashes) = &self.crashes {
+                crashes.clear_parts();
+            }
         }
     }
 
@@ -159,12 +196,21 @@
         match ready!(Pin::new(&mut this.body).poll_frame(cx)) {
             None => {
                 this.release();
+                if this.has_sound_end {
+                    this.record_sound_end();
+                }
                 Poll::Ready(None)
             }
             Some(Ok(frame)) => {
                 this.guard.record_first_event();
+                if !this.is_sound && this.began_at.elapsed() >= SOUND_TIME {
+                    this.record_sound();
+                }
                 if this.body.is_end_stream() {
                     this.release();
+                    if this.has_sound_end {
+                        this.record_sound_end();
+                    }
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
--- a/src/forward/crash_recorder.rs
+++ b/src/forward/crash_recorder.rs
@@ -1,9 +1,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use super::PromptParts;
 use super::forward_run::millis;
 use super::request_runner::lock;
+use super::{PartGuard, PromptParts};
 use crate::id::UpstreamId;
 use crate::policy::SuspectList;
 use crate::telemetry::{LogEvent, LogName};
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct CrashRecorder {
     pub(super) suspects: Arc<Mutex<SuspectList>>,
+    /// Counts crashes for the parts of the prompt; `None` if the response is no answer to it.
+    pub(super) parts: Option<Arc<PartGuard>>,
     pub(super) clock: ClockSource,
     /// Identifies the request and its repeats.
     pub(super) fingerprint: u64,
@@ -37,4 +39,18 @@
         }
         event.send();
     }
+
+    /// Counts a crash for the parts of the prompt, as the answer had begun and was not sound yet.
+    pub(super) fn suspect_parts(&self, upstream: &UpstreamId) {
+        if let Some(parts) = &self.parts {
+            parts.record_crash(&self.prompt, upstream);
+        }
+    }
+
+    /// Records that the answer is sound, which clears the parts of the prompt.
+    pub(super) fn clear_parts(&self) {
+        if let Some(parts) = &self.parts {
+            parts.record_sound(&self.prompt);
+        }
+    }
 }
--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -27,6 +27,8 @@
     /// Hash of the request, by which crashes of upstreams are attributed to it.
     pub(super) fingerprint: u64,
     pub(super) prompt: Arc<PromptParts>,
+    /// Whether the request may be sent once although a part of its prompt is refused.
+    pub(super) is_trial: bool,
     pub(super) deadline: Instant,
     pub(super) arrived: Instant,
     /// Upstreams at which an attempt was made, in order.
--- /dev/null
+++ b/src/forward/part_guard.rs
@@ -0,0 +1,188 @@
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::PromptParts;
+use crate::id::UpstreamId;
+use crate::policy::{PartChange, PartSuspects, RefusedPart};
+use crate::telemetry::{LogEvent, LogName, MetricName, MetricSink};
+use crate::time::ClockSource;
+
+/// The parts of prompts that crash upstreams, shared by the requests of an instance and the exchange
+/// with its peers.
+#[derive(Debug)]
+pub struct PartGuard {
+    suspects: Mutex<PartSuspects>,
+    clock: ClockSource,
+    metrics: MetricSink,
+    /// Number of refusals so far; waiting requests look at their parts again when it changes.
+    refusals: watch::Sender<u64>,
+}
+
+/// Maximum number of suspect parts. A crash of an upstream adds a few dozen.
+const MAX_SUSPECTS: usize = 1024;
+
+/// Maximum number of parts of one prompt for which a crash is counted, so that a prompt of thousands
+/// of parts does not displace all others.
+const MAX_COUNTED_PARTS: usize = 64;
+
+impl PartGuard {
+    /// Creates a guard without suspects.
+    #[must_use]
+    pub fn new(clock: ClockSource, metrics: MetricSink) -> Self {
+        Self {
+            suspects: Mutex::new(PartSuspects::new(MAX_SUSPECTS)),
+            clock,
+            metrics,
+            refusals: watch::channel(0).0,
+        }
+    }
+
+    /// Counts a crash of an upstream that had begun an answer on a prompt.
+    pub fn record_crash(&self, prompt: &PromptParts, upstream: &UpstreamId) {
+        let parts = prompt.keys();
+        let counted = &parts[..parts.len().min(MAX_COUNTED_PARTS)];
+        let upstream = xxh3_64(upstream.as_str().as_bytes());
+        self.lock()
+            .record_crash(counted, upstream, self.clock.now());
+        self.evaluate();
+    }
+
+    /// Records a sound answer on a prompt, which clears its parts.
+    pub fn record_sound(&self, prompt: &PromptParts) {
+        if prompt.keys().is_empty() {
+            return;
+        }
+        let cleared = self.lock().record_sound(prompt.keys(), self.clock.now());
+        log_cleared(&cleared);
+    }
+
+    /// Ends the refusal of a part, as an operator orders.
+    pub fn clear(&self, part: u64) {
+        if self.lock().clear(part, self.clock.now()) {
+            log_cleared(&[part]);
+        }
+    }
+
+    /// Refuses the parts whose crashes suffice.
+    pub fn evaluate(&self) {
+        let now = self.clock.now();
+        let mut suspects = self.lock();
+        let refused = suspects.evaluate(now);
+        for part in &refused {
+            let (crashes, upstreams) = suspects.crash_count(*part, now);
+            LogEvent::new(LogName::PartRefused)
+                .with("part", part_text(*part))
+                .with_count("crashes", to_count(crashes))
+                .with_count("upstreams", to_count(upstreams))
+                .send();
+        }
+        drop(suspects);
+        self.report_refusals(&refused);
+    }
+
+    /// Returns the refused part of a prompt, if it has one.
+    #[must_use]
+    pub fn refused_part(&self, prompt: &PromptParts) -> Option<RefusedPart> {
+        if prompt.keys().is_empty() {
+            return None;
+        }
+        self.lock().refused_part(prompt.keys(), self.clock.now())
+    }
+
+    /// Returns whether a request with a refused part may be sent as a trial, and records it if so.
+    pub fn begin_trial(&self, part: u64) -> bool {
+        let is_trial = self.lock().begin_trial(part, self.clock.now());
+        if is_trial {
+            LogEvent::new(LogName::PartTried)
+                .with("part", part_text(part))
+                .send();
+        }
+        is_trial
+    }
+
+    /// Waits until a part of the prompt is refused.
+    pub async fn wait_for_refusal(&self, prompt: &PromptParts) {
+        if prompt.keys().is_empty() {
+            return std::future::pending().await;
+        }
+        let mut refusals = self.refusals.subscribe();
+        // The wait can't fail, because this guard owns the sender.
+        let _refusals = refusals
+            .wait_for(|_| self.refused_part(prompt).is_some())
+            .await;
+    }
+
+    /// Sets the rank of this instance among those that take turns with trials, and their number.
+    pub fn set_place(&self, rank: usize, count: usize) {
+        let to_u32 = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+        self.lock().set_place(to_u32(rank), to_u32(count));
+    }
+
+    /// Returns up to `limit` changes that a peer which knows those up to `known` lacks, with the number
+    /// of the last one.
+    #[must_use]
+    pub fn changes_after(&self, known: u64, limit: usize) -> (Vec<PartChange>, u64) {
+        self.lock().changes_after(known, limit, self.clock.now())
+    }
+
+    /// Merges what a peer has told.
+    pub fn merge(&self, changes: &[PartChange]) {
+        if changes.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut suspects = self.lock();
+        let before = suspects.refused();
+        let cleared = suspects.merge(changes, now);
+        let after = suspects.refused();
+        drop(suspects);
+        log_cleared(&cleared);
+        let told: Vec<u64> = after.difference(&before).copied().collect();
+        for part in &told {
+            LogEvent::new(LogName::PartRefused)
+                .with("part", part_text(*part))
+                .with("source", "peer")
+                .send();
+        }
+        self.report_refusals(&told);
+        self.evaluate();
+    }
+
+    /// Removes what has expired.
+    pub fn remove_expired(&self) {
+        self.lock().remove_expired(self.clock.now());
+    }
+
+    fn report_refusals(&self, refused: &[u64]) {
+        if refused.is_empty() {
+            return;
+        }
+        let count = to_count(refused.len());
+        self.metrics.add(MetricName::RefusedParts, "", "", count);
+        self.refusals.send_modify(|refusals| *refusals += count);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PartSuspects> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the key of a part as logs and the store name it.
+#[must_use]
+pub fn part_text(part: u64) -> String {
+    format!("{part:016x}")
+}
+
+fn log_cleared(cleared: &[u64]) {
+    for part in cleared {
+        LogEvent::new(LogName::PartCleared)
+            .with("part", part_text(*part))
+            .send();
+    }
+}
+
+fn to_count(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -235,6 +235,7 @@
                         }
                         continue;
                     }
+                    body.record_sound_end();
                     this.has_ended = true;
                     let rest = this.splitter.finish();
                     if !rest.is_empty() {
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -21,7 +21,7 @@
 use super::upstream_attempt::{RequestParts, drain};
 use super::{
     AttemptFailure, FleetState, ForwardHead, ForwardRoute, ForwardSettings, HeaderNames,
-    InFlightLoad, InFlightTracker, NoticeRecorder, PromptParts, ReplyBody, RunUpstreams,
+    InFlightLoad, InFlightTracker, NoticeRecorder, PartGuard, PromptParts, ReplyBody, RunUpstreams,
     ShutdownPlan, UpstreamHealth, UpstreamPace, UpstreamPool, UpstreamResponse,
 };
 use crate::policy::{RetryBudget, SuspectList};
@@ -56,6 +56,8 @@
     pub loads: LoadClient,
     /// Fingerprints of requests that were in flight when an upstream crashed.
     pub suspects: Arc<Mutex<SuspectList>>,
+    /// Parts of prompts that crash upstreams.
+    pub parts: Arc<PartGuard>,
     /// Receives counters and durations by service.
     pub metrics: MetricSink,
     /// Retry budgets by service.
@@ -173,6 +175,7 @@
             parts,
             fingerprint,
             prompt,
+            is_trial: false,
             deadline,
             arrived,
             tried: Vec::new(),
@@ -218,6 +221,7 @@
 
     async fn forward(self: &Arc<Self>, mut run: ForwardRun) -> Response<ReplyBody> {
         let now = self.clock.now();
+        self.begin_trial(&mut run);
         if let Some(refusal) = self.crash_refusal(&run) {
             return self.refuse(&run, refusal);
         }
@@ -242,6 +246,7 @@
                 Err(AttemptFailure::Withheld) => continue,
                 Err(failure) => failure,
             };
+            run.is_trial = false;
             self.record_failure(&run, &chosen, &failure);
             may_have_run |= !failure.is_not_run();
             // A retry that can't be sent would be charged to the retry budget.
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -75,7 +75,9 @@
         };
         let mut outcome = self.send(run, &plan, can_repeat).await;
         if let Ok(response) = &mut outcome {
-            response.body.count_crashes(self.crash_recorder(run));
+            let is_answer = response.status.is_success();
+            let recorder = self.crash_recorder(run, is_answer);
+            response.body.count_crashes(recorder);
         }
         if matches!(outcome, Err(AttemptFailure::Withheld)) {
             run.attempts -= 1;
@@ -112,8 +114,9 @@
         };
         let (pool, tracker, names) = (&self.pool, &self.tracker, &self.names);
         let sending = send_attempt(pool, tracker, names, &run.parts, plan, &hooks);
-        // Applies before and after the head timeout below.
+        // Both apply before and after the head timeout below.
         let sending = self.watch_version(run, plan, sending);
+        let sending = self.watch_parts(run, sending);
         if !can_repeat {
             return sending.await;
         }
@@ -153,7 +156,7 @@
                 }
             }
             // The request was not sent, or the upstream has only queued it.
-            AttemptFailure::Withheld | AttemptFailure::Outdated => {}
+            AttemptFailure::Withheld | AttemptFailure::Outdated | AttemptFailure::Withdrawn => {}
             AttemptFailure::NotRun(_)
             | AttemptFailure::Unconfirmed(_)
             | AttemptFailure::Mismatch(_) => {
@@ -161,7 +164,7 @@
             }
             AttemptFailure::Broken(_) => {
                 self.health.record_unreachable(upstream, now);
-                self.crash_recorder(run).record_crash(upstream, None);
+                self.crash_recorder(run, false).record_crash(upstream, None);
             }
         }
         let service = &run.service.name;
@@ -254,7 +257,9 @@
                 },
             )))
         } else {
-            ReplyBody::Plain(Box::new(received.body))
+            let mut body = received.body;
+            body.end_proves_sound();
+            ReplyBody::Plain(Box::new(body))
         };
         let mut response = Response::new(body);
         *response.status_mut() = received.status;
--- a/src/forward/runner_streams.rs
+++ b/src/forward/runner_streams.rs
@@ -58,6 +58,7 @@
         }
         run.arrived = Instant::now();
         run.is_resuming = true;
+        run.is_trial = false;
         let mut has_budget = false;
         // An attempt that finds a former upstream ended takes none from the others.
         while run
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -9,6 +9,8 @@
 
 use prost::{Message, Oneof};
 
+use super::SuspectPart;
+
 /// A frame, the unit of transmission on a link.
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerFrame {
@@ -562,6 +564,9 @@
     /// Fingerprints of requests that the sender refuses because they crashed too many upstreams.
     #[prost(uint64, repeated, tag = "15")]
     pub refused_suspects: Vec<u64>,
+    /// Parts of prompts that may crash upstreams, as far as the sender's view of them has changed.
+    #[prost(message, repeated, tag = "16")]
+    pub suspect_parts: Vec<SuspectPart>,
 }
 
 /// A failure domain that an instance owns.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -35,6 +35,7 @@
 mod refusal;
 mod reply_slot;
 mod shared_secret;
+mod suspect_part;
 
 pub use call_events::CallEvents;
 pub use call_sink::CallSink;
@@ -56,3 +57,4 @@
 pub use peer_link::PeerLink;
 pub use peer_mesh::PeerMesh;
 pub use shared_secret::SharedSecret;
+pub use suspect_part::SuspectPart;
--- /dev/null
+++ b/src/policy/part_change.rs
@@ -0,0 +1,22 @@
+use std::time::Duration;
+
+/// What an instance tells its peers about a part of prompts that may crash upstreams.
+///
+/// Times are ages, since the clocks of instances differ.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartChange {
+    /// The key of the part.
+    pub part: u64,
+    /// Its place in the prompts, counted from the first part.
+    pub position: u32,
+    /// The crashes that the instance observed: the hash of the upstream, and the age.
+    pub crashes: Vec<(u64, Duration)>,
+    /// Time since an answer on the part was sound.
+    pub sound_age: Option<Duration>,
+    /// Time since the part was refused.
+    pub refused_age: Option<Duration>,
+    /// Number of requests that were sent although the part was refused.
+    pub trials: u32,
+    /// Time since the last of them.
+    pub trial_age: Option<Duration>,
+}
--- a/src/residency/ack_tracker.rs
+++ b/src/residency/ack_tracker.rs
@@ -16,6 +16,9 @@
     acked: BTreeMap<InstanceId, BTreeMap<String, u64>>,
     /// The incarnation of each peer and the crash suspects that it has acknowledged.
     suspects: BTreeMap<InstanceId, (u64, SuspectReport)>,
+    /// The incarnation of each peer and the number of the last change of suspect parts that it has
+    /// acknowledged.
+    parts: BTreeMap<InstanceId, (u64, u64)>,
 }
 
 impl AckTracker {
@@ -90,9 +93,24 @@
         self.suspects.insert(peer.clone(), (incarnation, suspects));
     }
 
+    /// Returns the number of the last change of suspect parts that a peer, started as `incarnation`, has
+    /// acknowledged; zero if it has acknowledged none.
+    #[must_use]
+    pub fn acked_parts(&self, peer: &InstanceId, incarnation: u64) -> u64 {
+        let known = self.parts.get(peer);
+        known.map_or(0, |known| if known.0 == incarnation { known.1 } else { 0 })
+    }
+
+    /// Records that a peer, started as `incarnation`, acknowledged the changes of suspect parts up to
+    /// `number`.
+    pub fn record_acked_parts(&mut self, peer: &InstanceId, incarnation: u64, number: u64) {
+        self.parts.insert(peer.clone(), (incarnation, number));
+    }
+
     /// Removes the acknowledgements of all peers for which `is_kept` returns false.
     pub fn retain(&mut self, is_kept: impl Fn(&InstanceId) -> bool) {
         self.acked.retain(|peer, _| is_kept(peer));
         self.suspects.retain(|peer, _| is_kept(peer));
+        self.parts.retain(|peer, _| is_kept(peer));
     }
 }
--- a/src/residency/load_gossip.rs
+++ b/src/residency/load_gossip.rs
@@ -8,10 +8,10 @@
 use super::{AckTracker, DigestedItem, GossipScope, GossipTree, OwnershipLoop};
 use crate::id::{DomainId, InstanceId, UpstreamId};
 use crate::peer::{
-    AdapterUsage, GossipReply, LivePeer, LoadGossip, OwnedDomain, PeerReply, PeerRequest, ask,
-    reply,
+    AdapterUsage, GossipReply, LivePeer, LoadGossip, OwnedDomain, PeerReply, PeerRequest,
+    SuspectPart, ask, reply,
 };
-use crate::policy::SuspectReport;
+use crate::policy::{PartChange, SuspectReport};
 use crate::relay::{ObjectKind, elect_watcher};
 use crate::time::TimerService;
 
@@ -27,6 +27,17 @@
 /// than in a full mesh.
 const AGGREGATOR_PERIOD: Duration = Duration::from_millis(125);
 
+/// Maximum number of suspect parts in one message; the others follow in the next one.
+const MAX_PARTS: usize = 128;
+
+/// What a message tells besides the load, to be recorded when the peer acknowledges it.
+#[derive(Debug, Default)]
+struct GossipContent {
+    own_items: Arc<Vec<DigestedItem>>,
+    /// The number of the last change of suspect parts.
+    told_parts: u64,
+}
+
 impl OwnershipLoop {
     /// Sends gossip messages to the peers until the process ends.
     pub async fn run_gossip(self: Arc<Self>, timers: TimerService) {
@@ -54,12 +65,15 @@
                 for peer in aggregators {
                     let mut message = self.load_message(&tree, &peer.id, now);
                     message.is_load_only = true;
-                    let no_items = Arc::new(Vec::new());
-                    self.send_gossip(peer, message, no_items, (&pending, &acks));
+                    self.send_gossip(peer, message, GossipContent::default(), (&pending, &acks));
                 }
                 continue;
             }
             gossiped_at = Some(now);
+            self.parts.remove_expired();
+            self.parts.evaluate();
+            let lower = peers.iter().filter(|peer| peer.id < self.instance);
+            self.parts.set_place(lower.count(), peers.len() + 1);
             let own = self.own_state(now);
             // Items of this instance are never marked as unchanged here, so none is unknown.
             let _unknown = self.directory.merge(&self.instance, &own.owned, now);
@@ -72,6 +86,9 @@
             for peer in &peers {
                 let load = self.load_message(&tree, &peer.id, now);
                 let mut message = Self::full_message(load, peer, &own, &owned, &used, &lock(&acks));
+                let known_parts = lock(&acks).acked_parts(&peer.id, peer.incarnation);
+                let (parts, told_parts) = self.parts.changes_after(known_parts, MAX_PARTS);
+                message.suspect_parts = parts.iter().map(SuspectPart::from_change).collect();
                 self.owner.vouch_claims(peer, &mut message.owned_domains);
                 let had_uses = if message.used.is_empty() {
                     peers_with_uses.remove(&peer.id)
@@ -82,9 +99,14 @@
                 let has_content = !message.is_without_load
                     || had_uses
                     || !message.owned_domains.is_empty()
-                    || !suspect_report(&message).is_empty();
+                    || !suspect_report(&message).is_empty()
+                    || !message.suspect_parts.is_empty();
                 if has_content {
-                    self.send_gossip(peer, message, Arc::clone(&owned), (&pending, &acks));
+                    let content = GossipContent {
+                        own_items: Arc::clone(&owned),
+                        told_parts,
+                    };
+                    self.send_gossip(peer, message, content, (&pending, &acks));
                 }
             }
         }
@@ -96,7 +118,7 @@
         self: &Arc<Self>,
         peer: &LivePeer,
         message: LoadGossip,
-        own_items: Arc<Vec<DigestedItem>>,
+        content: GossipContent,
         (pending, acks): (&PendingReplies, &Arc<Mutex<AckTracker>>),
     ) {
         let slot = (peer.id.clone(), message.is_load_only);
@@ -108,6 +130,7 @@
         tokio::spawn(async move {
             let claims = message.owned_domains.clone();
             let suspects = suspect_report(&message);
+            let is_load_only = message.is_load_only;
             let body = Some(ask::Body::Share(message));
             let sent_at = this.clock.now();
             match this.mesh.request(&peer.id, PeerRequest { body }).await {
@@ -116,8 +139,12 @@
                         this.owner
                             .handle_gossip_reply(&peer.id, &claims, &reply, sent_at);
                         let mut acks = lock(&acks);
-                        if !own_items.is_empty() {
-                            acks.record_acked(&peer.id, &own_items, &reply.unknown);
+                        if !content.own_items.is_empty() {
+                            acks.record_acked(&peer.id, &content.own_items, &reply.unknown);
+                        }
+                        if !is_load_only {
+                            let told = content.told_parts;
+                            acks.record_acked_parts(&peer.id, peer.incarnation, told);
                         }
                         if !suspects.is_empty() {
                             acks.record_acked_suspects(&peer.id, peer.incarnation, suspects);
@@ -243,6 +270,9 @@
         let unknown = self.directory.merge(peer, &message.owned, now);
         self.owner.record_uses(peer, &message.used);
         self.merge_suspects(peer, message, now);
+        let parts = message.suspect_parts.iter().take(MAX_PARTS);
+        let parts: Vec<PartChange> = parts.map(SuspectPart::to_change).collect();
+        self.parts.merge(&parts);
         let incarnation = self.mesh.incarnation();
         let answer = self
             .owner
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -6,7 +6,7 @@
 use super::fleet_view::FleetView;
 use super::{LeaseStep, LeaseWrite, LoadOwner, ReachTracker, ResidencyDirectory, StorePort};
 use crate::error::{Error, ErrorKind, Result};
-use crate::forward::{FleetState, InFlightTracker};
+use crate::forward::{FleetState, InFlightTracker, PartGuard};
 use crate::id::{DomainId, InstanceId};
 use crate::member::rendezvous_score;
 use crate::peer::PeerMesh;
@@ -34,6 +34,8 @@
     pub directory: Arc<ResidencyDirectory>,
     /// Requests that were in flight when an upstream crashed.
     pub suspects: Arc<Mutex<SuspectList>>,
+    /// Parts of prompts that crash upstreams.
+    pub parts: Arc<PartGuard>,
     /// The links to the other instances.
     pub mesh: PeerMesh,
     /// Relays changes of the store to the peers.
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -103,6 +103,12 @@
     AnswerTruncated,
     /// a run ended without its whole answer, which counts as a crash of its upstream
     CrashCounted,
+    /// a part of prompts crashed upstreams repeatedly; requests with it are refused
+    PartRefused,
+    /// a request with a refused part is sent, to see whether it still crashes its upstream
+    PartTried,
+    /// requests with a refused part are served again
+    PartCleared,
     /// an answer for another attempt or adapter was discarded
     AnswerMismatch,
     /// a request crashed upstreams repeatedly and is refused
@@ -127,7 +133,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 59] = [
+    pub const ALL: [Self; 62] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -177,6 +183,9 @@
         Self::RequestRetried,
         Self::AnswerTruncated,
         Self::CrashCounted,
+        Self::PartRefused,
+        Self::PartTried,
+        Self::PartCleared,
         Self::AnswerMismatch,
         Self::RequestQuarantined,
         Self::ClaimFailed,
@@ -242,6 +251,9 @@
             Self::RequestRetried => "request_retried",
             Self::AnswerTruncated => "answer_truncated",
             Self::CrashCounted => "crash_counted",
+            Self::PartRefused => "part_refused",
+            Self::PartTried => "part_tried",
+            Self::PartCleared => "part_cleared",
             Self::AnswerMismatch => "answer_mismatch",
             Self::RequestQuarantined => "request_quarantined",
             Self::ClaimFailed => "claim_failed",
--- a/src/telemetry/metric_name.rs
+++ b/src/telemetry/metric_name.rs
@@ -27,6 +27,8 @@
     BatchOccupancy,
     /// Requests refused, by pool and reason.
     Refusals,
+    /// Parts of prompts that were refused because they crashed upstreams.
+    RefusedParts,
     /// Requests dispatched again, by pool and reason.
     Retries,
     /// Adapter loads ordered, by pool.
@@ -45,7 +47,7 @@
 
 impl MetricName {
     /// All names, in declaration order.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Requests,
         Self::LoadStalls,
         Self::QueueWait,
@@ -57,6 +59,7 @@
         Self::IgnoredLoads,
         Self::BatchOccupancy,
         Self::Refusals,
+        Self::RefusedParts,
         Self::Retries,
         Self::Loads,
         Self::Evictions,
@@ -81,6 +84,7 @@
             Self::IgnoredLoads => "ignored_loads",
             Self::BatchOccupancy => "batch_occupancy",
             Self::Refusals => "refusals",
+            Self::RefusedParts => "refused_parts",
             Self::Retries => "retries",
             Self::Loads => "loads",
             Self::Evictions => "evictions",
