Keep refused prompt parts in the store for instances that no peer can tell

Cause: a fleet that restarts as a whole, or an instance without a link to its peers, would have let the part crash further upstreams (found by reading, not seen in a play).

--- a/src/forward/part_guard.rs
+++ b/src/forward/part_guard.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::watch;
@@ -5,7 +6,7 @@
 
 use super::PromptParts;
 use crate::id::UpstreamId;
-use crate::policy::{PartChange, PartSuspects, RefusedPart};
+use crate::policy::{PartChange, PartRefusal, PartSuspects, RefusedPart};
 use crate::telemetry::{LogEvent, LogName, MetricName, MetricSink};
 use crate::time::ClockSource;
 
@@ -74,6 +75,7 @@
             let (crashes, upstreams) = suspects.crash_count(*part, now);
             LogEvent::new(LogName::PartRefused)
                 .with("part", part_text(*part))
+                .with("source", "crashes")
                 .with_count("crashes", to_count(crashes))
                 .with_count("upstreams", to_count(upstreams))
                 .send();
@@ -102,6 +104,29 @@
         is_trial
     }
 
+    /// Returns whether a part is refused.
+    #[must_use]
+    pub fn is_refused(&self, part: u64) -> bool {
+        self.lock()
+            .refused_part(&[part], self.clock.now())
+            .is_some()
+    }
+
+    /// Returns the refused parts.
+    #[must_use]
+    pub fn refusals(&self) -> Vec<PartRefusal> {
+        self.lock().refusals(self.clock.now())
+    }
+
+    /// Refuses a part that the store names, unless it has just been cleared here.
+    pub fn adopt_refusal(&self, part: u64) {
+        let is_new = self.lock().adopt_refusal(part, self.clock.now());
+        if is_new {
+            log_refused(part, "store");
+            self.report_refusals(&[part]);
+        }
+    }
+
     /// Waits until a part of the prompt is refused.
     pub async fn wait_for_refusal(&self, prompt: &PromptParts) {
         if prompt.keys().is_empty() {
@@ -134,17 +159,18 @@
         }
         let now = self.clock.now();
         let mut suspects = self.lock();
-        let before = suspects.refused();
+        let refused = |suspects: &PartSuspects| -> BTreeSet<u64> {
+            let refusals = suspects.refusals(now);
+            refusals.iter().map(|refusal| refusal.part).collect()
+        };
+        let before = refused(&suspects);
         let cleared = suspects.merge(changes, now);
-        let after = suspects.refused();
+        let after = refused(&suspects);
         drop(suspects);
         log_cleared(&cleared);
         let told: Vec<u64> = after.difference(&before).copied().collect();
         for part in &told {
-            LogEvent::new(LogName::PartRefused)
-                .with("part", part_text(*part))
-                .with("source", "peer")
-                .send();
+            log_refused(*part, "peer");
         }
         self.report_refusals(&told);
         self.evaluate();
@@ -175,6 +201,13 @@
     format!("{part:016x}")
 }
 
+fn log_refused(part: u64, source: &str) {
+    LogEvent::new(LogName::PartRefused)
+        .with("part", part_text(part))
+        .with("source", source)
+        .send();
+}
+
 fn log_cleared(cleared: &[u64]) {
     for part in cleared {
         LogEvent::new(LogName::PartCleared)
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -49,7 +49,7 @@
 pub use load_bid::LoadBid;
 pub use load_estimate::LoadEstimate;
 pub use part_change::PartChange;
-pub use part_suspects::{PartSuspects, RefusedPart};
+pub use part_suspects::{PartRefusal, PartSuspects, RefusedPart};
 pub use permit_bucket::PermitBucket;
 pub use permit_config::PermitConfig;
 pub use permit_grant::PermitGrant;
--- a/src/policy/part_suspects.rs
+++ b/src/policy/part_suspects.rs
@@ -32,6 +32,17 @@
     pub retry_after: Duration,
 }
 
+/// The refusal of a part of prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartRefusal {
+    /// The key of the part.
+    pub part: u64,
+    /// Time since the refusal.
+    pub age: Duration,
+    /// Whether this instance saw any of the crashes itself.
+    pub is_observed: bool,
+}
+
 /// Number of crashes, at different moments and of more than one upstream, at which a part is refused.
 const REFUSAL_MOMENTS: usize = 3;
 
@@ -54,6 +65,9 @@
 /// Time after which a refusal lapses.
 const REFUSAL_EXPIRY: Duration = Duration::from_hours(1);
 
+/// Time after a sound answer on a part in which a refusal from before it may still be told.
+const CLEAR_TIME: Duration = Duration::from_secs(30);
+
 /// Shortest time that callers of a refused part are told to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -296,10 +310,30 @@
 
     /// Returns the refused parts.
     #[must_use]
-    pub fn refused(&self) -> BTreeSet<u64> {
-        let refused = self.records.iter();
-        let refused = refused.filter(|(_, record)| record.refused_at.is_some());
-        refused.map(|(part, _)| *part).collect()
+    pub fn refusals(&self, now: Duration) -> Vec<PartRefusal> {
+        let to_refusal = |(part, record): (&u64, &PartRecord)| {
+            Some(PartRefusal {
+                part: *part,
+                age: now.saturating_sub(record.refused_at?),
+                is_observed: record.crashes.iter().any(|crash| crash.is_local),
+            })
+        };
+        self.records.iter().filter_map(to_refusal).collect()
+    }
+
+    /// Refuses a part as another process has, unless it was cleared here a short time ago; returns
+    /// whether it was not refused before.
+    pub fn adopt_refusal(&mut self, part: u64, now: Duration) -> bool {
+        let record = self.record(part, now);
+        let is_cleared = record
+            .sound_at
+            .is_some_and(|sound| now.saturating_sub(sound) < CLEAR_TIME);
+        if record.refused_at.is_some() || is_cleared {
+            return false;
+        }
+        record.refused_at = Some(now);
+        record.updated_at = now;
+        true
     }
 
     /// Returns the number of suspect parts.
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -6,6 +6,7 @@
 mod health;
 mod notice;
 mod pace;
+mod prompt_parts;
 mod revision_lag;
 mod routes;
 mod run_upstreams;
