--- a/src/forward/crash_recorder.rs
+++ b/src/forward/crash_recorder.rs
@@ -14,7 +14,7 @@
 pub(super) struct CrashRecorder {
     pub(super) suspects: Arc<Mutex<SuspectList>>,
     /// Counts crashes for the parts of the prompt; `None` if the response is no answer to it.
-    pub(super) parts: Option<Arc<PartGuard>>,
+    pub(super) part_guard: Option<Arc<PartGuard>>,
     pub(super) clock: ClockSource,
     /// Identifies the request and its repeats.
     pub(super) fingerprint: u64,
@@ -33,6 +33,7 @@
             .with("upstream", upstream)
             .with("fingerprint", format!("{:016x}", self.fingerprint))
             .with("prompt", self.prompt.text())
+            .with("parts", self.prompt.keys_text())
             .with_count("crashes", u64::from(crashes));
         if let Some(running) = running {
             event = event.with_count("running_ms", millis(running));
@@ -42,15 +43,15 @@
 
     /// Counts a crash for the parts of the prompt, as the answer had begun and was not sound yet.
     pub(super) fn suspect_parts(&self, upstream: &UpstreamId, running: Duration) {
-        if let Some(parts) = &self.parts {
-            parts.record_crash(&self.prompt, upstream, running);
+        if let Some(guard) = &self.part_guard {
+            guard.record_crash(&self.prompt, upstream, running);
         }
     }
 
     /// Records that the answer is sound, which clears the parts of the prompt.
     pub(super) fn clear_parts(&self) {
-        if let Some(parts) = &self.parts {
-            parts.record_sound(&self.prompt);
+        if let Some(guard) = &self.part_guard {
+            guard.record_sound(&self.prompt);
         }
     }
 }
--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -13,7 +13,7 @@
 use super::upstream_attempt::RequestParts;
 use super::{
     ConnectionBody, ForwardRoute, ForwardService, HeaderNames, ModelRef, PromptParts, ReplyBody,
-    RouteSet, RunUpstreams, UpstreamEntry,
+    RouteSet, RunUpstreams, UpstreamEntry, part_text,
 };
 use crate::id::UpstreamId;
 use crate::telemetry::{LogEvent, LogName};
@@ -115,15 +115,20 @@
     }
 }
 
-/// Logs a response that this instance generates itself, with its reason, and builds the response.
-pub(super) fn log_refusal(run: &ForwardRun, response: LocalResponse) -> Response<ReplyBody> {
+/// Logs a response that this instance generates itself, with its reason and the refused part of the
+/// prompt if that is the reason, and builds the response.
+pub(super) fn log_refusal(
+    run: &ForwardRun,
+    response: LocalResponse,
+    part: Option<u64>,
+) -> Response<ReplyBody> {
     let name = if response.status == StatusCode::SERVICE_UNAVAILABLE {
         LogName::RequestRefused
     } else {
         LogName::RequestFailed
     };
     let model = run.parts.model.as_ref().map(ModelRef::to_string);
-    LogEvent::new(name)
+    let mut event = LogEvent::new(name)
         .with("attempt", &run.parts.attempt)
         .with("route", &run.route.name)
         .with("model", model.unwrap_or_default())
@@ -131,8 +136,11 @@
         .with("fingerprint", format!("{:016x}", run.fingerprint))
         .with_count("status", u64::from(response.status.as_u16()))
         .with_count("attempts", u64::from(run.attempts))
-        .with_count("held_ms", millis(run.arrived.elapsed()))
-        .send();
+        .with_count("held_ms", millis(run.arrived.elapsed()));
+    if let Some(part) = part {
+        event = event.with("part", part_text(part));
+    }
+    event.send();
     to_response(response)
 }
 
--- a/src/forward/local_response.rs
+++ b/src/forward/local_response.rs
@@ -28,6 +28,9 @@
 /// `Retry-After` of a request that has crashed too many upstreams. It stays refused for minutes.
 pub(super) const RETRY_AFTER_CRASH: Duration = Duration::from_secs(5);
 
+/// Reason of the refusal of a request because of a part of its prompt.
+pub(super) const PART_REFUSAL: &str = "a part of the prompt crashed upstreams";
+
 /// Returns the response after the last attempt has failed.
 ///
 /// The status is 503 only if certainly no attempt ran, because callers take a 503 to mean that the
--- a/src/forward/prompt_parts.rs
+++ b/src/forward/prompt_parts.rs
@@ -3,6 +3,8 @@
 use http::HeaderValue;
 use xxhash_rust::xxh3::Xxh3;
 
+use super::part_text;
+
 /// The parts of a prompt that requests share, in their order, as keys.
 ///
 /// The last part belongs to the request or its session and is left out, and so are repeated ones. A key
@@ -17,6 +19,9 @@
 /// Maximum number of bytes of the header that are kept for the log.
 const MAX_TEXT_BYTES: usize = 256;
 
+/// Maximum number of keys that the log shows.
+const MAX_TEXT_KEYS: usize = 16;
+
 impl PromptParts {
     /// Reads the headers that list the parts of a request's prompt as `ID:TOKENS` pairs, separated by
     /// commas. Pairs without an id are ignored, and ids are compared without regard to case.
@@ -54,6 +59,14 @@
         &self.keys
     }
 
+    /// Returns the keys of the first parts, for the log.
+    #[must_use]
+    pub fn keys_text(&self) -> String {
+        let shown = self.keys.iter().take(MAX_TEXT_KEYS);
+        let shown: Vec<String> = shown.map(|key| part_text(*key)).collect();
+        shown.join(" ")
+    }
+
     /// Returns the first bytes of the header, for the log.
     #[must_use]
     pub fn text(&self) -> &str {
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -57,7 +57,7 @@
     /// Fingerprints of requests that were in flight when an upstream crashed.
     pub suspects: Arc<Mutex<SuspectList>>,
     /// Parts of prompts that crash upstreams.
-    pub parts: Arc<PartGuard>,
+    pub part_guard: Arc<PartGuard>,
     /// Receives counters and durations by service.
     pub metrics: MetricSink,
     /// Retry budgets by service.
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
-use super::local_response::LocalResponse;
+use super::local_response::{LocalResponse, PART_REFUSAL};
 use super::request_runner::lock;
 use super::upstream_attempt::{AttemptHooks, AttemptPlan, send_attempt};
 use super::{
@@ -39,7 +39,11 @@
     pub(super) fn refuse(&self, run: &ForwardRun, response: LocalResponse) -> Response<ReplyBody> {
         self.metrics
             .add(MetricName::Refusals, &run.service.name, response.reason, 1);
-        log_refusal(run, response)
+        let is_part = response.reason == PART_REFUSAL;
+        let refused = is_part
+            .then(|| self.part_guard.refused_part(&run.prompt))
+            .flatten();
+        log_refusal(run, response, refused.map(|refused| refused.part))
     }
 
     pub(super) async fn attempt(
--- a/src/forward/runner_crashes.rs
+++ b/src/forward/runner_crashes.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use super::forward_run::ForwardRun;
-use super::local_response::{LocalResponse, RETRY_AFTER_CRASH, unavailable};
+use super::local_response::{LocalResponse, PART_REFUSAL, RETRY_AFTER_CRASH, unavailable};
 use super::request_runner::lock;
 use super::{AttemptFailure, CrashRecorder, RequestRunner, RouteKind, UpstreamResponse};
 use crate::policy::SuspectVerdict;
@@ -19,17 +19,14 @@
         if run.is_trial {
             return None;
         }
-        let refused = self.parts.refused_part(&run.prompt)?;
-        Some(unavailable(
-            "a part of the prompt crashed upstreams",
-            refused.retry_after,
-        ))
+        let refused = self.part_guard.refused_part(&run.prompt)?;
+        Some(unavailable(PART_REFUSAL, refused.retry_after))
     }
 
     /// Makes a request with a refused part a trial if one is due.
     pub(super) fn begin_trial(&self, run: &mut ForwardRun) {
-        let refused = self.parts.refused_part(&run.prompt);
-        run.is_trial = refused.is_some_and(|refused| self.parts.begin_trial(refused.part));
+        let refused = self.part_guard.refused_part(&run.prompt);
+        run.is_trial = refused.is_some_and(|refused| self.part_guard.begin_trial(refused.part));
     }
 
     /// Waits for the response of an attempt, and withdraws the attempt if a part of its prompt is refused
@@ -49,7 +46,7 @@
         tokio::select! {
             biased;
             outcome = sending => outcome,
-            () = self.parts.wait_for_refusal(&run.prompt) => Err(AttemptFailure::Withdrawn),
+            () = self.part_guard.wait_for_refusal(&run.prompt) => Err(AttemptFailure::Withdrawn),
         }
     }
 
@@ -58,7 +55,7 @@
     pub(super) fn crash_recorder(&self, run: &ForwardRun, is_answer: bool) -> CrashRecorder {
         CrashRecorder {
             suspects: Arc::clone(&self.suspects),
-            parts: is_answer.then(|| Arc::clone(&self.parts)),
+            part_guard: is_answer.then(|| Arc::clone(&self.part_guard)),
             clock: self.clock.clone(),
             fingerprint: run.fingerprint,
             prompt: Arc::clone(&run.prompt),
--- a/src/forward/runner_placement.rs
+++ b/src/forward/runner_placement.rs
@@ -85,7 +85,7 @@
             let loaded = tokio::select! {
                 loaded = timeout_at(until - LOAD_MARGIN / 2, request) => loaded,
                 () = self.wait_for_cutoff(run) => continue,
-                () = self.parts.wait_for_refusal(&run.prompt), if !run.is_trial => continue,
+                () = self.part_guard.wait_for_refusal(&run.prompt), if !run.is_trial => continue,
             };
             run.load_wait += requested.elapsed();
             match loaded {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 //! and the permit holder uses [`PermitBucket`].
 
 mod admission_policy;
+mod crash_sighting;
 mod eviction_rule;
 mod fair_clock;
 mod live_suspect;
@@ -14,6 +15,7 @@
 mod load_estimate;
 mod part_change;
 mod part_record;
+mod part_refusal;
 mod part_suspects;
 mod permit_bucket;
 mod permit_config;
@@ -24,6 +26,7 @@
 mod popularity_counter;
 mod queued_item;
 mod rank_queue;
+mod refused_part;
 mod residency_policy;
 mod retry_budget;
 mod return_point;
@@ -46,11 +49,13 @@
 mod work_item;
 
 pub use admission_policy::AdmissionPolicy;
+pub use crash_sighting::CrashSighting;
 pub use eviction_rule::EvictionRule;
 pub use load_bid::LoadBid;
 pub use load_estimate::LoadEstimate;
-pub use part_change::{CrashSighting, PartChange};
-pub use part_suspects::{PartRefusal, PartSuspects, RefusedPart};
+pub use part_change::PartChange;
+pub use part_refusal::PartRefusal;
+pub use part_suspects::PartSuspects;
 pub use permit_bucket::PermitBucket;
 pub use permit_config::PermitConfig;
 pub use permit_grant::PermitGrant;
@@ -60,6 +65,7 @@
 pub use popularity_counter::PopularityCounter;
 pub use queued_item::QueuedItem;
 pub use rank_queue::RankQueue;
+pub use refused_part::RefusedPart;
 pub use residency_policy::ResidencyPolicy;
 pub use retry_budget::RetryBudget;
 pub use return_point::return_point;
--- a/src/policy/part_change.rs
+++ b/src/policy/part_change.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use super::CrashSighting;
+
 /// What an instance tells its peers about a part of prompts that may crash upstreams.
 ///
 /// Times are ages, since the clocks of instances differ.
@@ -20,14 +22,3 @@
     /// Time since the last of them.
     pub trial_age: Option<Duration>,
 }
-
-/// A crash of an upstream that had begun an answer on a part, as an instance observed it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CrashSighting {
-    /// The hash of the upstream.
-    pub upstream: u64,
-    /// Time since the crash.
-    pub age: Duration,
-    /// Whether the answer had only just begun.
-    pub is_early: bool,
-}
--- a/src/policy/part_suspects.rs
+++ b/src/policy/part_suspects.rs
@@ -4,14 +4,14 @@
 
 use super::live_suspect::LiveSuspect;
 use super::part_record::{CRASH_EXPIRY, PartCrash, PartRecord};
-use super::{PartChange, SoundParts};
+use super::{PartChange, PartRefusal, RefusedPart, SoundParts};
 
 /// Parts of prompts that were in answers which their upstreams had just begun when they crashed.
 ///
 /// A crash breaks all answers of its upstream, so that it is counted for every part of those that were
 /// not sound yet. What tells the part that did it from the others is that no answer on it is ever sound:
-/// a sound answer anywhere clears a part of all crashes before it. Crashes that a refused part explains
-/// don't count for others. Instances exchange their observations; each derives the same verdict.
+/// a sound answer anywhere clears a part of all crashes before it. A crash counts for the strongest
+/// suspect that was there. Instances exchange what they observe, so that each derives the same verdict.
 #[derive(Debug)]
 pub struct PartSuspects {
     limit: usize,
@@ -24,26 +24,6 @@
     place: (u32, u32),
 }
 
-/// A refused part of a prompt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RefusedPart {
-    /// The key of the part.
-    pub part: u64,
-    /// Time until a request with it may be tried again.
-    pub retry_after: Duration,
-}
-
-/// The refusal of a part of prompts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PartRefusal {
-    /// The key of the part.
-    pub part: u64,
-    /// Time since the refusal.
-    pub age: Duration,
-    /// Whether this instance saw any of the crashes itself.
-    pub is_observed: bool,
-}
-
 /// Time after the start of an answer within which its end points to its own prompt: a deadly one ends its
 /// upstream at its first events, while the other answers there have run for any time.
 const EARLY_TIME: Duration = Duration::from_millis(300);
--- a/src/residency/load_gossip.rs
+++ b/src/residency/load_gossip.rs
@@ -70,10 +70,10 @@
                 continue;
             }
             gossiped_at = Some(now);
-            self.parts.remove_expired();
-            self.parts.evaluate();
+            self.part_guard.remove_expired();
+            self.part_guard.evaluate();
             let lower = peers.iter().filter(|peer| peer.id < self.instance);
-            self.parts.set_place(lower.count(), peers.len() + 1);
+            self.part_guard.set_place(lower.count(), peers.len() + 1);
             let own = self.own_state(now);
             // Items of this instance are never marked as unchanged here, so none is unknown.
             let _unknown = self.directory.merge(&self.instance, &own.owned, now);
@@ -87,7 +87,7 @@
                 let load = self.load_message(&tree, &peer.id, now);
                 let mut message = Self::full_message(load, peer, &own, &owned, &used, &lock(&acks));
                 let known_parts = lock(&acks).acked_parts(&peer.id, peer.incarnation);
-                let (parts, told_parts) = self.parts.changes_after(known_parts, MAX_PARTS);
+                let (parts, told_parts) = self.part_guard.changes_after(known_parts, MAX_PARTS);
                 message.suspect_parts = parts.iter().map(SuspectPart::from_change).collect();
                 self.owner.vouch_claims(peer, &mut message.owned_domains);
                 let had_uses = if message.used.is_empty() {
@@ -272,7 +272,7 @@
         self.merge_suspects(peer, message, now);
         let parts = message.suspect_parts.iter().take(MAX_PARTS);
         let parts: Vec<PartChange> = parts.map(SuspectPart::to_change).collect();
-        self.parts.merge(&parts);
+        self.part_guard.merge(&parts);
         let incarnation = self.mesh.incarnation();
         let answer = self
             .owner
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -35,7 +35,7 @@
     /// Requests that were in flight when an upstream crashed.
     pub suspects: Arc<Mutex<SuspectList>>,
     /// Parts of prompts that crash upstreams.
-    pub parts: Arc<PartGuard>,
+    pub part_guard: Arc<PartGuard>,
     /// The links to the other instances.
     pub mesh: PeerMesh,
     /// Relays changes of the store to the peers.
