Do not take a few events of a slow upstream for a sound answer

An answer that still goes on after a second cleared the parts of its prompt, also if its upstream was slow and had sent two events by then. A deadly part was thus cleared by the crashes of slow upstreams, and never refused.

Cause: the time alone says nothing about how far the upstream has come. It takes 16 frames now besides the second.

--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -28,7 +28,10 @@
     /// Counts a response that is cut off as a crash; `None` if it is not a response of a run.
     crashes: Option<CrashRecorder>,
     began_at: Instant,
-    /// Whether the answer is known to be sound: it is complete, or has gone on for [`SOUND_TIME`].
+    /// Number of frames with data so far.
+    frames: u32,
+    /// Whether the answer is known to be sound: it is complete, or has gone on for
+    /// [`SOUND_TIME`] and [`SOUND_FRAMES`].
     is_sound: bool,
     /// Whether the end of the body shows that the answer is sound, as far as its framing shows that.
     has_sound_end: bool,
@@ -36,9 +39,13 @@
 }
 
 /// Time after the start of an answer at which bytes of it prove that the prompt does not crash the
-/// upstream. One that does ends its upstream within a few events.
+/// upstream, if there were [`SOUND_FRAMES`] before. One that does ends its upstream within a few events.
 const SOUND_TIME: Duration = Duration::from_secs(1);
 
+/// Minimum number of frames in a sound answer that is not complete yet. A slow upstream takes long for
+/// the few events before its end.
+const SOUND_FRAMES: u32 = 16;
+
 /// Keeps a request counted as in flight until the guard is dropped.
 #[derive(Debug)]
 pub(super) struct InFlightGuard {
@@ -107,6 +114,7 @@
             guard,
             crashes: None,
             began_at: Instant::now(),
+            frames: 0,
             is_sound: false,
             has_sound_end: false,
             deadline: Box::pin(sleep_until(deadline)),
@@ -204,7 +212,9 @@
             }
             Some(Ok(frame)) => {
                 this.guard.record_first_event();
-                if !this.is_sound && this.began_at.elapsed() >= SOUND_TIME {
+                this.frames = this.frames.saturating_add(1);
+                let has_frames = this.frames >= SOUND_FRAMES;
+                if !this.is_sound && has_frames && this.began_at.elapsed() >= SOUND_TIME {
                     this.record_sound();
                 }
                 if this.body.is_end_stream() {
