--- a/review/standins/src/bin/lookup.rs
+++ b/review/standins/src/bin/lookup.rs
@@ -71,6 +71,7 @@
         rate: 14.4,
         budget: Duration::from_millis(1500),
         is_idempotent: true,
+        consumers: 4,
         format: Arc::new(move |attempt, serial| {
             let path = format!("/cufi504/fi50/2f?proof={serial}");
             request("GET", &path, attempt, deadline, "")
@@ -81,6 +82,7 @@
         rate: 36.0,
         budget: Duration::from_millis(1500),
         is_idempotent: false,
+        consumers: 4,
         format: Arc::new(move |attempt, serial| {
             let body = format!("order {serial} {}", "y".repeat(580));
             request("POST", "/puxa403/2f", attempt, deadline, &body)
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -184,6 +184,10 @@
         let status = line.split(' ').nth(1).unwrap_or_default();
         answer.status = status.parse().unwrap_or(0);
         answer.headers = read_headers(reader)?;
+        if matches!(answer.status, 204 | 304) {
+            answer.is_whole = true;
+            return Ok(());
+        }
         if answer.header("transfer-encoding").is_some() {
             let mut body = Vec::new();
             let read = read_chunks(reader, &mut body);
--- a/review/standins/src/traffic.rs
+++ b/review/standins/src/traffic.rs
@@ -19,6 +19,8 @@
     pub budget: Duration,
     /// Whether any failure may be repeated, and not only one that promises that nothing has run.
     pub is_idempotent: bool,
+    /// Consumers of each machine. Each waits for its answer, so that there must be enough of them.
+    pub consumers: u32,
     pub format: Format,
 }
 
@@ -39,9 +41,6 @@
     }
 }
 
-/// Number of consumers of each kind and machine.
-const CONSUMERS: u32 = 4;
-
 /// Sends requests of a kind to all machines until `ends_at`; the tallies are for the requests that were
 /// due before and from `split_at` on.
 pub fn start(
@@ -52,7 +51,7 @@
     split_at: Instant,
 ) -> (Vec<JoinHandle<()>>, Arc<Mutex<[Tally; 2]>>) {
     let tallies = Arc::new(Mutex::new([Tally::default(); 2]));
-    let count = CONSUMERS * u32::try_from(machines.len()).expect("a few machines");
+    let count = kind.consumers * u32::try_from(machines.len()).expect("a few machines");
     let period = Duration::from_secs_f64(f64::from(count) / kind.rate);
     let started = Instant::now();
     let start_one = |number: u32| {
@@ -63,7 +62,7 @@
             let mut consumer = Consumer::new(machines[first]);
             let mut due = started + period * number / count;
             let mut serial = u64::from(number);
-            while due < ends_at {
+            while due < ends_at && Instant::now() < ends_at {
                 thread::sleep(due.saturating_duration_since(Instant::now()));
                 let other = machines[(first + 1) % machines.len()];
                 let served = ask(&case, &kind, &mut consumer, other, serial);
@@ -122,7 +121,7 @@
         } else {
             Served::Failed
         };
-        if !kind.is_idempotent && !is_promise {
+        if is_repeat || !kind.is_idempotent && !is_promise {
             break;
         }
         // Consumers wait as they are told, up to a third of the time that they have left.
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -79,7 +79,10 @@
     /// Adapters, each with the time at which its load ends.
     adapters: BTreeMap<(String, u64), Instant>,
     runs: Vec<String>,
+    /// When each run began.
+    run_times: Vec<Duration>,
     orders: Vec<Order>,
+    is_draining: bool,
 }
 
 /// An order that arrived.
@@ -130,6 +133,7 @@
                 boot: state.boot + 1,
                 born: born.max(state.born + 1),
                 runs: std::mem::take(&mut state.runs),
+                run_times: std::mem::take(&mut state.run_times),
                 orders: std::mem::take(&mut state.orders),
                 ..State::default()
             };
@@ -189,6 +193,24 @@
         self.lock().runs.clone()
     }
 
+    /// Reports that the worker leaves; it goes on serving.
+    pub fn drain(&self) {
+        self.record.line(&format!("worker {} is draining", self.setup.id));
+        self.lock().is_draining = true;
+        self.beat();
+    }
+
+    /// Returns when each run began, in the order of [`Worker::runs`].
+    pub fn run_times(&self) -> Vec<Duration> {
+        self.lock().run_times.clone()
+    }
+
+    /// Ends for good: the entry is removed, and all channels are reset.
+    pub fn leave(&self) {
+        self.crash();
+        self.store.delete("servers", &self.setup.id);
+    }
+
     /// Returns the orders that arrived.
     pub fn orders(&self) -> Vec<Order> {
         self.lock().orders.clone()
@@ -220,7 +242,10 @@
             ("zone".to_owned(), text(&self.setup.zone)),
             ("version".to_owned(), text("v1")),
             ("slots".to_owned(), number(u64::from(self.setup.slots))),
-            ("state".to_owned(), text("ready")),
+            (
+                "state".to_owned(),
+                text(if state.is_draining { "draining" } else { "ready" }),
+            ),
             ("cold_left_ms".to_owned(), number(0)),
             ("sequence".to_owned(), number(state.sequence)),
             ("born".to_owned(), number(state.born)),
@@ -381,6 +406,7 @@
             let mut state = self.lock();
             state.running += 1;
             state.runs.push(attempt.to_owned());
+            state.run_times.push(self.record.now());
         }
         let has_ended = self.play(writer, request, attempt, boot);
         let mut state = self.lock();
