Add a case: sound requests of a route are refused beside deadly ones

Cause: answers that end with their channel never count as sound, so that the crashes of one part of prompts also refuse the first part, which all requests of the route share.

--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -45,6 +45,9 @@
     },
     /// Works for this time and loses the answer: the channel is reset.
     Lost { work: Duration },
+    /// Begins an answer after this time, and the worker crashes with its first event. It is back after
+    /// `down_for`.
+    Crash { first: Duration, down_for: Duration },
     /// Sends events, the first one after `first`.
     Stream {
         first: Duration,
@@ -82,6 +85,7 @@
     /// When each run began.
     run_times: Vec<Duration>,
     orders: Vec<Order>,
+    crash_times: Vec<Duration>,
     is_draining: bool,
 }
 
@@ -135,6 +139,7 @@
                 runs: std::mem::take(&mut state.runs),
                 run_times: std::mem::take(&mut state.run_times),
                 orders: std::mem::take(&mut state.orders),
+                crash_times: std::mem::take(&mut state.crash_times),
                 ..State::default()
             };
             state.boot
@@ -167,6 +172,7 @@
             let mut state = self.lock();
             state.is_up = false;
             state.boot += 1;
+            state.crash_times.push(self.record.now());
             std::mem::take(&mut state.channels)
         };
         for channel in &channels {
@@ -211,6 +217,11 @@
         self.store.delete("servers", &self.setup.id);
     }
 
+    /// Returns when the worker crashed.
+    pub fn crash_times(&self) -> Vec<Duration> {
+        self.lock().crash_times.clone()
+    }
+
     /// Returns the orders that arrived.
     pub fn orders(&self) -> Vec<Order> {
         self.lock().orders.clone()
@@ -451,6 +462,27 @@
                 reset(writer);
                 true
             }
+            Run::Crash { first, down_for } => {
+                thread::sleep(first);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n\
+                     Connection: close\r\n\r\nid: 1\ndata: {attempt} 1\n\n"
+                );
+                if !self.is_boot(boot) || writer.write_all(head.as_bytes()).is_err() {
+                    return true;
+                }
+                // The event leaves before the channels are reset.
+                thread::sleep(Duration::from_millis(10));
+                if self.is_boot(boot) {
+                    self.crash();
+                    let worker = self.clone();
+                    thread::spawn(move || {
+                        thread::sleep(down_for);
+                        worker.restart();
+                    });
+                }
+                true
+            }
             Run::Stream {
                 first,
                 events,
