--- a/review/standins/src/bin/deadly.rs
+++ b/review/standins/src/bin/deadly.rs
@@ -1,5 +1,6 @@
-//! One part of prompts crashes the workers that begin an answer on it. Sound requests that share another
-//! part with it are refused as well, since answers that end with their channel never count as sound.
+//! A part of prompts crashes the workers that begin an answer on it, and later another one. Sound requests
+//! that share the first part with them are refused as well, since answers that end with their channel never
+//! count as sound.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -13,10 +14,15 @@
 use review_standins::worker::{Framing, Run, Script, Worker};
 
 /// Length of the traffic.
-const LENGTH: Duration = Duration::from_secs(36);
+const LENGTH: Duration = Duration::from_secs(54);
 
-/// When requests with the deadly part begin to come, and for how long.
-const DEADLY_AT: Duration = Duration::from_secs(10);
+/// The deadly parts, and when requests with each of them begin to come.
+const DEADLY_PARTS: [(&str, Duration); 2] = [
+    ("dead0bad", Duration::from_secs(10)),
+    ("dead0bae", Duration::from_secs(32)),
+];
+
+/// For how long requests with a deadly part come.
 const DEADLY_FOR: Duration = Duration::from_secs(20);
 
 /// Time after which a worker that has crashed is back.
@@ -29,12 +35,9 @@
 const CONSUMERS: u32 = 8;
 const PERIOD: Duration = Duration::from_micros(1_406_250);
 
-/// Time between two requests with the deadly part, three in a hundred.
+/// Time between two requests with a deadly part, three in a hundred.
 const DEADLY_PERIOD: Duration = Duration::from_millis(650);
 
-/// The id of the deadly part.
-const DEADLY_PART: &str = "dead0bad";
-
 /// A sound request: when it was sent, and the id of its first attempt.
 type Sent = (Duration, String);
 
@@ -63,7 +66,8 @@
     let script: Script = Arc::new(|request: &HttpRequest| {
         let first = Duration::from_millis(60);
         let prompt = request.header("x-comfreychute-prompt-prefix");
-        if prompt.is_some_and(|prompt| prompt.contains(DEADLY_PART)) {
+        let is_deadly = |prompt: &str| DEADLY_PARTS.iter().any(|(part, _)| prompt.contains(part));
+        if prompt.is_some_and(is_deadly) {
             return Run::Crash {
                 first,
                 down_for: DOWN_FOR,
@@ -124,20 +128,23 @@
     if case.has_trouble {
         let (case, machines) = (case.clone(), machines.clone());
         thread::spawn(move || {
-            let mut due = started + DEADLY_AT;
             let mut serial = 1_000_000;
-            while due < started + DEADLY_AT + DEADLY_FOR {
-                thread::sleep(due.saturating_duration_since(Instant::now()));
-                let machine = machines[usize::try_from(serial).unwrap_or(0) % machines.len()];
-                let case = case.clone();
-                thread::spawn(move || {
-                    let attempt = case.attempt();
-                    let bytes = check_request(&attempt, DEADLY_PART, serial);
-                    let name = format!("deadly check {attempt}");
-                    Consumer::new(machine).call(&case.record, &name, &bytes, Duration::from_secs(8));
-                });
-                serial += 1;
-                due += DEADLY_PERIOD;
+            for (part, deadly_at) in DEADLY_PARTS {
+                let mut due = started + deadly_at;
+                while due < started + deadly_at + DEADLY_FOR {
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
+                    let machine = machines[usize::try_from(serial).unwrap_or(0) % machines.len()];
+                    let case = case.clone();
+                    thread::spawn(move || {
+                        let attempt = case.attempt();
+                        let bytes = check_request(&attempt, part, serial);
+                        let name = format!("deadly check {attempt}");
+                        let limit = Duration::from_secs(8);
+                        Consumer::new(machine).call(&case.record, &name, &bytes, limit);
+                    });
+                    serial += 1;
+                    due += DEADLY_PERIOD;
+                }
             }
         });
     }
@@ -158,23 +165,30 @@
         }
         (all, f64::from(count) / f64::from(all.max(1)))
     };
-    let last = crashes.get(4).or(crashes.last()).copied();
-    let settled = last.map_or(start_at + DEADLY_AT, |last| last + SETTLE);
-    let (calm, calm_share) = share(start_at, start_at + DEADLY_AT);
-    let (later, later_share) = share(settled, start_at + DEADLY_AT + DEADLY_FOR);
-    let detail = format!(
-        "sound requests that began at the first attempt: {calm_share:.3} of {calm} before the \
-         disruption, {later_share:.3} of {later} from 6 s after the fifth or last crash \
-         on, while deadly ones still came; crashes: {}",
-        crashes.len()
-    );
-    if calm < 20 || later < 20 {
-        case.finish(Outcome::NotRun, &detail);
+    let (calm, calm_share) = share(start_at, start_at + DEADLY_PARTS[0].1);
+    let mut detail = format!("sound requests that began at the first attempt: {calm_share:.3} of {calm} before");
+    let mut outcome = Outcome::Held;
+    for (part, deadly_at) in DEADLY_PARTS {
+        let (from, until) = (start_at + deadly_at, start_at + deadly_at + DEADLY_FOR);
+        let of_part: Vec<Duration> = crashes
+            .iter()
+            .filter(|crash| **crash >= from && **crash < until)
+            .copied()
+            .collect();
+        let last = of_part.get(4).or(of_part.last()).copied();
+        let settled = last.map_or(from, |last| last + SETTLE);
+        let (later, later_share) = share(settled, until);
+        detail += &format!(
+            ", {later_share:.3} of {later} from 6 s after the fifth or last of {} crashes on, while requests \
+             with {part} still came",
+            of_part.len()
+        );
+        if calm < 20 || later < 20 {
+            continue;
+        }
+        if later_share < calm_share / 2.0 {
+            outcome = Outcome::Broken;
+        }
     }
-    let outcome = if later_share < calm_share / 2.0 {
-        Outcome::Broken
-    } else {
-        Outcome::Held
-    };
     case.finish(outcome, &detail);
 }
