Attribute crashes of upstreams to a request with its host, query and caller

What callers saw: after a few lookups of a path had lost their answer, every lookup of that path was refused as "crashed upstreams" for five minutes, whatever its query.

Cause: the fingerprint covered the method, the path, the first header of prompt parts and the body. Lookups without a body that differ in their query, host or caller had the same fingerprint, so that the crashes of a few counted against all. Its fields were also hashed without their lengths, so that bytes could move from one to the next.

Ruled out: an upstream that was still avoided. The refusals name "crashed upstreams", and orders to the same upstreams were served at the same time.

The fingerprint now covers what an answer usually depends on, each field with its length. `requests_that_differ_from_a_crashing_one_are_forwarded` failed before the change and passes now.

--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -2,18 +2,17 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
-use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::Xxh3;
 
 use super::local_response::{LocalResponse, reject, to_response};
+use super::request_identity::request_host;
 use super::upstream_attempt::RequestParts;
 use super::{
-    ConnectionBody, ForwardRoute, ForwardService, HeaderNames, ModelRef, PromptParts, ReplyBody,
-    RouteSet, RunUpstreams, UpstreamEntry, part_text,
+    ConnectionBody, ForwardRoute, ForwardService, ModelRef, PromptParts, ReplyBody, RouteSet,
+    RunUpstreams, UpstreamEntry, part_text,
 };
 use crate::id::UpstreamId;
 use crate::telemetry::{LogEvent, LogName};
@@ -165,11 +164,7 @@
     routes: &RouteSet,
     head: &http::request::Parts,
 ) -> Result<Arc<ForwardRoute>, LocalResponse> {
-    let host = head
-        .headers
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| head.uri.authority().map(http::uri::Authority::as_str))
+    let host = request_host(head)
         .ok_or_else(|| reject(StatusCode::BAD_REQUEST, "the request names no host"))?;
     routes
         .find(host, head.uri.path())
@@ -181,17 +176,6 @@
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-pub(super) fn fingerprint(head: &http::request::Parts, body: &Bytes, names: &HeaderNames) -> u64 {
-    let mut hasher = Xxh3::new();
-    hasher.update(head.method.as_str().as_bytes());
-    hasher.update(head.uri.path().as_bytes());
-    if let Some(parts) = head.headers.get(&names.prompt_parts) {
-        hasher.update(parts.as_bytes());
-    }
-    hasher.update(body);
-    hasher.digest()
-}
-
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -29,6 +29,7 @@
 mod read_progress;
 mod relay_body;
 mod reply_body;
+mod request_identity;
 mod request_runner;
 mod route_kind;
 mod route_set;
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -11,12 +11,13 @@
 
 use super::forward_head::strip_hop_headers;
 use super::forward_run::{
-    ChosenUpstream, ForwardRun, find_route, fingerprint, log_early_refusal, stated_length,
+    ChosenUpstream, ForwardRun, find_route, log_early_refusal, stated_length,
 };
 use super::local_response::{
     LocalResponse, RETRY_AFTER_LOAD, RETRY_AFTER_SHUTDOWN, RETRY_AFTER_START, final_response,
     reject, unavailable,
 };
+use super::request_identity::fingerprint;
 use super::runner_attempts::RETRY_PAUSE;
 use super::upstream_attempt::{RequestParts, drain};
 use super::{
