Count a crash for a request only if its upstream has crashed, and clear it by whole answers

What callers saw: a request was refused as "crashed upstreams" for five minutes after three of its answers had been lost, by whatever cause: an upstream that reset single connections, or one crash that took three equal polls with it. Nothing that succeeded cleared it.

Cause: each connection that ended before or within an answer counted as a crash of its upstream by this request, once per request in flight and instance.

Ruled out: the retry budget and the backoff of upstreams, since the refusals name the crashes.

- `CrashDetector` connects to the upstream after a break.
A refused connection, or a later start of an upstream at this address in the list, is a crash; a connection that stays open shows a lost answer.
- A whole request is one more suspect of `PartSuspects`, after all parts of its prompt.
- A request that was refused for a crash of its own explains the crashes of its parts, and the other way.
- While a break of a request with two crashes is being checked, repeats wait for the verdict, at most 250 ms.

--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -25,7 +25,7 @@
     connection: Option<PooledConnection>,
     idle: Option<Duration>,
     guard: InFlightGuard,
-    /// Counts a response that is cut off as a crash; `None` if it is not a response of a run.
+    /// Records how the response ends; `None` if it is not a response of a run.
     crashes: Option<CrashRecorder>,
     began_at: Instant,
     /// Number of frames with data so far.
@@ -141,22 +141,21 @@
         self.crashes = Some(crashes);
     }
 
-    /// Counts a crash of the upstream, whose response is cut off although its framing does not show
-    /// it.
+    /// Records that the response is cut off; the framing need not show it.
     pub(super) fn record_crash(&self) {
         if let Some(crashes) = &self.crashes {
-            let running = self.began_at.elapsed();
-            crashes.record_crash(self.upstream(), Some(running));
-            if !self.is_sound {
-                crashes.suspect_parts(self.upstream(), running);
-            }
+            let _counting = crashes.record_break(Some(self.began_at.elapsed()), self.is_sound);
         }
     }
 
     /// Takes the end of the body as proof of a sound answer. Without this, the reader of the body calls
     /// [`ConnectionBody::record_sound_end`], if what it has read is whole.
-    pub(super) const fn end_proves_sound(&mut self) {
+    pub(super) fn end_proves_sound(&mut self) {
         self.has_sound_end = true;
+        // A body without bytes may never be polled.
+        if self.body.is_end_stream() {
+            self.record_sound_end();
+        }
     }
 
     /// Records that the answer has ended and is whole. The end of a connection proves nothing, as an
@@ -164,6 +163,9 @@
     pub(super) fn record_sound_end(&mut self) {
         if self.framing != BodyFraming::Connection {
             self.record_sound();
+            if let Some(crashes) = &self.crashes {
+                crashes.clear_request();
+            }
         }
     }
 
--- a/src/forward/crash_recorder.rs
+++ b/src/forward/crash_recorder.rs
@@ -1,57 +1,82 @@
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinHandle;
+
 use super::forward_run::millis;
-use super::request_runner::lock;
-use super::{PartGuard, PromptParts};
-use crate::id::UpstreamId;
-use crate::policy::SuspectList;
+use super::{CrashDetector, PartGuard, PromptParts, UpstreamEntry};
 use crate::telemetry::{LogEvent, LogName};
 use crate::time::ClockSource;
 
-/// Counts the crashes of upstreams that run a request.
+/// Counts the crashes of an upstream that runs a request.
 #[derive(Debug, Clone)]
 pub(super) struct CrashRecorder {
-    pub(super) suspects: Arc<Mutex<SuspectList>>,
-    /// Counts crashes for the parts of the prompt; `None` if the response is no answer to it.
-    pub(super) part_guard: Option<Arc<PartGuard>>,
+    pub(super) part_guard: Arc<PartGuard>,
+    pub(super) detector: Arc<CrashDetector>,
+    pub(super) entry: Arc<UpstreamEntry>,
+    /// Whether the response is an answer to the prompt, so that crashes count for its parts.
+    pub(super) is_answer: bool,
     pub(super) clock: ClockSource,
-    /// Identifies the request and its repeats.
-    pub(super) fingerprint: u64,
     pub(super) prompt: Arc<PromptParts>,
     pub(super) attempt: String,
 }
 
 impl CrashRecorder {
-    /// Counts and logs a crash of an upstream that was running the request; `running` is the time since
-    /// its response began, or `None` if it had not.
-    pub(super) fn record_crash(&self, upstream: &UpstreamId, running: Option<Duration>) {
-        let now = self.clock.now();
-        let crashes = lock(&self.suspects).record_crash(self.fingerprint, now);
-        let mut event = LogEvent::new(LogName::CrashCounted)
+    /// Records that the upstream has just broken off the answer; `running` is the time since it began,
+    /// or `None` if it had not.
+    ///
+    /// Counts at once for the parts of the prompt, unless the answer was sound, and for the request if
+    /// the upstream has crashed. The task ends when that is known.
+    pub(super) fn record_break(&self, running: Option<Duration>, is_sound: bool) -> JoinHandle<()> {
+        let broken_at = self.clock.now();
+        let running_unsound = running.filter(|_| self.is_answer && !is_sound);
+        if let Some(running) = running_unsound {
+            self.part_guard
+                .record_crash(&self.prompt, &self.entry.id, running);
+        }
+        let this = self.clone();
+        tokio::spawn(async move {
+            let request = this.prompt.request();
+            let has_crashed = this.detector.has_crashed(&this.entry, request).await;
+            if has_crashed {
+                let upstream = &this.entry.id;
+                this.part_guard
+                    .record_request_crash(request, upstream, broken_at);
+            }
+            this.log_break(has_crashed || running_unsound.is_some(), running);
+        })
+    }
+
+    fn log_break(&self, is_counted: bool, running: Option<Duration>) {
+        let name = if is_counted {
+            LogName::CrashCounted
+        } else {
+            LogName::AnswerLost
+        };
+        let request = self.prompt.request();
+        let crashes = self.part_guard.crash_count(request);
+        let mut event = LogEvent::new(name)
             .with("attempt", &self.attempt)
-            .with("upstream", upstream)
-            .with("fingerprint", format!("{:016x}", self.fingerprint))
+            .with("upstream", &self.entry.id)
+            .with("fingerprint", format!("{request:016x}"))
             .with("prompt", self.prompt.text())
             .with("parts", self.prompt.keys_text())
-            .with_count("crashes", u64::from(crashes));
+            .with_count("crashes", crashes);
         if let Some(running) = running {
             event = event.with_count("running_ms", millis(running));
         }
         event.send();
     }
 
-    /// Counts a crash for the parts of the prompt, as the answer had begun and was not sound yet.
-    pub(super) fn suspect_parts(&self, upstream: &UpstreamId, running: Duration) {
-        if let Some(guard) = &self.part_guard {
-            guard.record_crash(&self.prompt, upstream, running);
-        }
-    }
-
     /// Records that the answer is sound, which clears the parts of the prompt.
     pub(super) fn clear_parts(&self) {
-        if let Some(guard) = &self.part_guard {
-            guard.record_sound(&self.prompt);
+        if self.is_answer {
+            self.part_guard.record_sound(&self.prompt);
         }
     }
+
+    /// Records that the answer is whole, so that its upstream has survived the request.
+    pub(super) fn clear_request(&self) {
+        self.part_guard.record_request_sound(self.prompt.request());
+    }
 }
--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -23,10 +23,9 @@
     pub(super) route: Arc<ForwardRoute>,
     pub(super) service: Arc<ForwardService>,
     pub(super) parts: RequestParts,
-    /// Hash of the request, by which crashes of upstreams are attributed to it.
-    pub(super) fingerprint: u64,
+    /// The keys to which crashes of upstreams are attributed.
     pub(super) prompt: Arc<PromptParts>,
-    /// Whether the request may be sent once although a part of its prompt is refused.
+    /// Whether the request may be sent once although it or a part of its prompt is refused.
     pub(super) is_trial: bool,
     pub(super) deadline: Instant,
     pub(super) arrived: Instant,
@@ -132,7 +131,7 @@
         .with("route", &run.route.name)
         .with("model", model.unwrap_or_default())
         .with("reason", response.reason)
-        .with("fingerprint", format!("{:016x}", run.fingerprint))
+        .with("fingerprint", format!("{:016x}", run.prompt.request()))
         .with_count("status", u64::from(response.status.as_u16()))
         .with_count("attempts", u64::from(run.attempts))
         .with_count("held_ms", millis(run.arrived.elapsed()));
--- a/src/forward/local_response.rs
+++ b/src/forward/local_response.rs
@@ -25,8 +25,8 @@
 /// `Retry-After` of a request that another instance can accept immediately.
 pub(super) const RETRY_AFTER_SHUTDOWN: Duration = Duration::from_millis(50);
 
-/// `Retry-After` of a request that has crashed too many upstreams. It stays refused for minutes.
-pub(super) const RETRY_AFTER_CRASH: Duration = Duration::from_secs(5);
+/// Reason of the refusal of a request because it has crashed too many upstreams.
+pub(super) const CRASH_REFUSAL: &str = "crashed upstreams";
 
 /// Reason of the refusal of a request because of a part of its prompt.
 pub(super) const PART_REFUSAL: &str = "a part of the prompt crashed upstreams";
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod attempt_failure;
 mod body_framing;
 mod connection_body;
+mod crash_detector;
 mod crash_recorder;
 mod engine_spec;
 mod fleet_state;
@@ -58,6 +59,7 @@
 pub use attempt_failure::AttemptFailure;
 pub use body_framing::BodyFraming;
 pub use connection_body::ConnectionBody;
+pub use crash_detector::CrashDetector;
 use crash_recorder::CrashRecorder;
 pub use engine_spec::{EngineSpec, ModelSpec};
 pub use fleet_state::FleetState;
--- a/src/forward/part_guard.rs
+++ b/src/forward/part_guard.rs
@@ -11,7 +11,7 @@
 use crate::telemetry::{LogEvent, LogName, MetricName, MetricSink};
 use crate::time::ClockSource;
 
-/// The parts of prompts that crash upstreams, shared by the requests of an instance and the exchange
+/// The parts of prompts, and whole requests, that crash upstreams, shared by the requests of an instance and the exchange
 /// with its peers.
 #[derive(Debug)]
 pub struct PartGuard {
@@ -60,6 +60,33 @@
         log_cleared(&cleared);
     }
 
+    /// Counts a crash of an upstream at `broken_at`, while it ran a request.
+    pub fn record_request_crash(&self, request: u64, upstream: &UpstreamId, broken_at: Duration) {
+        let upstream = xxh3_64(upstream.as_str().as_bytes());
+        self.lock()
+            .record_request_crash(request, upstream, broken_at);
+        self.evaluate();
+    }
+
+    /// Records a whole answer to a request, which clears it.
+    pub fn record_request_sound(&self, request: u64) {
+        if self.lock().record_request_sound(request, self.clock.now()) {
+            log_cleared(&[request]);
+        }
+    }
+
+    /// Returns the number of crashes that count for a part or a whole request.
+    #[must_use]
+    pub fn crash_count(&self, key: u64) -> u64 {
+        to_count(self.lock().crash_count(key, self.clock.now()).0)
+    }
+
+    /// Returns whether one more crash refuses a request.
+    #[must_use]
+    pub fn is_nearly_refused(&self, request: u64) -> bool {
+        self.lock().is_nearly_refused(request, self.clock.now())
+    }
+
     /// Ends the refusal of a part, as an operator orders.
     pub fn clear(&self, part: u64) {
         if self.lock().clear(part, self.clock.now()) {
@@ -85,21 +112,31 @@
         self.report_refusals(&refused);
     }
 
-    /// Returns the refused part of a prompt, if it has one.
+    /// Returns the refusal of a whole request or of the first refused part of its prompt, if there is
+    /// one.
     #[must_use]
     pub fn refused_part(&self, prompt: &PromptParts) -> Option<RefusedPart> {
-        if prompt.keys().is_empty() {
-            return None;
-        }
-        self.lock().refused_part(prompt.keys(), self.clock.now())
+        let now = self.clock.now();
+        let suspects = self.lock();
+        let request = suspects.refused_part(&[prompt.request()], now);
+        request.or_else(|| suspects.refused_part(prompt.keys(), now))
     }
 
-    /// Returns whether a request with a refused part may be sent as a trial, and records it if so.
-    pub fn begin_trial(&self, part: u64) -> bool {
-        let is_trial = self.lock().begin_trial(part, self.clock.now());
+    /// Returns whether a refused request may be sent as a trial, and records it if so. One that is
+    /// refused both as a whole and for a part is not tried.
+    pub fn begin_trial(&self, prompt: &PromptParts) -> bool {
+        let now = self.clock.now();
+        let mut suspects = self.lock();
+        let request = suspects.refused_part(&[prompt.request()], now);
+        let part = suspects.refused_part(prompt.keys(), now);
+        let ((Some(refused), None) | (None, Some(refused))) = (request, part) else {
+            return false;
+        };
+        let is_trial = suspects.begin_trial(refused.part, now);
+        drop(suspects);
         if is_trial {
             LogEvent::new(LogName::PartTried)
-                .with("part", part_text(part))
+                .with("part", part_text(refused.part))
                 .send();
         }
         is_trial
@@ -128,11 +165,8 @@
         }
     }
 
-    /// Waits until a part of the prompt is refused.
+    /// Waits until the request or a part of its prompt is refused.
     pub async fn wait_for_refusal(&self, prompt: &PromptParts) {
-        if prompt.keys().is_empty() {
-            return std::future::pending().await;
-        }
         let mut refusals = self.refusals.subscribe();
         // The wait can't fail, because this guard owns the sender.
         let _refusals = refusals
--- a/src/forward/prompt_parts.rs
+++ b/src/forward/prompt_parts.rs
@@ -5,7 +5,7 @@
 
 use super::part_text;
 
-/// The parts of a prompt that requests share, in their order, as keys.
+/// The parts of a prompt that requests share, in their order, as keys, and the key of the request.
 ///
 /// The last part belongs to the request or its session and is left out, and so are repeated ones. A key
 /// covers the service, since another service runs other engines, and the id of the part without its
@@ -13,6 +13,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PromptParts {
     keys: Vec<u64>,
+    request: u64,
     text: String,
 }
 
@@ -53,6 +54,19 @@
         this
     }
 
+    /// Adds the key of the whole request, which its repeats share.
+    #[must_use]
+    pub fn with_request(mut self, request: u64) -> Self {
+        self.request = request;
+        self
+    }
+
+    /// Returns the key of the whole request.
+    #[must_use]
+    pub const fn request(&self) -> u64 {
+        self.request
+    }
+
     /// Returns the keys of the shared parts, in the order of the prompt.
     #[must_use]
     pub fn keys(&self) -> &[u64] {
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -21,11 +21,11 @@
 use super::runner_attempts::RETRY_PAUSE;
 use super::upstream_attempt::{RequestParts, drain};
 use super::{
-    AttemptFailure, FleetState, ForwardHead, ForwardRoute, ForwardSettings, HeaderNames,
-    InFlightLoad, InFlightTracker, NoticeRecorder, PartGuard, PromptParts, ReplyBody, RunUpstreams,
-    ShutdownPlan, UpstreamHealth, UpstreamPace, UpstreamPool, UpstreamResponse,
+    AttemptFailure, CrashDetector, FleetState, ForwardHead, ForwardRoute, ForwardSettings,
+    HeaderNames, InFlightLoad, InFlightTracker, NoticeRecorder, PartGuard, PromptParts, ReplyBody,
+    RunUpstreams, ShutdownPlan, UpstreamHealth, UpstreamPace, UpstreamPool, UpstreamResponse,
 };
-use crate::policy::{RetryBudget, SuspectList};
+use crate::policy::RetryBudget;
 use crate::residency::{LoadClient, ResidencyDirectory};
 use crate::telemetry::{MetricName, MetricSink};
 use crate::time::ClockSource;
@@ -55,9 +55,9 @@
     pub directory: Arc<ResidencyDirectory>,
     /// Requests adapter loads from the owners of upstreams.
     pub loads: LoadClient,
-    /// Fingerprints of requests that were in flight when an upstream crashed.
-    pub suspects: Arc<Mutex<SuspectList>>,
-    /// Parts of prompts that crash upstreams.
+    /// Tells crashed upstreams from those that have lost an answer.
+    pub detector: Arc<CrashDetector>,
+    /// Parts of prompts, and whole requests, that crash upstreams.
     pub part_guard: Arc<PartGuard>,
     /// Receives counters and durations by service.
     pub metrics: MetricSink,
@@ -168,14 +168,13 @@
             .ok_or_else(|| unavailable("the route has no service", RETRY_AFTER_LOAD))?;
         let fingerprint = fingerprint(&head, &body, &self.names);
         let prompt = head.headers.get_all(&self.names.prompt_parts);
-        let prompt = Arc::new(PromptParts::from_headers(&service.name, prompt));
+        let prompt = PromptParts::from_headers(&service.name, prompt).with_request(fingerprint);
         let parts = self.request_parts(head, body, &parsed, &route);
         Ok(ForwardRun {
             route,
             service,
             parts,
-            fingerprint,
-            prompt,
+            prompt: Arc::new(prompt),
             is_trial: false,
             deadline,
             arrived,
@@ -222,6 +221,7 @@
 
     async fn forward(self: &Arc<Self>, mut run: ForwardRun) -> Response<ReplyBody> {
         let now = self.clock.now();
+        self.await_verdict(&run).await;
         self.begin_trial(&mut run);
         if let Some(refusal) = self.crash_refusal(&run) {
             return self.refuse(&run, refusal);
@@ -248,7 +248,7 @@
                 Err(failure) => failure,
             };
             run.is_trial = false;
-            self.record_failure(&run, &chosen, &failure);
+            self.record_failure(&run, &chosen, &failure).await;
             may_have_run |= !failure.is_not_run();
             // A retry that can't be sent would be charged to the retry budget.
             if let Some(refusal) = self.crash_refusal(&run) {
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -80,7 +80,7 @@
         let mut outcome = self.send(run, &plan, can_repeat).await;
         if let Ok(response) = &mut outcome {
             let is_answer = response.status.is_success();
-            let recorder = self.crash_recorder(run, is_answer);
+            let recorder = self.crash_recorder(run, &chosen.entry, is_answer);
             response.body.count_crashes(recorder);
         }
         if matches!(outcome, Err(AttemptFailure::Withheld)) {
@@ -140,7 +140,7 @@
             && self.budget(&run.service.name, |budget| budget.covers_retry(now))
     }
 
-    pub(super) fn record_failure(
+    pub(super) async fn record_failure(
         &self,
         run: &ForwardRun,
         chosen: &ChosenUpstream,
@@ -168,7 +168,7 @@
             }
             AttemptFailure::Broken(_) => {
                 self.health.record_unreachable(upstream, now);
-                self.crash_recorder(run, false).record_crash(upstream, None);
+                self.record_break(run, &chosen.entry).await;
             }
         }
         let service = &run.service.name;
--- a/src/forward/runner_streams.rs
+++ b/src/forward/runner_streams.rs
@@ -92,9 +92,9 @@
                 Err(failure @ AttemptFailure::Unreachable(_)) => {
                     // Nothing was sent that counts against the retry budget.
                     has_budget = true;
-                    self.record_failure(run, &chosen, &failure);
+                    self.record_failure(run, &chosen, &failure).await;
                 }
-                Err(failure) => self.record_failure(run, &chosen, &failure),
+                Err(failure) => self.record_failure(run, &chosen, &failure).await,
             }
         }
         Err(fail("no upstream went on with the stream"))
--- a/src/peer/suspect_part.rs
+++ b/src/peer/suspect_part.rs
@@ -9,13 +9,13 @@
 
 use crate::policy::{CrashSighting, PartChange};
 
-/// A part of prompts that may crash upstreams.
+/// A part of prompts, or a whole request, that may crash upstreams.
 #[derive(Clone, PartialEq, Message)]
 pub struct SuspectPart {
     /// Key of the part.
     #[prost(fixed64, tag = "1")]
     pub part: u64,
-    /// Its place in the prompts, counted from the first part.
+    /// Its place in the prompts, counted from the first part; the highest number for a whole request.
     #[prost(uint32, tag = "2")]
     pub position: u32,
     /// Hashes of the upstreams that the sender saw crash.
--- a/src/policy/live_suspect.rs
+++ b/src/policy/live_suspect.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::part_record::{PartCrash, count_moments};
+use super::part_record::{PartCrash, SAME_CRASH, count_moments};
 
-/// A part with crashes since its last sound answer.
+/// A part of prompts, or a whole request, with crashes since its last sound answer.
 #[derive(Debug, Clone)]
 pub(super) struct LiveSuspect {
     pub(super) part: u64,
@@ -30,6 +30,17 @@
 /// Number of crashes of a part without any sound answer that explain those of a part that was sound.
 const EXPLAINING_CRASHES: usize = 2;
 
+/// Number of crashes at different moments at which a whole request is refused. Other requests at a
+/// crashed upstream rarely meet a second crash without a whole answer in between.
+pub(super) const REQUEST_CRASHES: usize = 3;
+
+/// Shortest time from the crash of an upstream by a request to that of the next one, to which the
+/// request is repeated.
+const REPEAT_TIME: Duration = Duration::from_millis(20);
+
+/// Position of a whole request, which comes after all parts of its prompt.
+pub(super) const REQUEST_POSITION: u32 = u32::MAX;
+
 impl LiveSuspect {
     /// Returns whether the crashes that no other suspect explains are enough to refuse the part.
     pub(super) fn suffices(&self, suspects: &[Self], now: Duration) -> bool {
@@ -49,11 +60,14 @@
         let Some(first) = crashes.first() else {
             return false;
         };
+        if self.position == REQUEST_POSITION {
+            return count_moments(&crashes, REPEAT_TIME) >= REQUEST_CRASHES;
+        }
         let early = crashes.iter().filter(|crash| crash.is_early);
         let early: Vec<PartCrash> = early.copied().collect();
         let upstreams: BTreeSet<u64> = early.iter().map(|crash| crash.upstream).collect();
         let moments = if upstreams.len() > 1 {
-            count_moments(&early)
+            count_moments(&early, SAME_CRASH)
         } else {
             0
         };
--- a/src/policy/part_record.rs
+++ b/src/policy/part_record.rs
@@ -30,7 +30,7 @@
 
 /// Time between two breaks of answers of one upstream within which they are one crash. Instances learn
 /// of a crash within milliseconds of each other, and no upstream is back within this time.
-const SAME_CRASH: Duration = Duration::from_millis(250);
+pub(super) const SAME_CRASH: Duration = Duration::from_millis(250);
 
 /// Maximum number of crashes that are kept for a part; fewer refuse it.
 const MAX_CRASHES: usize = 16;
@@ -131,13 +131,13 @@
     }
 }
 
-/// Returns the number of crashes that are at least [`SAME_CRASH`] apart, given all of them from the
-/// oldest on. Upstreams that end at one moment have a common cause.
-pub(super) fn count_moments(crashes: &[PartCrash]) -> usize {
+/// Returns the number of crashes that are at least `distance` apart, given all of them from the oldest
+/// on. Upstreams that end at one moment have a common cause.
+pub(super) fn count_moments(crashes: &[PartCrash], distance: Duration) -> usize {
     let mut count = 0;
     let mut last: Option<Duration> = None;
     for crash in crashes {
-        if last.is_none_or(|last| crash.at >= last + SAME_CRASH) {
+        if last.is_none_or(|last| crash.at >= last + distance) {
             count += 1;
             last = Some(crash.at);
         }
--- a/src/policy/part_suspects.rs
+++ b/src/policy/part_suspects.rs
@@ -2,16 +2,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::live_suspect::LiveSuspect;
+use super::live_suspect::{LiveSuspect, REQUEST_CRASHES, REQUEST_POSITION};
 use super::part_record::{CRASH_EXPIRY, PartCrash, PartRecord};
 use super::{PartChange, PartRefusal, RefusedPart, SoundParts};
 
-/// Parts of prompts that were in answers which their upstreams had just begun when they crashed.
+/// Parts of prompts that were in answers which their upstreams had just begun when they crashed, and
+/// whole requests that were in flight.
 ///
 /// A crash breaks all answers of its upstream, so that it is counted for every part of those that were
 /// not sound yet. What tells the part that did it from the others is that no answer on it is ever sound:
 /// a sound answer anywhere clears a part of all crashes before it. A crash counts for the strongest
 /// suspect that was there. Instances exchange what they observe, so that each derives the same verdict.
+/// A whole request counts like one more part, the last of its prompt.
 #[derive(Debug)]
 pub struct PartSuspects {
     limit: usize,
@@ -65,21 +67,36 @@
     /// Records that an upstream, given by its hash, broke off an answer that was not sound yet, `running`
     /// after its start; `parts` are those of its prompt in order.
     pub fn record_crash(&mut self, parts: &[u64], upstream: u64, running: Duration, now: Duration) {
-        for (position, part) in parts.iter().enumerate() {
-            let crash = PartCrash {
-                upstream,
-                at: now,
-                is_early: running < EARLY_TIME,
-                is_local: true,
-            };
-            let next = self.changes + 1;
-            let record = self.record(*part, now);
-            record.position = u32::try_from(position).unwrap_or(u32::MAX);
-            if record.add_crash(crash) {
-                record.changed = next;
-                record.updated_at = now;
-                self.changes = next;
-            }
+        let crash = PartCrash {
+            upstream,
+            at: now,
+            is_early: running < EARLY_TIME,
+            is_local: true,
+        };
+        for (position, part) in (0..REQUEST_POSITION).zip(parts) {
+            self.add_crash(*part, position, crash);
+        }
+    }
+
+    /// Records that an upstream, given by its hash, crashed at `now` while it ran a request.
+    pub fn record_request_crash(&mut self, request: u64, upstream: u64, now: Duration) {
+        let crash = PartCrash {
+            upstream,
+            at: now,
+            is_early: false,
+            is_local: true,
+        };
+        self.add_crash(request, REQUEST_POSITION, crash);
+    }
+
+    fn add_crash(&mut self, part: u64, position: u32, crash: PartCrash) {
+        let next = self.changes + 1;
+        let record = self.record(part, crash.at);
+        record.position = position;
+        if record.add_crash(crash) {
+            record.changed = next;
+            record.updated_at = crash.at;
+            self.changes = next;
         }
     }
 
@@ -88,25 +105,36 @@
         let mut cleared = Vec::new();
         for part in parts {
             self.sound.record(*part, now);
-            let next = self.changes + 1;
-            let Some(record) = self.records.get_mut(part) else {
-                continue;
-            };
-            let was_refused = record.refused_at.is_some();
-            if !was_refused && record.live_crashes(now).is_empty() {
-                continue;
-            }
-            record.record_sound(now);
-            record.changed = next;
-            record.updated_at = now;
-            self.changes = next;
-            if was_refused {
+            if self.forget_crashes(*part, now) {
                 cleared.push(*part);
             }
         }
         cleared
     }
 
+    /// Records a whole answer to a request, which its upstream survived; returns whether this ends a
+    /// refusal of the request.
+    pub fn record_request_sound(&mut self, request: u64, now: Duration) -> bool {
+        self.forget_crashes(request, now)
+    }
+
+    /// Records a sound answer for a suspect; returns whether it was refused.
+    fn forget_crashes(&mut self, part: u64, now: Duration) -> bool {
+        let next = self.changes + 1;
+        let Some(record) = self.records.get_mut(&part) else {
+            return false;
+        };
+        let was_refused = record.refused_at.is_some();
+        if !was_refused && record.live_crashes(now).is_empty() {
+            return false;
+        }
+        record.record_sound(now);
+        record.changed = next;
+        record.updated_at = now;
+        self.changes = next;
+        was_refused
+    }
+
     /// Ends the refusal of a part and forgets its crashes; returns whether it was refused.
     pub fn clear(&mut self, part: u64, now: Duration) -> bool {
         !self.record_sound(&[part], now).is_empty()
@@ -256,6 +284,12 @@
         (crashes.len(), upstreams.len())
     }
 
+    /// Returns whether one more crash refuses a request.
+    #[must_use]
+    pub fn is_nearly_refused(&self, request: u64, now: Duration) -> bool {
+        self.crash_count(request, now).0 + 1 >= REQUEST_CRASHES
+    }
+
     /// Returns the refused parts.
     #[must_use]
     pub fn refusals(&self, now: Duration) -> Vec<PartRefusal> {
--- a/src/telemetry/log_name.rs
+++ b/src/telemetry/log_name.rs
@@ -103,6 +103,8 @@
     AnswerTruncated,
     /// a run ended without its whole answer, which counts as a crash of its upstream
     CrashCounted,
+    /// a run ended without its whole answer, but its upstream has not crashed
+    AnswerLost,
     /// a part of prompts crashed upstreams repeatedly; requests with it are refused
     PartRefused,
     /// a request with a refused part is sent, to see whether it still crashes its upstream
@@ -133,7 +135,7 @@
 
 impl LogName {
     /// All names, in declaration order, so that `name as usize` is the index.
-    pub const ALL: [Self; 62] = [
+    pub const ALL: [Self; 63] = [
         Self::NodeStarted,
         Self::NodeReady,
         Self::ShutdownStarted,
@@ -183,6 +185,7 @@
         Self::RequestRetried,
         Self::AnswerTruncated,
         Self::CrashCounted,
+        Self::AnswerLost,
         Self::PartRefused,
         Self::PartTried,
         Self::PartCleared,
@@ -251,6 +254,7 @@
             Self::RequestRetried => "request_retried",
             Self::AnswerTruncated => "answer_truncated",
             Self::CrashCounted => "crash_counted",
+            Self::AnswerLost => "answer_lost",
             Self::PartRefused => "part_refused",
             Self::PartTried => "part_tried",
             Self::PartCleared => "part_cleared",
--- /dev/null
+++ b/tests/request_suspects.rs
@@ -0,0 +1,150 @@
+//! Which whole requests are refused after upstreams have crashed under them.
+
+use std::time::Duration;
+
+use comfreychute::policy::PartSuspects;
+
+const REQUEST: u64 = 70;
+const OTHER_REQUEST: u64 = 71;
+const DEADLY_PART: u64 = 2;
+
+const LIMIT: usize = 64;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn is_refused(suspects: &PartSuspects, key: u64, now: Duration) -> bool {
+    suspects.refused_part(&[key], now).is_some()
+}
+
+/// Records crashes of different upstreams under the request, a second apart.
+fn crash(suspects: &mut PartSuspects, count: u64) {
+    for upstream in 0..count {
+        suspects.record_request_crash(REQUEST, upstream, at(1000 * (upstream + 1)));
+    }
+}
+
+/// Guards against a request that reaches a fourth upstream, or that is refused too early.
+#[test]
+fn request_is_refused_at_its_third_crash() {
+    let mut suspects = PartSuspects::new(LIMIT);
+
+    crash(&mut suspects, 2);
+    suspects.evaluate(at(2500));
+    assert!(!is_refused(&suspects, REQUEST, at(2500)));
+    assert!(suspects.is_nearly_refused(REQUEST, at(2500)));
+    crash(&mut suspects, 3);
+    suspects.evaluate(at(3000));
+
+    assert!(is_refused(&suspects, REQUEST, at(3000)));
+}
+
+/// Guards against a poll that is refused because several upstreams that ran it ended at one moment.
+#[test]
+fn upstreams_that_end_at_one_moment_count_once() {
+    let mut suspects = PartSuspects::new(LIMIT);
+
+    for upstream in 0..6 {
+        suspects.record_request_crash(REQUEST, upstream, at(1000 + upstream));
+    }
+    suspects.evaluate(at(9000));
+
+    assert!(!is_refused(&suspects, REQUEST, at(9000)));
+}
+
+/// Guards against a request that several instances sent to one upstream and that counts for each of them.
+#[test]
+fn crash_that_several_instances_saw_counts_once() {
+    let mut instances: Vec<PartSuspects> = (0..4).map(|_| PartSuspects::new(LIMIT)).collect();
+    for (seen_at, instance) in (1000..).step_by(30).zip(&mut instances) {
+        instance.record_request_crash(REQUEST, 5, at(seen_at));
+    }
+
+    let told: Vec<_> = instances
+        .iter()
+        .map(|instance| instance.changes_after(0, LIMIT, at(2000)).0)
+        .collect();
+    for changes in &told {
+        instances[0].merge(changes, at(2000));
+    }
+    instances[0].evaluate(at(2000));
+
+    assert_eq!(instances[0].crash_count(REQUEST, at(2000)), (1, 1));
+    assert!(!is_refused(&instances[0], REQUEST, at(2000)));
+}
+
+/// Guards against crashes before a whole answer, which shows that the request is not their cause.
+#[test]
+fn whole_answer_clears_the_request_at_all_instances() {
+    let (mut here, mut there) = (PartSuspects::new(LIMIT), PartSuspects::new(LIMIT));
+    crash(&mut here, 3);
+    here.evaluate(at(3000));
+    there.merge(&here.changes_after(0, LIMIT, at(3000)).0, at(3000));
+    assert!(is_refused(&there, REQUEST, at(3000)));
+
+    assert!(there.record_request_sound(REQUEST, at(4000)));
+    here.merge(&there.changes_after(0, LIMIT, at(4100)).0, at(4100));
+
+    assert!(!is_refused(&here, REQUEST, at(4100)));
+}
+
+/// Guards against sound answers that fill the memory with requests which no upstream has crashed under.
+#[test]
+fn sound_requests_are_not_kept() {
+    let mut suspects = PartSuspects::new(LIMIT);
+
+    for request in 0..1000 {
+        assert!(!suspects.record_request_sound(request, at(request)));
+    }
+
+    assert!(suspects.is_empty());
+}
+
+/// Guards against requests that are refused because they ran beside those with a deadly part.
+#[test]
+fn deadly_part_explains_the_crashes_of_a_request_beside_it() {
+    let mut suspects = PartSuspects::new(LIMIT);
+
+    for upstream in 0..5 {
+        let now = at(1000 * (upstream + 1));
+        suspects.record_crash(&[DEADLY_PART], upstream, at(80), now);
+        if upstream > 0 {
+            suspects.record_request_crash(OTHER_REQUEST, upstream, now);
+        }
+        suspects.evaluate(now);
+    }
+
+    assert!(is_refused(&suspects, DEADLY_PART, at(5000)));
+    assert!(!is_refused(&suspects, OTHER_REQUEST, at(5000)));
+}
+
+/// Guards against parts that are refused for the crashes of one request, which is refused itself.
+#[test]
+fn refused_request_explains_the_crashes_of_its_parts() {
+    let mut suspects = PartSuspects::new(LIMIT);
+
+    for upstream in 0..3 {
+        let now = at(1000 * (upstream + 1));
+        suspects.record_crash(&[DEADLY_PART], upstream, at(80), now);
+        suspects.record_request_crash(REQUEST, upstream, now);
+        suspects.evaluate(now);
+    }
+
+    assert!(is_refused(&suspects, REQUEST, at(3000)));
+    assert!(!is_refused(&suspects, DEADLY_PART, at(3000)));
+}
+
+/// Guards against an instance that starts again and sends what its peers refuse.
+#[test]
+fn restarted_instance_learns_refused_requests_from_its_peers() {
+    let (mut first, mut second) = (PartSuspects::new(LIMIT), PartSuspects::new(LIMIT));
+    crash(&mut first, 3);
+    first.evaluate(at(3000));
+    second.merge(&first.changes_after(0, LIMIT, at(3000)).0, at(3000));
+    let mut restarted = PartSuspects::new(LIMIT);
+
+    restarted.merge(&second.changes_after(0, LIMIT, at(9000)).0, at(50));
+
+    assert!(is_refused(&restarted, REQUEST, at(50)));
+}
