Count crashes before the first byte of an answer for the parts of its prompt

What callers saw: requests with a part that crashes engines before their answer has begun were never refused.

Cause: only an answer whose head had arrived counted for the parts of its prompt. The count of the whole request does not help, as no two of these requests are alike.

Ruled out: counts that other instances learn too late.

A break before the head now counts for the parts once the upstream is known to have crashed, so that lost answers and reset connections do not. The time since the request was sent stands for that since the answer began. Requests that waited at the same engine are told from the deadly one as before: their parts have sound answers elsewhere, or fewer crashes.

--- a/src/forward/crash_recorder.rs
+++ b/src/forward/crash_recorder.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use super::forward_run::millis;
 use super::{CrashDetector, PartGuard, PromptParts, UpstreamEntry};
@@ -14,6 +15,7 @@
     pub(super) part_guard: Arc<PartGuard>,
     pub(super) detector: Arc<CrashDetector>,
     pub(super) entry: Arc<UpstreamEntry>,
+    pub(super) sent_at: Instant,
     /// Whether the response is an answer to the prompt, so that crashes count for its parts.
     pub(super) is_answer: bool,
     pub(super) clock: ClockSource,
@@ -25,25 +27,39 @@
     /// Records that the upstream has just broken off the answer; `running` is the time since it began,
     /// or `None` if it had not.
     ///
-    /// Counts at once for the parts of the prompt, unless the answer was sound, and for the request if
-    /// the upstream has crashed. The task ends when that is known.
+    /// Counts for the request if the upstream has crashed, and for the parts of its prompt, unless the
+    /// answer was sound. An answer that had begun counts for the parts at once, and without a crash, too.
+    /// The task ends when the crash is known.
     pub(super) fn record_break(&self, running: Option<Duration>, is_sound: bool) -> JoinHandle<()> {
         let broken_at = self.clock.now();
-        let running_unsound = running.filter(|_| self.is_answer && !is_sound);
-        if let Some(running) = running_unsound {
-            self.part_guard
-                .record_crash(&self.prompt, &self.entry.id, running);
+        let is_suspect = self.is_answer && !is_sound;
+        let is_part_counted = is_suspect && running.is_some();
+        // An upstream that ends before an answer has worked on it since the request was sent.
+        let running_or_waiting = running.unwrap_or_else(|| self.sent_at.elapsed());
+        let this = self.clone();
+        let count_parts = move || {
+            this.part_guard.record_crash(
+                &this.prompt,
+                &this.entry.id,
+                running_or_waiting,
+                broken_at,
+            );
+        };
+        if is_part_counted {
+            count_parts();
         }
         let this = self.clone();
         tokio::spawn(async move {
             let request = this.prompt.request();
             let has_crashed = this.detector.has_crashed(&this.entry, request).await;
             if has_crashed {
-                let upstream = &this.entry.id;
                 this.part_guard
-                    .record_request_crash(request, upstream, broken_at);
+                    .record_request_crash(request, &this.entry.id, broken_at);
+                if is_suspect && !is_part_counted {
+                    count_parts();
+                }
             }
-            this.log_break(has_crashed || running_unsound.is_some(), running);
+            this.log_break(has_crashed || is_part_counted, running);
         })
     }
 
--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -34,6 +34,8 @@
     /// Upstreams that may have run the request; the route limits their number.
     pub(super) run_upstreams: RunUpstreams,
     pub(super) attempts: u32,
+    /// When the last attempt began.
+    pub(super) sent_at: Instant,
     /// Total time spent waiting for adapter loads.
     pub(super) load_wait: Duration,
     /// Total time for which the request was held so that it would not delay running streams.
--- a/src/forward/part_guard.rs
+++ b/src/forward/part_guard.rs
@@ -41,13 +41,20 @@
         }
     }
 
-    /// Counts a crash of an upstream that had begun an answer on a prompt `running` before.
-    pub fn record_crash(&self, prompt: &PromptParts, upstream: &UpstreamId, running: Duration) {
+    /// Counts a crash of an upstream at `broken_at` that had worked on an answer to a prompt for the time
+    /// `running`.
+    pub fn record_crash(
+        &self,
+        prompt: &PromptParts,
+        upstream: &UpstreamId,
+        running: Duration,
+        broken_at: Duration,
+    ) {
         let parts = prompt.keys();
         let counted = &parts[..parts.len().min(MAX_COUNTED_PARTS)];
         let upstream = xxh3_64(upstream.as_str().as_bytes());
         self.lock()
-            .record_crash(counted, upstream, running, self.clock.now());
+            .record_crash(counted, upstream, running, broken_at);
         self.evaluate();
     }
 
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -181,6 +181,7 @@
             tried: Vec::new(),
             run_upstreams: RunUpstreams::new(),
             attempts: 0,
+            sent_at: arrived,
             load_wait: Duration::ZERO,
             hold_wait: Duration::ZERO,
             was_sent: Arc::default(),
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -53,6 +53,7 @@
         last_event: Option<String>,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         run.attempts += 1;
+        run.sent_at = Instant::now();
         let was_sent = run.was_sent.load(Ordering::Acquire);
         let can_repeat = run.route.kind == RouteKind::Stream
             && run.route.is_repeatable()
--- a/src/forward/runner_crashes.rs
+++ b/src/forward/runner_crashes.rs
@@ -65,7 +65,7 @@
         let request = run.prompt.request();
         let is_suspect =
             self.part_guard.crash_count(request) > 0 || self.detector.is_checking(request);
-        let recorder = self.crash_recorder(run, entry, false);
+        let recorder = self.crash_recorder(run, entry, true);
         let counting = recorder.record_break(None, false);
         if is_suspect && timeout(VERDICT_TIMEOUT, counting).await.is_err() {
             log::debug!("{}: not known yet whether it has crashed", entry.id);
@@ -95,6 +95,7 @@
             part_guard: Arc::clone(&self.part_guard),
             detector: Arc::clone(&self.detector),
             entry: Arc::clone(entry),
+            sent_at: run.sent_at,
             is_answer,
             clock: self.clock.clone(),
             prompt: Arc::clone(&run.prompt),
--- a/src/policy/part_suspects.rs
+++ b/src/policy/part_suspects.rs
@@ -65,7 +65,8 @@
     }
 
     /// Records that an upstream, given by its hash, broke off an answer that was not sound yet, `running`
-    /// after its start; `parts` are those of its prompt in order.
+    /// after its start, or after the request was sent if it had not begun; `parts` are those of its
+    /// prompt in order.
     pub fn record_crash(&mut self, parts: &[u64], upstream: u64, running: Duration, now: Duration) {
         let crash = PartCrash {
             upstream,
--- a/tests/part_fleet.rs
+++ b/tests/part_fleet.rs
@@ -32,6 +32,7 @@
     instance: usize,
     upstream: usize,
     parts: Vec<u64>,
+    sent_at: u64,
     begins_at: u64,
     ends_at: u64,
     is_sound: bool,
@@ -61,6 +62,8 @@
     runs: Vec<Run>,
     troubles: Troubles,
     deadly: Vec<u64>,
+    /// Whether upstreams crash under deadly parts before their answers have begun.
+    are_heads_lost: bool,
     deadly_rate: f64,
     deadly_begins: u64,
     crashes: BTreeMap<u64, Vec<u64>>,
@@ -109,6 +112,7 @@
             runs: Vec::new(),
             troubles,
             deadly: (0..deadly).map(|number| DEADLY + number).collect(),
+            are_heads_lost: false,
             deadly_rate: [0.5, 4.0, 12.0][random.random_range(0..3)],
             deadly_begins: random.random_range(2000..30_000),
             crashes: BTreeMap::new(),
@@ -136,7 +140,7 @@
         if self.random.random_bool(self.troubles.reset) && !self.runs.is_empty() {
             let index = self.random.random_range(0..self.runs.len());
             let run = self.runs.swap_remove(index);
-            self.record_break(&run, now);
+            self.record_break(&run, now, false);
         }
         if let Some((_, count)) = self
             .troubles
@@ -159,11 +163,17 @@
         }
     }
 
-    fn record_break(&mut self, run: &Run, now: u64) {
-        if run.begins_at <= now && !run.is_sound {
+    /// Records a broken answer; one that had not begun counts only if its upstream has ended.
+    fn record_break(&mut self, run: &Run, now: u64, is_crash: bool) {
+        let begun_at = if run.begins_at <= now {
+            run.begins_at
+        } else {
+            run.sent_at
+        };
+        if !run.is_sound && (run.begins_at <= now || is_crash) {
             let upstream = u64::try_from(run.upstream).expect("small");
             let suspects = &mut self.instances[run.instance];
-            suspects.record_crash(&run.parts, upstream, at(now - run.begins_at), at(now));
+            suspects.record_crash(&run.parts, upstream, at(now - begun_at), at(now));
             suspects.evaluate(at(now));
         }
     }
@@ -179,7 +189,7 @@
         self.runs = kept;
         let broken: Vec<Run> = broken;
         for run in &broken {
-            self.record_break(run, now);
+            self.record_break(run, now, true);
         }
     }
 
@@ -188,7 +198,7 @@
         while index < self.runs.len() {
             let run = &mut self.runs[index];
             let deadly = run.parts.iter().copied().find(|part| *part >= DEADLY);
-            let is_proven = run.begins_at + SOUND_TIME <= now || run.ends_at <= now;
+            let is_proven = run.begins_at.saturating_add(SOUND_TIME) <= now || run.ends_at <= now;
             if let Some(part) = deadly.filter(|_| run.ends_at <= now) {
                 let upstream = run.upstream;
                 self.crashes.entry(part).or_default().push(now);
@@ -284,11 +294,13 @@
         } else {
             self.random.random_range(300..2500)
         };
+        let is_headless = is_deadly && self.are_heads_lost;
         self.runs.push(Run {
             instance,
             upstream,
             parts,
-            begins_at,
+            sent_at: now,
+            begins_at: if is_headless { u64::MAX } else { begins_at },
             ends_at: begins_at + length,
             is_sound: false,
         });
@@ -340,9 +352,21 @@
 /// refused for crashes of other causes. `PART_SEEDS` sets the number of days.
 #[test]
 fn deadly_parts_are_refused_and_sound_ones_are_served_whatever_else_crashes() {
+    check_days(false);
+}
+
+/// Guards against the same where upstreams crash before a byte of their answer, so that the requests which
+/// wait beside a deadly one look like it.
+#[test]
+fn parts_that_are_deadly_before_their_answers_are_refused_and_sound_ones_are_served() {
+    check_days(true);
+}
+
+fn check_days(are_heads_lost: bool) {
     let mut refused = BTreeSet::new();
     for seed in 0..seeds() {
         let mut fleet = SimulatedFleet::new(seed);
+        fleet.are_heads_lost = are_heads_lost;
 
         fleet.run();
 
