Tell peers of a refusal also if another instance saw the crashes

Cause: an instance told a refusal only if it had seen one of the crashes itself, since the others derive the refusal from the same crashes. An instance that starts between the crashes knows only the later ones and derives nothing; those that saw the earlier ones may have ended. A new peer got the refusals of others only as long as it had acknowledged no change at all.

Ruled out: lost messages. The new test exchanges all of them.

Each instance now tells each refusal that it derives, once to each peer. `instance_that_restarted_between_crashes_learns_the_refusal` failed before the change and passes now.

--- a/src/policy/part_suspects.rs
+++ b/src/policy/part_suspects.rs
@@ -171,11 +171,10 @@
             if let Some(record) = self.records.get_mut(&part) {
                 record.refused_at = Some(now);
                 record.updated_at = now;
-                // Peers that observed none of the crashes learn of the refusal from one that did.
-                if record.crashes.iter().any(|crash| crash.is_local) {
-                    record.changed = next;
-                    self.changes = next;
-                }
+                // Peers that observed none of the crashes derive it themselves, unless they have started
+                // since; and those that did may have ended.
+                record.changed = next;
+                self.changes = next;
             }
             refused.push(part);
         }
--- a/tests/request_suspects.rs
+++ b/tests/request_suspects.rs
@@ -148,3 +148,27 @@
 
     assert!(is_refused(&restarted, REQUEST, at(50)));
 }
+
+/// Guards against an instance that has started again after the first crashes, of which it knows none, and
+/// sends a request that all others refuse after a later one.
+#[test]
+fn instance_that_restarted_between_crashes_learns_the_refusal() {
+    let (mut first, mut second) = (PartSuspects::new(LIMIT), PartSuspects::new(LIMIT));
+    // The second instance has seen another crash, and told it.
+    second.record_request_crash(OTHER_REQUEST, 3, at(100));
+    crash(&mut first, 2);
+    second.merge(&first.changes_after(0, LIMIT, at(2500)).0, at(2500));
+    let mut restarted = PartSuspects::new(LIMIT);
+    let (changes, known) = second.changes_after(0, LIMIT, at(3000));
+    restarted.merge(&changes, at(3000));
+
+    restarted.record_request_crash(REQUEST, 9, at(4000));
+    restarted.evaluate(at(4000));
+    second.merge(&restarted.changes_after(0, LIMIT, at(4050)).0, at(4050));
+    second.evaluate(at(4050));
+    let (changes, _) = second.changes_after(known, LIMIT, at(4100));
+    restarted.merge(&changes, at(4100));
+
+    assert!(is_refused(&second, REQUEST, at(4100)));
+    assert!(is_refused(&restarted, REQUEST, at(4100)));
+}
