Forward nothing before a starting instance knows what is refused

Cause: an instance was ready with its configuration, upstreams and versions. The refusals were listed beside them, and requests that came before that list had ended were forwarded.

Ruled out: a list that lacks the refusal.

An instance now is ready once it has listed the refusals, or once a peer that knows them has told this process all. The message names the incarnation of the receiver, so that one to an earlier process does not count. An instance that the store rejects is thus not held back beside its peers.

What was counted but not refused yet is still lost when all instances end at one moment.

--- a/src/forward/fleet_state.rs
+++ b/src/forward/fleet_state.rs
@@ -24,6 +24,7 @@
     upstreams: Mutex<Option<Arc<UpstreamMap>>>,
     versions: watch::Sender<Arc<VersionMap>>,
     has_listed_versions: AtomicBool,
+    knows_refusals: AtomicBool,
     /// Number of changes to the routes, upstreams and adapter versions.
     changes: watch::Sender<u64>,
     progress: [ReadProgress; 4],
@@ -47,6 +48,7 @@
             upstreams: Mutex::new(None),
             versions: watch::channel(Arc::default()).0,
             has_listed_versions: AtomicBool::new(false),
+            knows_refusals: AtomicBool::new(false),
             changes: watch::channel(0).0,
             progress: std::array::from_fn(|_| ReadProgress::new()),
         }
@@ -136,14 +138,28 @@
         self.has_listed_versions.store(true, Ordering::Release);
     }
 
-    /// Returns whether requests can be routed: routes, upstreams and adapter versions have been
-    /// received.
+    /// Records that this instance knows which requests and parts of prompts are refused, from the store
+    /// or from a peer that knows it.
+    pub fn record_refusals_known(&self) {
+        self.knows_refusals.store(true, Ordering::Release);
+    }
+
+    /// Returns whether this instance knows which requests and parts of prompts are refused.
+    #[must_use]
+    pub fn knows_refusals(&self) -> bool {
+        self.knows_refusals.load(Ordering::Acquire)
+    }
+
+    /// Returns whether requests can be routed: routes, upstreams, adapter versions and refusals have
+    /// been received.
     ///
-    /// Without the versions, a request could run on an outdated version of its adapter.
+    /// Without the versions, a request could run on an outdated version of its adapter, and without the
+    /// refusals, it could crash upstreams again.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         self.routes().is_some()
             && self.has_listed_versions.load(Ordering::Acquire)
+            && self.knows_refusals()
             && self
                 .upstreams
                 .lock()
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -567,6 +567,10 @@
     /// Parts of prompts that may crash upstreams, as far as the sender's view of them has changed.
     #[prost(message, repeated, tag = "16")]
     pub suspect_parts: Vec<SuspectPart>,
+    /// Incarnation of the receiver, if the sender knows which requests and parts of prompts are refused
+    /// and has told this process all of them with this message; zero otherwise.
+    #[prost(uint64, tag = "17")]
+    pub informed_incarnation: u64,
 }
 
 /// A failure domain that an instance owns.
--- a/src/residency/ack_tracker.rs
+++ b/src/residency/ack_tracker.rs
@@ -93,6 +93,13 @@
         self.suspects.insert(peer.clone(), (incarnation, suspects));
     }
 
+    /// Returns whether a peer, started as `incarnation`, has acknowledged a message with suspect parts.
+    #[must_use]
+    pub fn has_acked_parts(&self, peer: &InstanceId, incarnation: u64) -> bool {
+        let known = self.parts.get(peer);
+        known.is_some_and(|known| known.0 == incarnation)
+    }
+
     /// Returns the number of the last change of suspect parts that a peer, started as `incarnation`, has
     /// acknowledged; zero if it has acknowledged none.
     #[must_use]
--- a/src/residency/load_gossip.rs
+++ b/src/residency/load_gossip.rs
@@ -89,6 +89,10 @@
                 let known_parts = lock(&acks).acked_parts(&peer.id, peer.incarnation);
                 let (parts, told_parts) = self.part_guard.changes_after(known_parts, MAX_PARTS);
                 message.suspect_parts = parts.iter().map(SuspectPart::from_change).collect();
+                if self.fleet.knows_refusals() && parts.len() < MAX_PARTS {
+                    message.informed_incarnation = peer.incarnation;
+                }
+                let is_informed = lock(&acks).has_acked_parts(&peer.id, peer.incarnation);
                 self.owner.vouch_claims(peer, &mut message.owned_domains);
                 let had_uses = if message.used.is_empty() {
                     peers_with_uses.remove(&peer.id)
@@ -100,7 +104,8 @@
                     || had_uses
                     || !message.owned_domains.is_empty()
                     || !suspect_report(&message).is_empty()
-                    || !message.suspect_parts.is_empty();
+                    || !message.suspect_parts.is_empty()
+                    || message.informed_incarnation != 0 && !is_informed;
                 if has_content {
                     let content = GossipContent {
                         own_items: Arc::clone(&owned),
@@ -274,6 +279,9 @@
         let parts: Vec<PartChange> = parts.map(SuspectPart::to_change).collect();
         self.part_guard.merge(&parts);
         let incarnation = self.mesh.incarnation();
+        if message.informed_incarnation == incarnation {
+            self.fleet.record_refusals_known();
+        }
         let answer = self
             .owner
             .answer_claims(peer, incarnation, &message.owned_domains);
