Give a starting instance no larger share of the retry budget than the fleet allows

Reproduced with 24 instances that start at one moment and whose first requests fail: 96 repeats of 96 requests reach the upstreams within 1.3 s, and 71.2 are allowed.

Cause: the share of an instance was fixed at its first request, by the number of peers whose load it had heard. On real machines the first requests come before the links are open, so that each instance took the share of a fleet of four for as long as it ran, and was never cut to its own.

Ruled out: retries that are not charged. Each instance spent the reserve and what it had earned.

The share now follows the number of instances, the listed ones as well as those heard of. The reserve is available once, at most one retry before the list is known; it accrues again within eight half-lives, and a balance above the share is cut.

--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -61,6 +61,8 @@
     pub part_guard: Arc<PartGuard>,
     /// Receives counters and durations by service.
     pub metrics: MetricSink,
+    /// Returns the number of instances that the platform lists; zero before the first list.
+    pub listed_instances: Box<dyn Fn() -> usize + Send + Sync>,
     /// Retry budgets by service.
     pub budgets: Mutex<BTreeMap<String, RetryBudget>>,
     /// What may still be sent before this process exits, or `None` while it is not shutting down.
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -25,6 +25,9 @@
 /// between what the individual instances count.
 const BUDGET_FRACTION: f64 = 0.6;
 
+/// Number of retries that a process may send before it knows with how many others it shares the budget.
+const UNLISTED_FILL: f64 = 1.0;
+
 /// Time within which the response head of a retryable stream must arrive before another upstream is
 /// tried.
 const RETRYABLE_HEAD_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -208,16 +211,18 @@
 
     pub(super) fn budget<T>(&self, service: &str, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let now = self.clock.now();
+        // A process that has just started reads the list before it hears of its peers.
+        let listed = (self.listed_instances)();
+        let instances = self.tracker.live_instance_count(now).max(listed).max(4);
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        let share = BUDGET_FRACTION * self.settings.retry_reserve / f64::from(instances);
+        let fill_limit = if listed == 0 { UNLISTED_FILL } else { f64::MAX };
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
-            let instances =
-                u32::try_from(self.tracker.live_instance_count(now)).unwrap_or(u32::MAX);
-            let reserve =
-                BUDGET_FRACTION * self.settings.retry_reserve / f64::from(instances.max(4));
             let ratio = BUDGET_FRACTION * self.settings.retry_ratio;
-            let window = self.settings.retry_window;
-            RetryBudget::new(ratio, reserve * 3.0, window / 2, now).with_reserve(reserve / 2.0)
+            RetryBudget::new(ratio, share * 3.0, self.settings.retry_window / 2, now)
         });
+        budget.set_share(share / 2.0, share * 3.0, fill_limit, now);
         work(budget)
     }
 
--- a/tests/policy_limits.rs
+++ b/tests/policy_limits.rs
@@ -231,3 +231,29 @@
     assert_eq!(list.verdict(1, now), SuspectVerdict::Refused);
     assert_eq!(list.verdict(2, now), SuspectVerdict::Clear);
 }
+
+/// Guards against an instance that gets its reserve again each time the number of its peers changes, and
+/// against one that keeps the balance of a larger share.
+#[test]
+fn share_of_the_retry_budget_is_filled_once_and_cut_when_it_shrinks() {
+    let now = Duration::from_secs(1);
+    let mut budget = RetryBudget::new(0.1, 10.0, Duration::from_secs(5), now);
+
+    budget.set_share(4.0, 24.0, 1.0, now);
+    assert!(
+        (budget.balance() - 1.0).abs() < 1e-9,
+        "before the list is known"
+    );
+    budget.set_share(4.0, 24.0, f64::MAX, now);
+    assert!((budget.balance() - 4.0).abs() < 1e-9, "the whole reserve");
+    while budget.try_spend(now) {}
+    for reserve in [0.5, 4.0, 0.5, 4.0] {
+        budget.set_share(reserve, 24.0, f64::MAX, now);
+    }
+    assert!(!budget.covers_retry(now), "filled once");
+    budget.set_share(4.0, 24.0, f64::MAX, now + Duration::from_secs(40));
+    assert!((budget.balance() - 4.0).abs() < 1e-9, "accrued again");
+    budget.set_share(0.5, 3.0, f64::MAX, now + Duration::from_secs(40));
+
+    assert!((budget.balance() - 3.0).abs() < 1e-9, "cut to the maximum");
+}
