Close the callers' listener before a planned stop ends

What callers may see: a request that is accepted as the last open connection ends is passed on to an upstream and cut off with the process.

Cause: a stop ended once no connection was open, while the listener went on accepting. A connection that was accepted between that moment and the end of the process was served until its task was dropped. With several threads this lasts as long as the last steps of the stop.

The listener now accepts what waits in its queue and is closed, and the stop waits for these connections as well.

--- a/src/forward/forward_server.rs
+++ b/src/forward/forward_server.rs
@@ -21,6 +21,9 @@
     address: SocketAddr,
     stop: watch::Sender<bool>,
     connections: TaskTracker,
+    /// Ends the listener.
+    close: watch::Sender<bool>,
+    listening: TaskTracker,
 }
 
 /// Pause after a failed accept, which usually means that the process is out of file descriptors.
@@ -54,11 +57,18 @@
         })?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
-        let connections = TaskTracker::new();
+        let (close, mut closed) = watch::channel(false);
+        let (connections, listening) = (TaskTracker::new(), TaskTracker::new());
         let tracker = connections.clone();
-        tokio::spawn(async move {
+        listening.spawn(async move {
             loop {
-                match listener.accept().await {
+                // The connections that wait in the queue are accepted before the listener is closed.
+                let accepted = tokio::select! {
+                    biased;
+                    accepted = listener.accept() => accepted,
+                    _ = closed.wait_for(|is_closed| *is_closed) => break,
+                };
+                match accepted {
                     Ok((stream, _)) => {
                         let (runner, stopped) = (Arc::clone(&runner), stopped.clone());
                         tracker.spawn(serve(stream, runner, stopped));
@@ -74,6 +84,8 @@
             address,
             stop,
             connections,
+            close,
+            listening,
         })
     }
 
@@ -83,11 +95,17 @@
         self.address
     }
 
-    /// Closes each connection after its current or next response and waits until all are closed.
+    /// Closes each connection after its current or next response, and the listener once none is left.
+    /// Waits until all are closed.
     pub async fn shut_down(&self) {
         self.stop.send_replace(true);
         self.connections.close();
         self.connections.wait().await;
+        self.close.send_replace(true);
+        self.listening.close();
+        self.listening.wait().await;
+        // One that was accepted meanwhile would be cut off when the process ends.
+        self.connections.wait().await;
     }
 
     /// Returns the number of open connections.
