Limit the idle timeout that an upstream states

Cause: the time was added to the present one as stated. Ruled out: other headers that are numbers; deadlines have a limit, and `Retry-After` is cut to a minute.

The stated time is taken to be an hour at most. `greatest_stated_idle_timeout_loses_no_answer` failed before the change and passes now.

--- a/src/forward/upstream_attempt.rs
+++ b/src/forward/upstream_attempt.rs
@@ -63,6 +63,10 @@
 /// read, its request counts as in flight.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum idle timeout that an upstream is taken to have. A connection is rarely idle for so long, and
+/// the clock can't represent any time that an upstream may state.
+const MAX_STATED_IDLE: Duration = Duration::from_hours(1);
+
 /// Sends a request to one upstream and waits for the head of the response.
 pub(super) async fn send_attempt(
     pool: &Arc<UpstreamPool>,
@@ -269,7 +273,7 @@
     }
 }
 
-/// Returns the idle timeout that a `Keep-Alive` header states.
+/// Returns the idle timeout that a `Keep-Alive` header states, at most [`MAX_STATED_IDLE`].
 fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(HeaderName::from_static("keep-alive"))?;
     let seconds = value
@@ -277,5 +281,6 @@
         .ok()?
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let stated = seconds.trim().parse().ok().map(Duration::from_secs)?;
+    Some(stated.min(MAX_STATED_IDLE))
 }
