Remove the exchange of crash counts that nothing reads any more

The fields of `LoadGossip`, `SuspectReport` and the acknowledgements of it go; their tags stay unused. The product's own interface keeps `SuspectList`, whose counts travel in heartbeats.

Three tests guarded what is removed, and are replaced by as strict ones on what took its place: `suspects_are_sent_until_each_process_has_acknowledged_them` checks the changes that are due by `acked_parts`; `refusals_reach_restarted_instances_and_expire` and `full_list_keeps_the_refusals_of_peers` (before, `full_suspect_list_...`) moved to `request_suspects`.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -517,7 +517,7 @@
 }
 
 /// A report of the requests in flight, and of the upstreams and failure domains that the sender
-/// owns.
+/// owns. Tags 3 and 15 stand for fields of earlier builds.
 #[derive(Clone, PartialEq, Message)]
 pub struct LoadGossip {
     /// Requests in flight, by upstream.
@@ -526,9 +526,6 @@
     /// Upstreams that the sender owns, with their resident adapters.
     #[prost(message, repeated, tag = "2")]
     pub owned: Vec<OwnedUpstream>,
-    /// Fingerprints of requests that were in flight at an upstream crash, with the crash count.
-    #[prost(btree_map = "uint64, uint32", tag = "3")]
-    pub suspects: std::collections::BTreeMap<u64, u32>,
     /// Failure domains that the sender owns.
     #[prost(message, repeated, tag = "4")]
     pub owned_domains: Vec<OwnedDomain>,
@@ -561,10 +558,8 @@
     /// reported before.
     #[prost(bool, tag = "14")]
     pub is_load_only: bool,
-    /// Fingerprints of requests that the sender refuses because they crashed too many upstreams.
-    #[prost(uint64, repeated, tag = "15")]
-    pub refused_suspects: Vec<u64>,
-    /// Parts of prompts that may crash upstreams, as far as the sender's view of them has changed.
+    /// Parts of prompts, and whole requests, that may crash upstreams, as far as the sender's view of
+    /// them has changed.
     #[prost(message, repeated, tag = "16")]
     pub suspect_parts: Vec<SuspectPart>,
     /// Incarnation of the receiver, if the sender knows which requests and parts of prompts are refused
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -40,7 +40,6 @@
 mod slot_state;
 mod sound_parts;
 mod suspect_list;
-mod suspect_report;
 mod suspect_verdict;
 mod upstream_choice;
 mod upstream_scheduler;
@@ -74,7 +73,6 @@
 pub use slot_state::SlotState;
 use sound_parts::SoundParts;
 pub use suspect_list::SuspectList;
-pub use suspect_report::SuspectReport;
 pub use suspect_verdict::SuspectVerdict;
 pub use upstream_choice::{
     ChoiceDraws, UpstreamOption, choose_upstream, extra_replicas, sample_upstream,
--- a/src/policy/suspect_list.rs
+++ b/src/policy/suspect_list.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{SuspectReport, SuspectVerdict};
+use super::SuspectVerdict;
 use crate::id::InstanceId;
 
 /// Number of crashes at which a request is refused.
@@ -12,8 +12,7 @@
 /// Each instance shares only the counts of the crashes that it observed itself; the total of a
 /// fingerprint is the sum over all instances. Duplicate or reordered messages from peers therefore
 /// have no effect, and crashes observed by two instances at the same time add up. Entries expire
-/// and their number is bounded. Instances also share which fingerprints their totals refuse, for
-/// peers that have restarted and lost what they had observed.
+/// and their number is bounded.
 #[derive(Debug, Clone)]
 pub struct SuspectList {
     limit: usize,
@@ -25,8 +24,6 @@
 struct SuspectEntry {
     local: u32,
     by_peer: BTreeMap<InstanceId, u32>,
-    /// Whether a peer's totals refuse the fingerprint.
-    is_refused_by_peer: bool,
     last_crash_at: Duration,
 }
 
@@ -39,7 +36,6 @@
 
     fn verdict(&self) -> SuspectVerdict {
         match self.total() {
-            _ if self.is_refused_by_peer => SuspectVerdict::Refused,
             0 => SuspectVerdict::Clear,
             count if count < MAX_CRASHES => SuspectVerdict::Exclusive,
             _ => SuspectVerdict::Refused,
@@ -78,32 +74,6 @@
         entry.map_or(SuspectVerdict::Clear, SuspectEntry::verdict)
     }
 
-    /// Returns what to share with peers.
-    ///
-    /// Only counts make a fingerprint refused here: what peers refuse is not passed on, so that
-    /// instances don't keep each other's entries alive.
-    #[must_use]
-    pub fn report(&self, now: Duration) -> SuspectReport {
-        let live = self
-            .suspects
-            .iter()
-            .filter(|(_, entry)| now.saturating_sub(entry.last_crash_at) < self.expiry);
-        SuspectReport {
-            counts: self.local_counts(now),
-            refused: live
-                .filter(|(_, entry)| entry.total() >= MAX_CRASHES)
-                .map(|(fingerprint, _)| *fingerprint)
-                .collect(),
-        }
-    }
-
-    /// Merges the fingerprints that the totals of a peer refuse.
-    pub fn merge_refused(&mut self, fingerprints: &[u64], now: Duration) {
-        for fingerprint in fingerprints {
-            self.entry(*fingerprint, now).is_refused_by_peer = true;
-        }
-    }
-
     /// Returns the crashes per fingerprint that this instance observed, to share with peers.
     #[must_use]
     pub fn local_counts(&self, now: Duration) -> BTreeMap<u64, u32> {
@@ -169,7 +139,6 @@
             .or_insert_with(|| SuspectEntry {
                 local: 0,
                 by_peer: BTreeMap::new(),
-                is_refused_by_peer: false,
                 last_crash_at: now,
             })
     }
--- a/src/residency/ack_tracker.rs
+++ b/src/residency/ack_tracker.rs
@@ -3,9 +3,8 @@
 use super::DigestedItem;
 use crate::id::InstanceId;
 use crate::peer::OwnedUpstream;
-use crate::policy::SuspectReport;
 
-/// Tracks the residency items and crash suspects that each peer has acknowledged, so that gossip
+/// Tracks the residency items and suspect parts that each peer has acknowledged, so that gossip
 /// messages do not repeat them in full.
 ///
 /// With tens of owned engines, sending the names of all resident adapters to every peer several
@@ -14,8 +13,6 @@
 pub struct AckTracker {
     /// The digest of the acknowledged item, by peer and upstream.
     acked: BTreeMap<InstanceId, BTreeMap<String, u64>>,
-    /// The incarnation of each peer and the crash suspects that it has acknowledged.
-    suspects: BTreeMap<InstanceId, (u64, SuspectReport)>,
     /// The incarnation of each peer and the number of the last change of suspect parts that it has
     /// acknowledged.
     parts: BTreeMap<InstanceId, (u64, u64)>,
@@ -67,32 +64,6 @@
         }
     }
 
-    /// Returns whether a peer has acknowledged these crash suspects since it started as
-    /// `incarnation`.
-    #[must_use]
-    pub fn has_acked_suspects(
-        &self,
-        peer: &InstanceId,
-        incarnation: u64,
-        suspects: &SuspectReport,
-    ) -> bool {
-        suspects.is_empty()
-            || self
-                .suspects
-                .get(peer)
-                .is_some_and(|known| known.0 == incarnation && known.1 == *suspects)
-    }
-
-    /// Records that a peer, started as `incarnation`, acknowledged these crash suspects.
-    pub fn record_acked_suspects(
-        &mut self,
-        peer: &InstanceId,
-        incarnation: u64,
-        suspects: SuspectReport,
-    ) {
-        self.suspects.insert(peer.clone(), (incarnation, suspects));
-    }
-
     /// Returns whether a peer, started as `incarnation`, has acknowledged a message with suspect parts.
     #[must_use]
     pub fn has_acked_parts(&self, peer: &InstanceId, incarnation: u64) -> bool {
@@ -117,7 +88,6 @@
     /// Removes the acknowledgements of all peers for which `is_kept` returns false.
     pub fn retain(&mut self, is_kept: impl Fn(&InstanceId) -> bool) {
         self.acked.retain(|peer, _| is_kept(peer));
-        self.suspects.retain(|peer, _| is_kept(peer));
         self.parts.retain(|peer, _| is_kept(peer));
     }
 }
--- a/src/residency/load_gossip.rs
+++ b/src/residency/load_gossip.rs
@@ -1,4 +1,4 @@
-//! Exchange of gossip messages: in-flight load, residency, ownership claims and crash suspects.
+//! Exchange of gossip messages: in-flight load, residency, ownership claims and suspect parts.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
@@ -11,7 +11,7 @@
     AdapterUsage, GossipReply, LivePeer, LoadGossip, OwnedDomain, PeerReply, PeerRequest,
     SuspectPart, ask, reply,
 };
-use crate::policy::{PartChange, SuspectReport};
+use crate::policy::PartChange;
 use crate::relay::{ObjectKind, elect_watcher};
 use crate::time::TimerService;
 
@@ -74,7 +74,7 @@
             self.part_guard.evaluate();
             let lower = peers.iter().filter(|peer| peer.id < self.instance);
             self.part_guard.set_place(lower.count(), peers.len() + 1);
-            let own = self.own_state(now);
+            let own = self.own_state();
             // Items of this instance are never marked as unchanged here, so none is unknown.
             let _unknown = self.directory.merge(&self.instance, &own.owned, now);
             self.owner.record_uses(&self.instance, &own.used);
@@ -103,7 +103,6 @@
                 let has_content = !message.is_without_load
                     || had_uses
                     || !message.owned_domains.is_empty()
-                    || !suspect_report(&message).is_empty()
                     || !message.suspect_parts.is_empty()
                     || message.informed_incarnation != 0 && !is_informed;
                 if has_content {
@@ -134,7 +133,6 @@
         let (pending, acks) = (Arc::clone(pending), Arc::clone(acks));
         tokio::spawn(async move {
             let claims = message.owned_domains.clone();
-            let suspects = suspect_report(&message);
             let is_load_only = message.is_load_only;
             let body = Some(ask::Body::Share(message));
             let sent_at = this.clock.now();
@@ -151,9 +149,6 @@
                             let told = content.told_parts;
                             acks.record_acked_parts(&peer.id, peer.incarnation, told);
                         }
-                        if !suspects.is_empty() {
-                            acks.record_acked_suspects(&peer.id, peer.incarnation, suspects);
-                        }
                     }
                 }
                 Err(error) => log::debug!("gossip message to {} failed: {error}", peer.id),
@@ -175,7 +170,7 @@
         used.iter().map(|item| (item, owner_of(item))).collect()
     }
 
-    /// Adds residency, claims, adapter uses and crash suspects to a load message for a peer.
+    /// Adds residency, claims and adapter uses to a load message for a peer.
     fn full_message(
         load: LoadGossip,
         peer: &LivePeer,
@@ -191,17 +186,10 @@
         };
         let used = used.iter().filter(|(_, known)| is_for_peer(known));
         let used = used.map(|(item, _)| (*item).clone()).collect();
-
-        let mut suspects = suspect_report(own);
-        if acks.has_acked_suspects(&peer.id, peer.incarnation, &suspects) {
-            suspects = SuspectReport::default();
-        }
         LoadGossip {
             owned: acks.items_for(&peer.id, owned),
             owned_domains: own.owned_domains.clone(),
             used,
-            suspects: suspects.counts,
-            refused_suspects: suspects.refused,
             ..load
         }
     }
@@ -231,26 +219,16 @@
         }
     }
 
-    /// Returns the residency, claims, adapter uses and crash suspects of this instance, without the
-    /// load.
-    fn own_state(&self, now: Duration) -> LoadGossip {
-        let suspects = lock(&self.suspects).report(now);
+    /// Returns the residency, claims and adapter uses of this instance, without the load.
+    fn own_state(&self) -> LoadGossip {
         LoadGossip {
             owned: self.owner.owned_items(),
-            suspects: suspects.counts,
-            refused_suspects: suspects.refused,
             owned_domains: self.owner.owned_domains(),
             used: self.tracker.take_adapter_uses(),
             ..LoadGossip::default()
         }
     }
 
-    fn merge_suspects(&self, peer: &InstanceId, message: &LoadGossip, now: Duration) {
-        let mut suspects = lock(&self.suspects);
-        suspects.merge(peer, &message.suspects, now);
-        suspects.merge_refused(&message.refused_suspects, now);
-    }
-
     /// Handles a peer's gossip message; returns the reply, which lists the claims that are not
     /// acknowledged and unknown upstreams.
     #[must_use]
@@ -274,7 +252,6 @@
         }
         let unknown = self.directory.merge(peer, &message.owned, now);
         self.owner.record_uses(peer, &message.used);
-        self.merge_suspects(peer, message, now);
         let parts = message.suspect_parts.iter().take(MAX_PARTS);
         let parts: Vec<PartChange> = parts.map(SuspectPart::to_change).collect();
         self.part_guard.merge(&parts);
@@ -297,13 +274,6 @@
     }
 }
 
-fn suspect_report(message: &LoadGossip) -> SuspectReport {
-    SuspectReport {
-        counts: message.suspects.clone(),
-        refused: message.refused_suspects.clone(),
-    }
-}
-
 fn to_domains(claims: &[OwnedDomain]) -> impl Iterator<Item = DomainId> {
     claims
         .iter()
--- a/src/residency/ownership_loop.rs
+++ b/src/residency/ownership_loop.rs
@@ -11,7 +11,6 @@
 use crate::member::rendezvous_score;
 use crate::peer::PeerMesh;
 use crate::platform_client::ListedInstance;
-use crate::policy::SuspectList;
 use crate::relay::ChangeRelay;
 use crate::telemetry::{LogEvent, LogName};
 use crate::time::{ClockSource, TimerService};
@@ -32,9 +31,7 @@
     pub tracker: Arc<InFlightTracker>,
     /// Stores the owner and the resident adapters of each upstream.
     pub directory: Arc<ResidencyDirectory>,
-    /// Requests that were in flight when an upstream crashed.
-    pub suspects: Arc<Mutex<SuspectList>>,
-    /// Parts of prompts that crash upstreams.
+    /// Parts of prompts, and whole requests, that crash upstreams.
     pub part_guard: Arc<PartGuard>,
     /// The links to the other instances.
     pub mesh: PeerMesh,
--- a/tests/policy_limits.rs
+++ b/tests/policy_limits.rs
@@ -187,51 +187,6 @@
     assert_eq!(list.verdict(2, now), SuspectVerdict::Clear);
 }
 
-/// Guards against instances that keep each other's refusals alive after the crashes have expired, and
-/// against a restarted instance that does not learn them.
-#[test]
-fn refusals_reach_restarted_instances_and_expire() {
-    let expiry = Duration::from_mins(5);
-    let fingerprint = 7;
-    let mut observer = SuspectList::new(16, expiry);
-    let mut restarted = SuspectList::new(16, expiry);
-    for _ in 0..3 {
-        observer.record_crash(fingerprint, Duration::ZERO);
-    }
-
-    let mut refused_until = Duration::ZERO;
-    for second in 1..900 {
-        let now = Duration::from_secs(second);
-        let (given, returned) = (observer.report(now), restarted.report(now));
-        restarted.merge_refused(&given.refused, now);
-        observer.merge_refused(&returned.refused, now);
-        if restarted.verdict(fingerprint, now) == SuspectVerdict::Refused {
-            refused_until = now;
-        }
-    }
-
-    assert!(refused_until >= expiry, "{refused_until:?}");
-    assert!(
-        refused_until <= expiry + Duration::from_secs(1),
-        "{refused_until:?}"
-    );
-}
-
-/// Guards against a full list that evicts a fingerprint which peers refuse.
-#[test]
-fn full_suspect_list_keeps_the_refusals_of_peers() {
-    let now = Duration::ZERO;
-    let mut list = SuspectList::new(2, Duration::from_mins(5));
-    list.merge_refused(&[1], now);
-    list.record_crash(2, now);
-    list.record_crash(2, now);
-
-    list.record_crash(3, now);
-
-    assert_eq!(list.verdict(1, now), SuspectVerdict::Refused);
-    assert_eq!(list.verdict(2, now), SuspectVerdict::Clear);
-}
-
 /// Guards against an instance that gets its reserve again each time the number of its peers changes, and
 /// against one that keeps the balance of a larger share.
 #[test]
--- a/tests/request_suspects.rs
+++ b/tests/request_suspects.rs
@@ -172,3 +172,48 @@
     assert!(is_refused(&second, REQUEST, at(4100)));
     assert!(is_refused(&restarted, REQUEST, at(4100)));
 }
+
+/// Guards against instances that keep each other's refusals alive after they have expired, and against a
+/// restarted instance that does not learn them while they last.
+#[test]
+fn refusals_reach_restarted_instances_and_expire() {
+    let expiry = at(3_600_000);
+    let (mut observer, mut restarted) = (PartSuspects::new(LIMIT), PartSuspects::new(LIMIT));
+    crash(&mut observer, 3);
+    observer.evaluate(at(3000));
+
+    let mut refused_until = Duration::ZERO;
+    for second in 4..5000 {
+        let now = at(1000 * second);
+        for instance in [&mut observer, &mut restarted] {
+            instance.remove_expired(now);
+        }
+        let given = observer.changes_after(0, LIMIT, now).0;
+        let returned = restarted.changes_after(0, LIMIT, now).0;
+        restarted.merge(&given, now);
+        observer.merge(&returned, now);
+        if is_refused(&restarted, REQUEST, now) {
+            refused_until = now;
+        }
+    }
+
+    assert!(refused_until >= expiry, "{refused_until:?}");
+    assert!(refused_until <= expiry + at(4000), "{refused_until:?}");
+}
+
+/// Guards against a full list that evicts a request which peers refuse.
+#[test]
+fn full_list_keeps_the_refusals_of_peers() {
+    let (mut peer, mut suspects) = (PartSuspects::new(LIMIT), PartSuspects::new(2));
+    crash(&mut peer, 3);
+    peer.evaluate(at(3000));
+    suspects.merge(&peer.changes_after(0, LIMIT, at(3000)).0, at(3000));
+    for upstream in 0..2 {
+        suspects.record_request_crash(OTHER_REQUEST, upstream, at(4000 + 1000 * upstream));
+    }
+
+    suspects.record_request_crash(72, 5, at(6000));
+
+    assert!(is_refused(&suspects, REQUEST, at(6000)));
+    assert_eq!(suspects.crash_count(OTHER_REQUEST, at(6000)), (0, 0));
+}
--- a/tests/residency/gossip_tree.rs
+++ b/tests/residency/gossip_tree.rs
@@ -6,7 +6,7 @@
 use comfreychute::forward::{InFlightLoad, InFlightTracker};
 use comfreychute::id::{DomainId, InstanceId, UpstreamId};
 use comfreychute::peer::{LivePeer, LoadGossip};
-use comfreychute::policy::SuspectReport;
+use comfreychute::policy::PartSuspects;
 use comfreychute::residency::{AckTracker, GossipScope, GossipTree};
 
 const PERIOD: Duration = Duration::from_millis(250);
@@ -185,23 +185,38 @@
 #[test]
 fn suspects_are_sent_until_each_process_has_acknowledged_them() {
     let (mut acks, peer) = (AckTracker::new(), instance(1));
-    let report = |count: u32, refused: &[u64]| SuspectReport {
-        counts: BTreeMap::from([(7, count)]),
-        refused: refused.to_vec(),
+    let mut suspects = PartSuspects::new(8);
+    let now = Duration::from_secs(9);
+    let due = |suspects: &PartSuspects, acks: &AckTracker, incarnation: u64| {
+        let known = acks.acked_parts(&peer, incarnation);
+        suspects.changes_after(known, 8, now)
+    };
+    let crash = |suspects: &mut PartSuspects, upstream: u64| {
+        suspects.record_request_crash(7, upstream, Duration::from_secs(upstream));
     };
-    let suspects = report(1, &[]);
-
-    assert!(acks.has_acked_suspects(&peer, 1, &SuspectReport::default()));
-    assert!(!acks.has_acked_suspects(&peer, 1, &suspects));
-    acks.record_acked_suspects(&peer, 1, suspects.clone());
 
-    assert!(acks.has_acked_suspects(&peer, 1, &suspects));
-    let more = report(2, &[]);
-    assert!(!acks.has_acked_suspects(&peer, 1, &more), "a further crash");
-    let refused = report(1, &[7]);
-    assert!(!acks.has_acked_suspects(&peer, 1, &refused), "a refusal");
+    assert!(due(&suspects, &acks, 1).0.is_empty());
+    assert!(!acks.has_acked_parts(&peer, 1));
+    crash(&mut suspects, 1);
+    let (changes, number) = due(&suspects, &acks, 1);
+    assert_eq!(changes.len(), 1);
+    acks.record_acked_parts(&peer, 1, number);
+
+    assert!(due(&suspects, &acks, 1).0.is_empty(), "acknowledged");
+    assert!(acks.has_acked_parts(&peer, 1));
+    crash(&mut suspects, 2);
+    let (changes, number) = due(&suspects, &acks, 1);
+    assert_eq!(changes.len(), 1, "a further crash");
+    acks.record_acked_parts(&peer, 1, number);
+    crash(&mut suspects, 3);
+    acks.record_acked_parts(&peer, 1, due(&suspects, &acks, 1).1);
+    suspects.evaluate(now);
     assert!(
-        !acks.has_acked_suspects(&peer, 2, &suspects),
-        "a new process"
+        due(&suspects, &acks, 1).0[0].refused_age.is_some(),
+        "a refusal"
     );
+    acks.record_acked_parts(&peer, 1, due(&suspects, &acks, 1).1);
+    assert!(due(&suspects, &acks, 1).0.is_empty());
+    assert_eq!(due(&suspects, &acks, 2).0.len(), 1, "a new process");
+    assert!(!acks.has_acked_parts(&peer, 2));
 }
