Count the parts of a broken answer in a method of its own

The closure that was made for two callers hid when each of them counts. No change of behaviour; the tests of crashes, deadly parts and lost answers pass.

--- a/src/forward/crash_recorder.rs
+++ b/src/forward/crash_recorder.rs
@@ -15,6 +15,7 @@
     pub(super) part_guard: Arc<PartGuard>,
     pub(super) detector: Arc<CrashDetector>,
     pub(super) entry: Arc<UpstreamEntry>,
+    /// When the attempt began.
     pub(super) sent_at: Instant,
     /// Whether the response is an answer to the prompt, so that crashes count for its parts.
     pub(super) is_answer: bool,
@@ -33,20 +34,12 @@
     pub(super) fn record_break(&self, running: Option<Duration>, is_sound: bool) -> JoinHandle<()> {
         let broken_at = self.clock.now();
         let is_suspect = self.is_answer && !is_sound;
-        let is_part_counted = is_suspect && running.is_some();
-        // An upstream that ends before an answer has worked on it since the request was sent.
-        let running_or_waiting = running.unwrap_or_else(|| self.sent_at.elapsed());
-        let this = self.clone();
-        let count_parts = move || {
-            this.part_guard.record_crash(
-                &this.prompt,
-                &this.entry.id,
-                running_or_waiting,
-                broken_at,
-            );
-        };
-        if is_part_counted {
-            count_parts();
+        let has_begun = running.is_some();
+        // An upstream that ends before the answer has begun may have worked on it since the request was
+        // sent.
+        let worked = running.unwrap_or_else(|| self.sent_at.elapsed());
+        if is_suspect && has_begun {
+            self.count_parts(worked, broken_at);
         }
         let this = self.clone();
         tokio::spawn(async move {
@@ -55,14 +48,20 @@
             if has_crashed {
                 this.part_guard
                     .record_request_crash(request, &this.entry.id, broken_at);
-                if is_suspect && !is_part_counted {
-                    count_parts();
+                if is_suspect && !has_begun {
+                    this.count_parts(worked, broken_at);
                 }
             }
-            this.log_break(has_crashed || is_part_counted, running);
+            this.log_break(has_crashed || is_suspect && has_begun, running);
         })
     }
 
+    fn count_parts(&self, worked: Duration, broken_at: Duration) {
+        let upstream = &self.entry.id;
+        self.part_guard
+            .record_crash(&self.prompt, upstream, worked, broken_at);
+    }
+
     fn log_break(&self, is_counted: bool, running: Option<Duration>) {
         let name = if is_counted {
             LogName::CrashCounted
--- a/src/forward/part_guard.rs
+++ b/src/forward/part_guard.rs
@@ -11,8 +11,8 @@
 use crate::telemetry::{LogEvent, LogName, MetricName, MetricSink};
 use crate::time::ClockSource;
 
-/// The parts of prompts, and whole requests, that crash upstreams, shared by the requests of an instance and the exchange
-/// with its peers.
+/// The parts of prompts, and whole requests, that crash upstreams, shared by the requests of an instance
+/// and the exchange with its peers.
 #[derive(Debug)]
 pub struct PartGuard {
     suspects: Mutex<PartSuspects>,
