Take an answer that ends with its connection as sound if its upstream takes new ones

Cause: the end of a connection was never taken as the end of a whole answer, as an engine that crashes may end it in order.

Ruled out: answers that are too short for the other proof, a second and 16 events, only where they are; longer ones did clear the parts.

If the request or a part of its prompt is suspect, `CrashDetector` now connects to the upstream after such an end: one that keeps a connection open has survived, and the answer counts as sound at its end. Without a suspect no connection is opened.

--- a/src/forward/connection_body.rs
+++ b/src/forward/connection_body.rs
@@ -158,14 +158,18 @@
         }
     }
 
-    /// Records that the answer has ended and is whole. The end of a connection proves nothing, as an
-    /// upstream that crashes may close it in order.
+    /// Records that the answer has ended and is whole. The end of a connection proves that only if the
+    /// upstream has not crashed.
     pub(super) fn record_sound_end(&mut self) {
-        if self.framing != BodyFraming::Connection {
-            self.record_sound();
+        if self.framing == BodyFraming::Connection {
             if let Some(crashes) = &self.crashes {
-                crashes.clear_request();
+                crashes.record_closed_end();
             }
+            return;
+        }
+        self.record_sound();
+        if let Some(crashes) = &self.crashes {
+            crashes.clear_request();
         }
     }
 
--- a/src/forward/crash_detector.rs
+++ b/src/forward/crash_detector.rs
@@ -81,6 +81,12 @@
         lock(&self.requests).contains_key(&request)
     }
 
+    /// Returns whether an upstream that has just ended a connection in order keeps a new one open.
+    pub(super) async fn takes_connections(&self, entry: &UpstreamEntry) -> bool {
+        sleep(FIRST_DELAY).await;
+        probe(entry).await == ProbeOutcome::Open
+    }
+
     /// Starts a check, or joins one that has not connected yet.
     fn check(self: &Arc<Self>, entry: &Arc<UpstreamEntry>) -> watch::Receiver<Option<bool>> {
         let mut upcoming = lock(&self.upcoming);
@@ -94,8 +100,8 @@
             let until = Instant::now() + RESTART_TIME;
             sleep(FIRST_DELAY).await;
             lock(&this.upcoming).remove(&entry.id);
-            let has_crashed =
-                refuses_connections(&entry).await || this.is_restarted(&entry, until).await;
+            let is_away = probe(&entry).await == ProbeOutcome::Refused;
+            let has_crashed = is_away || this.is_restarted(&entry, until).await;
             sender.send_replace(Some(has_crashed));
         });
         verdict
@@ -117,19 +123,32 @@
     }
 }
 
-/// Returns whether the upstream refuses connections. One that stays open shows that it does not.
-async fn refuses_connections(entry: &UpstreamEntry) -> bool {
+/// What new connections to an upstream show.
+#[derive(Debug, PartialEq, Eq)]
+enum ProbeOutcome {
+    /// A connection stayed open.
+    Open,
+    /// A connection was refused.
+    Refused,
+    /// All were closed again, or none could be opened in time.
+    Unclear,
+}
+
+/// Opens connections to the upstream, one after the other, until one shows whether it takes them.
+async fn probe(entry: &UpstreamEntry) -> ProbeOutcome {
     for pause in PAUSES {
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address)).await {
             Ok(Ok(stream)) => {
                 // Nothing is sent, so that any readiness is the end of the connection.
                 if timeout(pause, stream.readable()).await.is_err() {
-                    return false;
+                    return ProbeOutcome::Open;
                 }
             }
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return ProbeOutcome::Refused;
+            }
             Ok(Err(_)) | Err(_) => sleep(pause).await,
         }
     }
-    false
+    ProbeOutcome::Unclear
 }
--- a/src/forward/crash_recorder.rs
+++ b/src/forward/crash_recorder.rs
@@ -86,12 +86,35 @@
     /// Records that the answer is sound, which clears the parts of the prompt.
     pub(super) fn clear_parts(&self) {
         if self.is_answer {
-            self.part_guard.record_sound(&self.prompt);
+            self.part_guard.record_sound(&self.prompt, self.clock.now());
         }
     }
 
     /// Records that the answer is whole, so that its upstream has survived the request.
     pub(super) fn clear_request(&self) {
-        self.part_guard.record_request_sound(self.prompt.request());
+        let now = self.clock.now();
+        self.part_guard
+            .record_request_sound(self.prompt.request(), now);
+    }
+
+    /// Records that the answer has ended with its connection. An upstream that crashes ends it likewise,
+    /// so that the answer is sound only if the upstream still takes connections.
+    ///
+    /// Connects to the upstream only if the answer would clear anything.
+    pub(super) fn record_closed_end(&self) {
+        if !self.part_guard.has_suspect(&self.prompt) {
+            return;
+        }
+        let ended_at = self.clock.now();
+        let this = self.clone();
+        tokio::spawn(async move {
+            if this.detector.takes_connections(&this.entry).await {
+                if this.is_answer {
+                    this.part_guard.record_sound(&this.prompt, ended_at);
+                }
+                let request = this.prompt.request();
+                this.part_guard.record_request_sound(request, ended_at);
+            }
+        });
     }
 }
--- a/src/forward/part_guard.rs
+++ b/src/forward/part_guard.rs
@@ -58,15 +58,23 @@
         self.evaluate();
     }
 
-    /// Records a sound answer on a prompt, which clears its parts.
-    pub fn record_sound(&self, prompt: &PromptParts) {
+    /// Records that an answer on a prompt was sound at `sound_at`, which clears its parts.
+    pub fn record_sound(&self, prompt: &PromptParts, sound_at: Duration) {
         if prompt.keys().is_empty() {
             return;
         }
-        let cleared = self.lock().record_sound(prompt.keys(), self.clock.now());
+        let cleared = self.lock().record_sound(prompt.keys(), sound_at);
         log_cleared(&cleared);
     }
 
+    /// Returns whether the request or a part of its prompt has crashes since its last sound answer.
+    #[must_use]
+    pub fn has_suspect(&self, prompt: &PromptParts) -> bool {
+        let now = self.clock.now();
+        self.lock()
+            .has_suspect(prompt.keys(), prompt.request(), now)
+    }
+
     /// Counts a crash of an upstream at `broken_at`, while it ran a request.
     pub fn record_request_crash(&self, request: u64, upstream: &UpstreamId, broken_at: Duration) {
         let upstream = xxh3_64(upstream.as_str().as_bytes());
@@ -75,9 +83,9 @@
         self.evaluate();
     }
 
-    /// Records a whole answer to a request, which clears it.
-    pub fn record_request_sound(&self, request: u64) {
-        if self.lock().record_request_sound(request, self.clock.now()) {
+    /// Records that an answer to a request was whole at `sound_at`, which clears the request.
+    pub fn record_request_sound(&self, request: u64, sound_at: Duration) {
+        if self.lock().record_request_sound(request, sound_at) {
             log_cleared(&[request]);
         }
     }
--- a/src/policy/part_suspects.rs
+++ b/src/policy/part_suspects.rs
@@ -101,7 +101,8 @@
         }
     }
 
-    /// Records a sound answer on a prompt with these parts; returns the refused ones that it clears.
+    /// Records an answer on a prompt with these parts that was sound at `now`; returns the refused ones
+    /// that it clears.
     pub fn record_sound(&mut self, parts: &[u64], now: Duration) -> Vec<u64> {
         let mut cleared = Vec::new();
         for part in parts {
@@ -113,8 +114,8 @@
         cleared
     }
 
-    /// Records a whole answer to a request, which its upstream survived; returns whether this ends a
-    /// refusal of the request.
+    /// Records an answer to a request that was whole at `now` and that its upstream survived; returns
+    /// whether this ends a refusal of the request.
     pub fn record_request_sound(&mut self, request: u64, now: Duration) -> bool {
         self.forget_crashes(request, now)
     }
@@ -284,6 +285,17 @@
         (crashes.len(), upstreams.len())
     }
 
+    /// Returns whether any of these parts, or the request, has crashes since its last sound answer, or is
+    /// refused.
+    #[must_use]
+    pub fn has_suspect(&self, parts: &[u64], request: u64, now: Duration) -> bool {
+        let mut keys = parts.iter().chain(std::iter::once(&request));
+        keys.any(|key| {
+            let record = self.records.get(key);
+            record.is_some_and(|it| it.refused_at.is_some() || !it.live_crashes(now).is_empty())
+        })
+    }
+
     /// Returns whether one more crash refuses a request.
     #[must_use]
     pub fn is_nearly_refused(&self, request: u64, now: Duration) -> bool {
