--- /dev/null
+++ b/review/standins-2/src/engine.rs
@@ -0,0 +1,447 @@
+//! A stand-in of a model worker.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+use crate::http::{Request, read_request, write_answer};
+use crate::record::Record;
+use crate::store::Store;
+
+/// What the manifest says of the workers of a service.
+#[derive(Debug, Clone)]
+pub struct EngineSpec {
+    pub service: String,
+    pub model: String,
+    pub model_mb: f64,
+    pub model_load: Duration,
+    pub adapter_mb: f64,
+    pub adapter_load: Duration,
+    pub weights_mb: f64,
+    pub adapter_slots: usize,
+    pub slots: usize,
+    pub pieces: u32,
+    pub piece_time: Duration,
+}
+
+/// An order that a worker received.
+#[derive(Debug, Clone)]
+pub struct SeenOrder {
+    pub at: f64,
+    pub worker: String,
+    pub holder: String,
+    pub token: u64,
+    pub status: u16,
+}
+
+/// What all workers saw.
+#[derive(Debug, Default)]
+pub struct EngineLog {
+    pub orders: Vec<SeenOrder>,
+    /// Orders to load more than a worker holds: the time, the worker and what would be held.
+    pub overloads: Vec<(f64, String, String)>,
+    pub crashes: usize,
+    pub cut_streams: usize,
+    pub runs: usize,
+}
+
+#[derive(Debug)]
+struct EngineState {
+    born: u64,
+    sequence: u64,
+    has_model: bool,
+    is_loading_model: bool,
+    adapters: BTreeSet<String>,
+    pending: BTreeSet<String>,
+    running: BTreeMap<String, usize>,
+    connections: Vec<AbortHandle>,
+    listening: Option<AbortHandle>,
+    is_up: bool,
+}
+
+#[derive(Debug, Clone)]
+pub struct Engine {
+    pub id: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    spec: EngineSpec,
+    state: Arc<Mutex<EngineState>>,
+    pub log: Arc<Mutex<EngineLog>>,
+    store: Store,
+    record: Record,
+}
+
+/// Interval of the entries that a worker writes.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+/// Time for which a worker that has crashed is down.
+const CRASH_TIME: Duration = Duration::from_secs(3);
+
+impl Engine {
+    pub async fn start(
+        id: &str,
+        zone: &str,
+        spec: &EngineSpec,
+        store: &Store,
+        record: &Record,
+        log: &Arc<Mutex<EngineLog>>,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let engine = Self {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            address: listener.local_addr().expect("an address"),
+            spec: spec.clone(),
+            state: Arc::new(Mutex::new(EngineState {
+                born: unix_millis(),
+                sequence: 0,
+                // At the start, the model lies on the workers.
+                has_model: true,
+                is_loading_model: false,
+                adapters: BTreeSet::new(),
+                pending: BTreeSet::new(),
+                running: BTreeMap::new(),
+                connections: Vec::new(),
+                listening: None,
+                is_up: true,
+            })),
+            log: Arc::clone(log),
+            store: store.clone(),
+            record: record.clone(),
+        };
+        engine.listen(listener);
+        let beating = engine.clone();
+        beating.beat();
+        tokio::spawn(async move {
+            loop {
+                sleep(HEARTBEAT).await;
+                beating.beat();
+            }
+        });
+        engine
+    }
+
+    /// Writes the entry of the worker to the store, unless one of them is down.
+    fn beat(&self) {
+        if self.store.is_away() || !self.lock().is_up {
+            return;
+        }
+        let mut entry = self.report();
+        entry["service"] = json!(self.spec.service);
+        entry["address"] = json!(self.address.to_string());
+        entry["zone"] = json!(self.zone);
+        entry["version"] = json!("v1");
+        entry["slots"] = json!(self.spec.slots);
+        entry["state"] = json!("ready");
+        entry["cold_left_ms"] = json!(0);
+        self.store.put("servers", &self.id, &entry);
+    }
+
+    fn report(&self) -> Value {
+        let state = self.lock();
+        let adapters: Vec<&String> = state.adapters.iter().collect();
+        let models = if state.has_model {
+            json!([{"name": self.spec.model, "version": 1, "adapters": adapters}])
+        } else {
+            json!([])
+        };
+        let pending: Vec<String> =
+            state.pending.iter().map(|name| format!("{}/{name}", self.spec.model)).collect();
+        json!({
+            "stage": "both", "models": models, "busy": state.is_loading_model,
+            "sequence": state.sequence, "queued": 0,
+            "active": state.running.values().sum::<usize>(),
+            "kv_used": 0, "kv_total": 140_419, "handles": 0, "pending": pending,
+            "born": state.born,
+        })
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let shared = self.clone();
+        let listening = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let serving = tokio::spawn(shared.clone().serve(stream));
+                let mut state = shared.lock();
+                state.connections.retain(|connection| !connection.is_finished());
+                state.connections.push(serving.abort_handle());
+            }
+        });
+        self.lock().listening = Some(listening.abort_handle());
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let _nodelay = stream.set_nodelay(true);
+        // A worker that crashes resets its connections.
+        let _linger = stream.set_zero_linger();
+        let mut buffer = Vec::new();
+        while let Some(request) = read_request(&mut stream, &mut buffer).await {
+            let expected = request.header("x-comfreychute-expect-instance");
+            if expected.is_some_and(|expected| expected != self.id) {
+                let headers = format!("X-Comfreychute-Instance-Id: {}\r\n", self.id);
+                if write_answer(&mut stream, 421, &headers, "").await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let written = match request.path() {
+                "/api/report" => {
+                    let body = self.report().to_string();
+                    write_answer(&mut stream, 200, "Content-Type: application/json\r\n", &body).await
+                }
+                "/api/order" => {
+                    let status = self.take_order(&request);
+                    write_answer(&mut stream, status, "", "").await
+                }
+                "/healthz" => {
+                    let headers = format!("X-Comfreychute-Instance-Id: {}\r\n", self.id);
+                    write_answer(&mut stream, 200, &headers, "").await
+                }
+                _ => self.run(&mut stream, &request).await,
+            };
+            if written.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Runs a request: a stream of events.
+    async fn run(&self, stream: &mut TcpStream, request: &Request) -> std::io::Result<()> {
+        let attempt = request.header("x-comfreychute-attempt-id").unwrap_or_default().to_owned();
+        let echo = format!("X-Comfreychute-Attempt-Id: {attempt}\r\n");
+        let refusal = format!("{echo}X-Comfreychute-Not-Executed: 1\r\n");
+        if attempt.is_empty() {
+            return write_answer(stream, 400, &refusal, "").await;
+        }
+        let model = request.header("x-comfreychute-model").unwrap_or_default();
+        let (base, adapter) = model.split_once('/').unwrap_or((model, ""));
+        let named = request.header("x-comfreychute-expect-version");
+        let name = format!("{adapter}@{}", named.unwrap_or("1"));
+        let is_held = {
+            let state = self.lock();
+            state.has_model
+                && base == self.spec.model
+                && (adapter.is_empty() || state.adapters.contains(&name))
+        };
+        if !is_held {
+            return write_answer(stream, 421, &refusal, "").await;
+        }
+        if self.lock().running.values().sum::<usize>() >= self.spec.slots {
+            return write_answer(stream, 503, &refusal, "").await;
+        }
+        self.record.line(&format!("{}: runs {attempt} ({model})", self.id));
+        self.log().runs += 1;
+        *self.lock().running.entry(name.clone()).or_default() += 1;
+        let run = RunGuard { engine: self.clone(), name, attempt: attempt.clone(), is_done: false };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{echo}X-Comfreychute-Response-Signature: s.{attempt}\r\n\
+             X-Comfreychute-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        let first: u32 = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        for id in first + 1..=self.spec.pieces {
+            let event = format!("id: {id}\ndata: {attempt} {id}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await?;
+            let mut byte = [0];
+            tokio::select! {
+                () = sleep(self.spec.piece_time) => {}
+                read = stream.read(&mut byte) => {
+                    // Clients of a worker send nothing during an answer.
+                    read?;
+                    return Err(std::io::ErrorKind::ConnectionAborted.into());
+                }
+            }
+        }
+        stream.write_all(b"0\r\n\r\n").await?;
+        run.finish();
+        Ok(())
+    }
+
+    fn take_order(&self, request: &Request) -> u16 {
+        let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let holder = order["holder"].as_str().unwrap_or_default().to_owned();
+        let token = order["fencing_token"].as_u64().unwrap_or_default();
+        let status = self.carry_out(&order);
+        self.record.line(&format!("{}: order {order} -> {status}", self.id));
+        let seen =
+            SeenOrder { at: self.record.now(), worker: self.id.clone(), holder, token, status };
+        self.log().orders.push(seen);
+        status
+    }
+
+    fn carry_out(&self, order: &Value) -> u16 {
+        if order["holder"].as_str().is_none() || order["fencing_token"].as_u64().is_none() {
+            return 400;
+        }
+        let mut state = self.lock();
+        let expected = order["expected"].as_u64();
+        if state.is_loading_model || expected.is_some_and(|it| it != state.sequence) {
+            return 409;
+        }
+        let is_load = order["operation"] == "load";
+        if order["model"] != self.spec.model.as_str() {
+            return 400;
+        }
+        let Some(adapter) = order["adapter"].as_str() else {
+            return self.load_model(&mut state, is_load);
+        };
+        if !state.has_model {
+            return 409;
+        }
+        let name = format!("{adapter}@{}", order["version"].as_u64().unwrap_or(1));
+        if !is_load {
+            let held = state.adapters.iter().find(|held| held.split('@').next() == Some(adapter));
+            let Some(held) = held.cloned() else {
+                return 200;
+            };
+            if state.running.get(&held).copied().unwrap_or(0) > 0 {
+                return 409;
+            }
+            state.adapters.remove(&held);
+            state.sequence += 1;
+            return 200;
+        }
+        if state.adapters.contains(&name) {
+            return 200;
+        }
+        if state.pending.contains(&name) {
+            return 202;
+        }
+        if state.pending.len() >= 4 {
+            return 409;
+        }
+        state.sequence += 1;
+        state.pending.insert(name.clone());
+        let count = state.adapters.len() + state.pending.len();
+        let adapters = u32::try_from(count).map_or(f64::MAX, f64::from);
+        let megabytes = self.spec.model_mb + adapters * self.spec.adapter_mb;
+        if megabytes > self.spec.weights_mb || count > self.spec.adapter_slots {
+            drop(state);
+            self.crash(&format!(
+                "{count} adapters of {} places, {megabytes} MB of {} MB",
+                self.spec.adapter_slots, self.spec.weights_mb
+            ));
+            return 202;
+        }
+        drop(state);
+        let (engine, born) = (self.clone(), self.lock().born);
+        tokio::spawn(async move {
+            sleep(engine.spec.adapter_load).await;
+            let mut state = engine.lock();
+            if state.born == born && state.pending.remove(&name) {
+                state.adapters.insert(name);
+            }
+        });
+        202
+    }
+
+    fn load_model(&self, state: &mut EngineState, is_load: bool) -> u16 {
+        if state.has_model == is_load {
+            return 200;
+        }
+        if !is_load {
+            return 409;
+        }
+        state.sequence += 1;
+        state.is_loading_model = true;
+        let (engine, born) = (self.clone(), state.born);
+        tokio::spawn(async move {
+            sleep(engine.spec.model_load).await;
+            let mut state = engine.lock();
+            if state.born == born {
+                state.has_model = true;
+                state.is_loading_model = false;
+            }
+        });
+        202
+    }
+
+    /// Ends the worker as an order to load more than it holds does; it is back, empty, after some
+    /// seconds.
+    fn crash(&self, reason: &str) {
+        self.record.say(&format!("{}: ordered to load more than it holds ({reason}); it crashes", self.id));
+        let at = self.record.now();
+        let mut log = self.log();
+        log.overloads.push((at, self.id.clone(), reason.to_owned()));
+        log.crashes += 1;
+        drop(log);
+        let connections = {
+            let mut state = self.lock();
+            state.is_up = false;
+            state.has_model = false;
+            state.is_loading_model = false;
+            state.adapters.clear();
+            state.pending.clear();
+            state.sequence = 0;
+            state.born = 0;
+            if let Some(listening) = state.listening.take() {
+                listening.abort();
+            }
+            std::mem::take(&mut state.connections)
+        };
+        for connection in connections {
+            connection.abort();
+        }
+        let engine = self.clone();
+        tokio::spawn(async move {
+            sleep(CRASH_TIME).await;
+            let listener = TcpListener::bind(engine.address).await.expect("the port stays free");
+            {
+                let mut state = engine.lock();
+                state.born = unix_millis();
+                state.is_up = true;
+            }
+            engine.record.say(&format!("{}: is back, empty", engine.id));
+            engine.listen(listener);
+            engine.beat();
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn log(&self) -> MutexGuard<'_, EngineLog> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Ends a run when it is dropped.
+struct RunGuard {
+    engine: Engine,
+    name: String,
+    attempt: String,
+    is_done: bool,
+}
+
+impl RunGuard {
+    fn finish(mut self) {
+        self.is_done = true;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(count) = self.engine.lock().running.get_mut(&self.name) {
+            *count = count.saturating_sub(1);
+        }
+        if !self.is_done {
+            self.engine.log().cut_streams += 1;
+            let text = format!("{}: the run of {} was cut", self.engine.id, self.attempt);
+            self.engine.record.line(&text);
+        }
+    }
+}
+
+fn unix_millis() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(time.as_millis()).unwrap_or(0)
+}
--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,87 @@
+//! Plays one case of the review: `review-case CASE FOLDER`, from the root of the repository.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves
+//! out the disruption.
+
+mod adapter_memory;
+mod clients;
+mod edge;
+mod engine;
+mod http;
+mod orders;
+mod record;
+mod store;
+mod takeover;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use crate::record::Record;
+use crate::takeover::Plan;
+
+/// What a case found.
+pub enum Verdict {
+    Broken,
+    Held,
+    CannotRun(String),
+}
+
+/// The surroundings of a case.
+pub struct Setting {
+    pub record: Record,
+    /// A temporary folder, removed at the end.
+    pub temp: PathBuf,
+    pub has_trouble: bool,
+}
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: review-case CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let temp = std::env::temp_dir().join(format!("review-case-{}", std::process::id()));
+    if std::fs::create_dir_all(&temp).is_err() {
+        return ExitCode::from(2);
+    }
+    let setting = Setting {
+        record: Record::create(&Path::new(&folder).join("record.txt")),
+        temp: temp.clone(),
+        has_trouble: std::env::var("TROUBLE").is_ok_and(|it| it != "0") || std::env::var("TROUBLE").is_err(),
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let verdict = runtime.expect("a runtime").block_on(async {
+        match case.as_str() {
+            "adapter-memory" => adapter_memory::play(&setting).await,
+            "same-name" => {
+                let replaced_after = Some(Duration::from_secs(1));
+                takeover::play(&setting, Plan { lease_ms: 3000, replaced_after }).await
+            }
+            "lease-bound" => {
+                takeover::play(&setting, Plan { lease_ms: 6000, replaced_after: None }).await
+            }
+            _ => Verdict::CannotRun(format!("no case {case}")),
+        }
+    });
+    if let Some(keep) = std::env::var_os("KEEP_LOGS") {
+        for entry in std::fs::read_dir(&temp).into_iter().flatten().flatten() {
+            let _copied = std::fs::copy(entry.path(), Path::new(&keep).join(entry.file_name()));
+        }
+    }
+    let _removed = std::fs::remove_dir_all(&temp);
+    match verdict {
+        Verdict::Broken => {
+            setting.record.say("the rule was broken");
+            ExitCode::from(1)
+        }
+        Verdict::Held => {
+            setting.record.say("the rule held");
+            ExitCode::SUCCESS
+        }
+        Verdict::CannotRun(reason) => {
+            setting.record.say(&format!("the case couldn't run: {reason}"));
+            ExitCode::from(2)
+        }
+    }
+}
