--- a/review/standins-2/src/adapter_memory.rs
+++ b/review/standins-2/src/adapter_memory.rs
@@ -8,7 +8,7 @@
 
 use crate::clients::Clients;
 use crate::edge::{Edge, Machine};
-use crate::engine::{Engine, EngineLog, EngineSpec};
+use crate::engine::{Engine, EngineLog, EngineSpec, ModelSpec};
 use crate::store::Store;
 use crate::{Setting, Verdict};
 
@@ -18,9 +18,11 @@
 pub fn engine_spec(adapter_mb: f64) -> EngineSpec {
     EngineSpec {
         service: "scribe".to_owned(),
-        model: "m0".to_owned(),
-        model_mb: 34_300.0,
-        model_load: Duration::from_millis(1500),
+        models: vec![ModelSpec {
+            name: "m0".to_owned(),
+            weights_mb: 34_300.0,
+            load_time: Duration::from_millis(1500),
+        }],
         adapter_mb,
         adapter_load: Duration::from_millis(250),
         weights_mb: 35_800.0,
@@ -33,6 +35,14 @@
 
 /// A manifest with one service of model workers, with the figures of a small installation.
 pub fn manifest(spec: &EngineSpec) -> Value {
+    let to_wire = |model: &ModelSpec| {
+        json!({
+            "name": model.name, "weights_mb": model.weights_mb,
+            "load_s": model.load_time.as_secs_f64(), "adapters": 3000,
+            "adapter_mb": spec.adapter_mb, "warm_s": 0.42, "disk_load_s": 0.6,
+        })
+    };
+    let models: Vec<Value> = spec.models.iter().map(to_wire).collect();
     json!({
         "version": 7,
         "routes": [{
@@ -49,11 +59,7 @@
                 "link_mbps": 740_000.0, "moves": true, "backups": true, "stride": 3, "cap": 12,
                 "host_mb": 130_000.0, "disk_mb": 380_000.0, "pin_ms": 4000.0, "hold_ms": 2000.0,
                 "handle_s": 5.0,
-                "models": [{
-                    "name": spec.model, "weights_mb": spec.model_mb,
-                    "load_s": spec.model_load.as_secs_f64(), "adapters": 3000,
-                    "adapter_mb": spec.adapter_mb, "warm_s": 0.42, "disk_load_s": 0.6,
-                }],
+                "models": models,
                 "weights_mb": spec.weights_mb, "adapter_slots": spec.adapter_slots, "loads_per_s": 4.5,
             },
         }],
@@ -70,7 +76,7 @@
     let log: Arc<Mutex<EngineLog>> = Arc::default();
     let mut engines = Vec::new();
     for (id, zone) in [("i-1", "leinster-a"), ("i-2", "leinster-b"), ("i-3", "leinster-c")] {
-        engines.push(Engine::start(id, zone, &spec, &store, record, &log).await);
+        engines.push(Engine::start(id, zone, &spec, &["m0"], &store, record, &log).await);
     }
     let mut edges = Vec::new();
     for (name, zone) in [("edge-a-1", "leinster-a"), ("edge-b-1", "leinster-b"), ("edge-c-1", "leinster-c")] {
--- a/review/standins-2/src/clients.rs
+++ b/review/standins-2/src/clients.rs
@@ -1,5 +1,6 @@
 //! Clients that ask for streams.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -23,11 +24,13 @@
     record: Record,
     next: Arc<AtomicU64>,
     pub counts: Arc<Mutex<Counts>>,
+    /// Number of whole answers by model.
+    pub served: Arc<Mutex<BTreeMap<String, usize>>>,
 }
 
 impl Clients {
     pub fn new(record: &Record) -> Self {
-        Self { record: record.clone(), next: Arc::default(), counts: Arc::default() }
+        Self { record: record.clone(), next: Arc::default(), counts: Arc::default(), served: Arc::default() }
     }
 
     /// Sends a request for an adapter in the background.
@@ -40,14 +43,14 @@
              X-Comfreychute-Deadline-Ms: 8000\r\nContent-Length: 6\r\n\r\nprompt"
         );
         self.record.line(&format!("client: sends r{number} ({model}) to {edge}"));
-        let this = self.clone();
+        let (this, model) = (self.clone(), model.to_owned());
         tokio::spawn(async move {
             let answer = exchange(edge, request.as_bytes(), Duration::from_secs(9)).await;
-            this.count(number, &answer);
+            this.count(number, &model, &answer);
         });
     }
 
-    fn count(&self, number: u64, answer: &Answer) {
+    fn count(&self, number: u64, model: &str, answer: &Answer) {
         let is_whole = answer.status == 200 && answer.is_whole;
         let text = format!(
             "client: r{number} got {} {}",
@@ -55,6 +58,10 @@
             if is_whole { "whole".to_owned() } else { answer.body.chars().take(60).collect() }
         );
         self.record.line(&text);
+        if is_whole {
+            let mut served = self.served.lock().unwrap_or_else(PoisonError::into_inner);
+            *served.entry(model.to_owned()).or_default() += 1;
+        }
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         match answer.status {
             200 if is_whole => counts.whole += 1,
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -15,13 +15,19 @@
 use crate::record::Record;
 use crate::store::Store;
 
+/// A base model of the manifest.
+#[derive(Debug, Clone)]
+pub struct ModelSpec {
+    pub name: String,
+    pub weights_mb: f64,
+    pub load_time: Duration,
+}
+
 /// What the manifest says of the workers of a service.
 #[derive(Debug, Clone)]
 pub struct EngineSpec {
     pub service: String,
-    pub model: String,
-    pub model_mb: f64,
-    pub model_load: Duration,
+    pub models: Vec<ModelSpec>,
     pub adapter_mb: f64,
     pub adapter_load: Duration,
     pub weights_mb: f64,
@@ -56,8 +62,10 @@
 struct EngineState {
     born: u64,
     sequence: u64,
-    has_model: bool,
-    is_loading_model: bool,
+    models: BTreeSet<String>,
+    /// The base model that is being loaded.
+    loading: Option<String>,
+    /// Resident adapters, as `MODEL/NAME@VERSION`.
     adapters: BTreeSet<String>,
     pending: BTreeSet<String>,
     running: BTreeMap<String, usize>,
@@ -81,14 +89,12 @@
 /// Interval of the entries that a worker writes.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
-/// Time for which a worker that has crashed is down.
-const CRASH_TIME: Duration = Duration::from_secs(3);
-
 impl Engine {
     pub async fn start(
         id: &str,
         zone: &str,
         spec: &EngineSpec,
+        models: &[&str],
         store: &Store,
         record: &Record,
         log: &Arc<Mutex<EngineLog>>,
@@ -102,9 +108,9 @@
             state: Arc::new(Mutex::new(EngineState {
                 born: unix_millis(),
                 sequence: 0,
-                // At the start, the model lies on the workers.
-                has_model: true,
-                is_loading_model: false,
+                // At the start, models lie on the workers.
+                models: models.iter().map(|name| (*name).to_owned()).collect(),
+                loading: None,
                 adapters: BTreeSet::new(),
                 pending: BTreeSet::new(),
                 running: BTreeMap::new(),
@@ -146,16 +152,18 @@
 
     fn report(&self) -> Value {
         let state = self.lock();
-        let adapters: Vec<&String> = state.adapters.iter().collect();
-        let models = if state.has_model {
-            json!([{"name": self.spec.model, "version": 1, "adapters": adapters}])
-        } else {
-            json!([])
-        };
-        let pending: Vec<String> =
-            state.pending.iter().map(|name| format!("{}/{name}", self.spec.model)).collect();
+        let models: Vec<Value> = state
+            .models
+            .iter()
+            .map(|model| {
+                let held = state.adapters.iter().filter_map(|name| name.strip_prefix(model.as_str()));
+                let adapters: Vec<&str> = held.filter_map(|name| name.strip_prefix('/')).collect();
+                json!({"name": model, "version": 1, "adapters": adapters})
+            })
+            .collect();
+        let pending: Vec<&String> = state.pending.iter().collect();
         json!({
-            "stage": "both", "models": models, "busy": state.is_loading_model,
+            "stage": "both", "models": models, "busy": state.loading.is_some(),
             "sequence": state.sequence, "queued": 0,
             "active": state.running.values().sum::<usize>(),
             "kv_used": 0, "kv_total": 140_419, "handles": 0, "pending": pending,
@@ -222,12 +230,10 @@
         let model = request.header("x-comfreychute-model").unwrap_or_default();
         let (base, adapter) = model.split_once('/').unwrap_or((model, ""));
         let named = request.header("x-comfreychute-expect-version");
-        let name = format!("{adapter}@{}", named.unwrap_or("1"));
+        let name = format!("{base}/{adapter}@{}", named.unwrap_or("1"));
         let is_held = {
             let state = self.lock();
-            state.has_model
-                && base == self.spec.model
-                && (adapter.is_empty() || state.adapters.contains(&name))
+            state.models.contains(base) && (adapter.is_empty() || state.adapters.contains(&name))
         };
         if !is_held {
             return write_answer(stream, 421, &refusal, "").await;
@@ -283,23 +289,38 @@
         }
         let mut state = self.lock();
         let expected = order["expected"].as_u64();
-        if state.is_loading_model || expected.is_some_and(|it| it != state.sequence) {
+        if state.loading.is_some() || expected.is_some_and(|it| it != state.sequence) {
             return 409;
         }
         let is_load = order["operation"] == "load";
-        if order["model"] != self.spec.model.as_str() {
+        let model = order["model"].as_str().unwrap_or_default();
+        let Some(model) = self.spec.models.iter().find(|known| known.name == model) else {
             return 400;
-        }
+        };
         let Some(adapter) = order["adapter"].as_str() else {
-            return self.load_model(&mut state, is_load);
+            if state.models.contains(&model.name) == is_load {
+                return 200;
+            }
+            if !is_load {
+                return 409;
+            }
+            state.sequence += 1;
+            state.loading = Some(model.name.clone());
+            drop(state);
+            return self.check_room().unwrap_or_else(|| {
+                self.finish_later(model.load_time, |state| {
+                    state.models.extend(state.loading.take());
+                });
+                202
+            });
         };
-        if !state.has_model {
+        if !state.models.contains(&model.name) {
             return 409;
         }
-        let name = format!("{adapter}@{}", order["version"].as_u64().unwrap_or(1));
+        let prefix = format!("{}/{adapter}@", model.name);
         if !is_load {
-            let held = state.adapters.iter().find(|held| held.split('@').next() == Some(adapter));
-            let Some(held) = held.cloned() else {
+            let held = state.adapters.iter().find(|held| held.starts_with(&prefix)).cloned();
+            let Some(held) = held else {
                 return 200;
             };
             if state.running.get(&held).copied().unwrap_or(0) > 0 {
@@ -309,6 +330,7 @@
             state.sequence += 1;
             return 200;
         }
+        let name = format!("{prefix}{}", order["version"].as_u64().unwrap_or(1));
         if state.adapters.contains(&name) {
             return 200;
         }
@@ -320,64 +342,61 @@
         }
         state.sequence += 1;
         state.pending.insert(name.clone());
+        drop(state);
+        self.check_room().unwrap_or_else(|| {
+            self.finish_later(self.spec.adapter_load, move |state| {
+                if state.pending.remove(&name) {
+                    state.adapters.insert(name);
+                }
+            });
+            202
+        })
+    }
+
+    /// Crashes if the worker was ordered to load more than it holds; returns the status then.
+    fn check_room(&self) -> Option<u16> {
+        let state = self.lock();
+        let names = state.models.iter().chain(&state.loading);
+        let weights = names.filter_map(|name| self.spec.models.iter().find(|it| it.name == *name));
         let count = state.adapters.len() + state.pending.len();
         let adapters = u32::try_from(count).map_or(f64::MAX, f64::from);
-        let megabytes = self.spec.model_mb + adapters * self.spec.adapter_mb;
-        if megabytes > self.spec.weights_mb || count > self.spec.adapter_slots {
-            drop(state);
-            self.crash(&format!(
-                "{count} adapters of {} places, {megabytes} MB of {} MB",
-                self.spec.adapter_slots, self.spec.weights_mb
-            ));
-            return 202;
+        let megabytes =
+            weights.map(|model| model.weights_mb).sum::<f64>() + adapters * self.spec.adapter_mb;
+        if megabytes <= self.spec.weights_mb && count <= self.spec.adapter_slots {
+            return None;
         }
         drop(state);
-        let (engine, born) = (self.clone(), self.lock().born);
-        tokio::spawn(async move {
-            sleep(engine.spec.adapter_load).await;
-            let mut state = engine.lock();
-            if state.born == born && state.pending.remove(&name) {
-                state.adapters.insert(name);
-            }
-        });
-        202
+        let reason = format!(
+            "{count} adapters of {} places, {megabytes} MB of {} MB",
+            self.spec.adapter_slots, self.spec.weights_mb
+        );
+        self.record.say(&format!("{}: ordered to load more than it holds ({reason})", self.id));
+        self.log().overloads.push((self.record.now(), self.id.clone(), reason));
+        self.crash(Duration::from_secs(3));
+        Some(202)
     }
 
-    fn load_model(&self, state: &mut EngineState, is_load: bool) -> u16 {
-        if state.has_model == is_load {
-            return 200;
-        }
-        if !is_load {
-            return 409;
-        }
-        state.sequence += 1;
-        state.is_loading_model = true;
-        let (engine, born) = (self.clone(), state.born);
+    /// Changes the state after a time, unless the worker has crashed by then.
+    fn finish_later(&self, time: Duration, change: impl FnOnce(&mut EngineState) + Send + 'static) {
+        let (engine, born) = (self.clone(), self.lock().born);
         tokio::spawn(async move {
-            sleep(engine.spec.model_load).await;
+            sleep(time).await;
             let mut state = engine.lock();
             if state.born == born {
-                state.has_model = true;
-                state.is_loading_model = false;
+                change(&mut state);
             }
         });
-        202
     }
 
-    /// Ends the worker as an order to load more than it holds does; it is back, empty, after some
-    /// seconds.
-    fn crash(&self, reason: &str) {
-        self.record.say(&format!("{}: ordered to load more than it holds ({reason}); it crashes", self.id));
-        let at = self.record.now();
-        let mut log = self.log();
-        log.overloads.push((at, self.id.clone(), reason.to_owned()));
-        log.crashes += 1;
-        drop(log);
+    /// Crashes the worker, which resets its connections; it is back, empty, after `away_time`.
+    pub fn crash(&self, away_time: Duration) {
+        self.record.say(&format!("{}: crashes", self.id));
+        self.log().crashes += 1;
         let connections = {
             let mut state = self.lock();
             state.is_up = false;
-            state.has_model = false;
-            state.is_loading_model = false;
+            state.models.clear();
+            state.loading = None;
             state.adapters.clear();
             state.pending.clear();
             state.sequence = 0;
@@ -392,7 +411,7 @@
         }
         let engine = self.clone();
         tokio::spawn(async move {
-            sleep(CRASH_TIME).await;
+            sleep(away_time).await;
             let listener = TcpListener::bind(engine.address).await.expect("the port stays free");
             {
                 let mut state = engine.lock();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod edge;
 mod engine;
 mod http;
+mod lost_models;
 mod orders;
 mod record;
 mod store;
@@ -54,6 +55,7 @@
     let verdict = runtime.expect("a runtime").block_on(async {
         match case.as_str() {
             "adapter-memory" => adapter_memory::play(&setting).await,
+            "lost-models" => lost_models::play(&setting).await,
             "same-name" => {
                 let replaced_after = Some(Duration::from_secs(1));
                 takeover::play(&setting, Plan { lease_ms: 3000, replaced_after }).await
--- a/review/standins-2/src/takeover.rs
+++ b/review/standins-2/src/takeover.rs
@@ -37,7 +37,7 @@
     let log: Arc<Mutex<EngineLog>> = Arc::default();
     let mut engines = Vec::new();
     for id in ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"] {
-        engines.push(Engine::start(id, ZONE, &spec, &store, record, &log).await);
+        engines.push(Engine::start(id, ZONE, &spec, &["m0"], &store, record, &log).await);
     }
     let mut edges = Vec::new();
     for name in ["edge-leinster-a-1", "edge-leinster-a-2", "edge-leinster-a-3"] {
