--- a/review/standins-2/src/adapter_memory.rs
+++ b/review/standins-2/src/adapter_memory.rs
@@ -75,11 +75,19 @@
     store.put("config", "main", &manifest(&spec));
     let log: Arc<Mutex<EngineLog>> = Arc::default();
     let mut engines = Vec::new();
-    for (id, zone) in [("i-1", "leinster-a"), ("i-2", "leinster-b"), ("i-3", "leinster-c")] {
+    for (id, zone) in [
+        ("i-1", "leinster-a"),
+        ("i-2", "leinster-b"),
+        ("i-3", "leinster-c"),
+    ] {
         engines.push(Engine::start(id, zone, &spec, &["m0"], &store, record, &log).await);
     }
     let mut edges = Vec::new();
-    for (name, zone) in [("edge-a-1", "leinster-a"), ("edge-b-1", "leinster-b"), ("edge-c-1", "leinster-c")] {
+    for (name, zone) in [
+        ("edge-a-1", "leinster-a"),
+        ("edge-b-1", "leinster-b"),
+        ("edge-c-1", "leinster-c"),
+    ] {
         edges.push(Edge::start(&setting.temp, &Machine::new(name, zone), store.address).await);
     }
     for edge in &edges {
@@ -90,22 +98,31 @@
     // Traffic starts 10 s after the machines do.
     sleep(Duration::from_secs(10)).await;
     let clients = Clients::new(record);
+    let frontends: Vec<_> = edges.iter().map(|edge| edge.frontend).collect();
     for tick in 0..300_usize {
         // The usual demand: six busy adapters.
         let usual = format!("m0/a{}", 1 + tick % 6);
-        clients.ask(edges[tick % edges.len()].frontend, "/check/", &usual);
+        clients.ask(&frontends, tick, "/check/", &usual);
         // From 8 s on, for 6 s, rare adapters are asked for at once: 2.5 times the usual requests.
-        let rare_count = if (80..140).contains(&tick) { 1 + tick % 2 } else { 0 };
+        let rare_count = if (80..140).contains(&tick) {
+            1 + tick % 2
+        } else {
+            0
+        };
         for place in 0..rare_count {
             if setting.has_trouble {
                 let rare = format!("m0/a{}", 1000 + 2 * tick + place);
-                clients.ask(edges[(tick + place + 1) % edges.len()].frontend, "/check/", &rare);
+                clients.ask(&frontends, tick + place + 1, "/check/", &rare);
             }
         }
         sleep(Duration::from_millis(100)).await;
     }
     sleep(Duration::from_secs(9)).await;
-    let counts = clients.counts.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let counts = clients
+        .counts
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
     let log = log.lock().unwrap_or_else(PoisonError::into_inner);
     record.say(&format!("clients: {counts:?}"));
     record.say(&format!(
@@ -119,5 +136,9 @@
     if counts.whole == 0 {
         return Verdict::CannotRun("no request was served".to_owned());
     }
-    if log.overloads.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if log.overloads.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/standins-2/src/edge.rs
+++ b/review/standins-2/src/edge.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
-use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
 use crate::http::exchange;
+use crate::ports::free_port;
 
 /// The program of `deploy/system.toml`, from the root of the repository.
 const PROGRAM: &str = "target/release/comfreychute-edge";
@@ -35,18 +35,23 @@
 impl<'a> Machine<'a> {
     /// Returns a machine with the usual address and bounds.
     pub fn new(name: &'a str, zone: &'a str) -> Self {
-        Self { name, zone, ip: [127, 0, 0, 1].into(), lease_ms: 3000 }
+        Self {
+            name,
+            zone,
+            ip: [127, 0, 0, 1].into(),
+            lease_ms: 3000,
+        }
     }
 }
 
-async fn free_port(ip: IpAddr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
-    listener.local_addr().expect("an address").port()
-}
-
 /// The settings of a small deployment, with the bounds of its sheet; `lease_ms` is one of them.
 fn settings_text(machine: &Machine<'_>, ports: [u16; 4], store: SocketAddr) -> String {
-    let Machine { name, zone, ip, lease_ms } = machine;
+    let Machine {
+        name,
+        zone,
+        ip,
+        lease_ms,
+    } = machine;
     let [frontend, readiness, peers, metrics] = ports;
     format!(
         r#"node_name = "{name}"
@@ -124,7 +129,12 @@
     /// Starts the process of a machine, with its settings in the folder `temp`.
     pub async fn start(temp: &Path, machine: &Machine<'_>, store: SocketAddr) -> Self {
         let (name, ip) = (machine.name, machine.ip);
-        let ports = [free_port(ip).await, free_port(ip).await, free_port(ip).await, free_port(ip).await];
+        let ports = [
+            free_port(ip).await,
+            free_port(ip).await,
+            free_port(ip).await,
+            free_port(ip).await,
+        ];
         let settings = temp.join(format!("{name}-{ip}.toml"));
         std::fs::write(&settings, settings_text(machine, ports, store)).expect("writable");
         let child = spawn(&settings, &temp.join(format!("{name}-{ip}.log")));
@@ -148,7 +158,10 @@
 
     pub async fn is_ready(&self) -> bool {
         let request = b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        exchange(self.readiness, request, Duration::from_secs(1)).await.status == 200
+        exchange(self.readiness, request, Duration::from_secs(1))
+            .await
+            .status
+            == 200
     }
 
     /// Waits until the process is ready; returns whether it is.
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::http::{Request, read_request, write_answer};
+use crate::ports::listen;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -44,7 +45,6 @@
     pub worker: String,
     pub holder: String,
     pub token: u64,
-    pub status: u16,
 }
 
 /// What all workers saw.
@@ -99,7 +99,7 @@
         record: &Record,
         log: &Arc<Mutex<EngineLog>>,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let listener = listen([127, 0, 0, 1].into()).await;
         let engine = Self {
             id: id.to_owned(),
             zone: zone.to_owned(),
@@ -134,9 +134,9 @@
         engine
     }
 
-    /// Writes the entry of the worker to the store, unless one of them is down.
+    /// Writes the entry of the worker to the store, unless it is down.
     fn beat(&self) {
-        if self.store.is_away() || !self.lock().is_up {
+        if !self.lock().is_up {
             return;
         }
         let mut entry = self.report();
@@ -156,7 +156,10 @@
             .models
             .iter()
             .map(|model| {
-                let held = state.adapters.iter().filter_map(|name| name.strip_prefix(model.as_str()));
+                let held = state
+                    .adapters
+                    .iter()
+                    .filter_map(|name| name.strip_prefix(model.as_str()));
                 let adapters: Vec<&str> = held.filter_map(|name| name.strip_prefix('/')).collect();
                 json!({"name": model, "version": 1, "adapters": adapters})
             })
@@ -177,7 +180,9 @@
             while let Ok((stream, _)) = listener.accept().await {
                 let serving = tokio::spawn(shared.clone().serve(stream));
                 let mut state = shared.lock();
-                state.connections.retain(|connection| !connection.is_finished());
+                state
+                    .connections
+                    .retain(|connection| !connection.is_finished());
                 state.connections.push(serving.abort_handle());
             }
         });
@@ -201,7 +206,13 @@
             let written = match request.path() {
                 "/api/report" => {
                     let body = self.report().to_string();
-                    write_answer(&mut stream, 200, "Content-Type: application/json\r\n", &body).await
+                    write_answer(
+                        &mut stream,
+                        200,
+                        "Content-Type: application/json\r\n",
+                        &body,
+                    )
+                    .await
                 }
                 "/api/order" => {
                     let status = self.take_order(&request);
@@ -221,7 +232,10 @@
 
     /// Runs a request: a stream of events.
     async fn run(&self, stream: &mut TcpStream, request: &Request) -> std::io::Result<()> {
-        let attempt = request.header("x-comfreychute-attempt-id").unwrap_or_default().to_owned();
+        let attempt = request
+            .header("x-comfreychute-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
         let echo = format!("X-Comfreychute-Attempt-Id: {attempt}\r\n");
         let refusal = format!("{echo}X-Comfreychute-Not-Executed: 1\r\n");
         if attempt.is_empty() {
@@ -241,17 +255,26 @@
         if self.lock().running.values().sum::<usize>() >= self.spec.slots {
             return write_answer(stream, 503, &refusal, "").await;
         }
-        self.record.line(&format!("{}: runs {attempt} ({model})", self.id));
+        self.record
+            .line(&format!("{}: runs {attempt} ({model})", self.id));
         self.log().runs += 1;
         *self.lock().running.entry(name.clone()).or_default() += 1;
-        let run = RunGuard { engine: self.clone(), name, attempt: attempt.clone(), is_done: false };
+        let run = RunGuard {
+            engine: self.clone(),
+            name,
+            attempt: attempt.clone(),
+            is_done: false,
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{echo}X-Comfreychute-Response-Signature: s.{attempt}\r\n\
              X-Comfreychute-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await?;
-        let first: u32 = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let first: u32 = request
+            .header("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
         for id in first + 1..=self.spec.pieces {
             let event = format!("id: {id}\ndata: {attempt} {id}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
@@ -276,9 +299,14 @@
         let holder = order["holder"].as_str().unwrap_or_default().to_owned();
         let token = order["fencing_token"].as_u64().unwrap_or_default();
         let status = self.carry_out(&order);
-        self.record.line(&format!("{}: order {order} -> {status}", self.id));
-        let seen =
-            SeenOrder { at: self.record.now(), worker: self.id.clone(), holder, token, status };
+        self.record
+            .line(&format!("{}: order {order} -> {status}", self.id));
+        let seen = SeenOrder {
+            at: self.record.now(),
+            worker: self.id.clone(),
+            holder,
+            token,
+        };
         self.log().orders.push(seen);
         status
     }
@@ -319,7 +347,11 @@
         }
         let prefix = format!("{}/{adapter}@", model.name);
         if !is_load {
-            let held = state.adapters.iter().find(|held| held.starts_with(&prefix)).cloned();
+            let held = state
+                .adapters
+                .iter()
+                .find(|held| held.starts_with(&prefix))
+                .cloned();
             let Some(held) = held else {
                 return 200;
             };
@@ -370,8 +402,13 @@
             "{count} adapters of {} places, {megabytes} MB of {} MB",
             self.spec.adapter_slots, self.spec.weights_mb
         );
-        self.record.say(&format!("{}: ordered to load more than it holds ({reason})", self.id));
-        self.log().overloads.push((self.record.now(), self.id.clone(), reason));
+        self.record.say(&format!(
+            "{}: ordered to load more than it holds ({reason})",
+            self.id
+        ));
+        self.log()
+            .overloads
+            .push((self.record.now(), self.id.clone(), reason));
         self.crash(Duration::from_secs(3));
         Some(202)
     }
@@ -412,7 +449,9 @@
         let engine = self.clone();
         tokio::spawn(async move {
             sleep(away_time).await;
-            let listener = TcpListener::bind(engine.address).await.expect("the port stays free");
+            let listener = TcpListener::bind(engine.address)
+                .await
+                .expect("the port stays free");
             {
                 let mut state = engine.lock();
                 state.born = unix_millis();
@@ -461,6 +500,8 @@
 }
 
 fn unix_millis() -> u64 {
-    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(time.as_millis()).unwrap_or(0)
 }
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -16,13 +16,18 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
     pub fn query(&self, name: &str) -> Option<String> {
         let (_, query) = self.target.split_once('?')?;
-        let pair = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        let pair = query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
         pair.map(str::to_owned)
     }
 
@@ -40,7 +45,12 @@
     let mut first = lines.next()?.split(' ');
     let (method, target) = (first.next()?.to_owned(), first.next()?.to_owned());
     let headers = to_headers(lines);
-    let mut request = Request { method, target, headers, body: Vec::new() };
+    let mut request = Request {
+        method,
+        target,
+        headers,
+        body: Vec::new(),
+    };
     request.body = read_body(stream, buffer, &request.headers).await?;
     Some(request)
 }
@@ -58,7 +68,9 @@
 
 pub fn to_headers<'a>(lines: impl Iterator<Item = &'a str>) -> Vec<(String, String)> {
     let pairs = lines.filter_map(|line| line.split_once(':'));
-    pairs.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned())).collect()
+    pairs
+        .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
+        .collect()
 }
 
 pub async fn read_body(
@@ -67,7 +79,9 @@
     headers: &[(String, String)],
 ) -> Option<Vec<u8>> {
     let find = |name: &str| {
-        let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.to_ascii_lowercase())
     };
     if find("transfer-encoding").is_some_and(|value| value.contains("chunked")) {
@@ -95,7 +109,9 @@
             }
         }
     }
-    let length: usize = find("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+    let length: usize = find("content-length")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
     while buffer.len() < length {
         if stream.read_buf(buffer).await.ok()? == 0 {
             return None;
@@ -128,15 +144,30 @@
 }
 
 impl Answer {
+    pub fn is_whole_success(&self) -> bool {
+        self.status == 200 && self.is_whole
+    }
+
+    /// Returns the time after which the client may come back.
+    pub fn retry_after(&self) -> Option<Duration> {
+        let seconds: f64 = self.header("retry-after")?.parse().ok()?;
+        Duration::try_from_secs_f64(seconds).ok()
+    }
+
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 }
 
 /// Sends one request on a connection of its own and reads the answer; the status is zero if none came.
 pub async fn exchange(address: std::net::SocketAddr, request: &[u8], limit: Duration) -> Answer {
-    timeout(limit, exchange_now(address, request)).await.unwrap_or_default()
+    timeout(limit, exchange_now(address, request))
+        .await
+        .unwrap_or_default()
 }
 
 async fn exchange_now(address: std::net::SocketAddr, request: &[u8]) -> Answer {
@@ -153,7 +184,10 @@
     let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
     buffer.drain(..end);
     let mut lines = head.split("\r\n");
-    let status = lines.next().and_then(|line| line.split(' ').nth(1)?.parse().ok()).unwrap_or(0);
+    let status = lines
+        .next()
+        .and_then(|line| line.split(' ').nth(1)?.parse().ok())
+        .unwrap_or(0);
     let headers = to_headers(lines);
     let body = read_body(&mut stream, &mut buffer, &headers).await;
     Answer {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,7 +10,9 @@
 mod http;
 mod lost_models;
 mod orders;
+mod ports;
 mod record;
+mod slow_loads;
 mod store;
 mod takeover;
 
@@ -18,6 +20,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use tokio::signal::unix::{SignalKind, signal};
+
 use crate::record::Record;
 use crate::takeover::Plan;
 
@@ -49,21 +53,20 @@
     let setting = Setting {
         record: Record::create(&Path::new(&folder).join("record.txt")),
         temp: temp.clone(),
-        has_trouble: std::env::var("TROUBLE").is_ok_and(|it| it != "0") || std::env::var("TROUBLE").is_err(),
+        has_trouble: std::env::var("TROUBLE").map_or(true, |it| it != "0"),
     };
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
     let verdict = runtime.expect("a runtime").block_on(async {
-        match case.as_str() {
-            "adapter-memory" => adapter_memory::play(&setting).await,
-            "lost-models" => lost_models::play(&setting).await,
-            "same-name" => {
-                let replaced_after = Some(Duration::from_secs(1));
-                takeover::play(&setting, Plan { lease_ms: 3000, replaced_after }).await
-            }
-            "lease-bound" => {
-                takeover::play(&setting, Plan { lease_ms: 6000, replaced_after: None }).await
-            }
-            _ => Verdict::CannotRun(format!("no case {case}")),
+        let mut terminate = signal(SignalKind::terminate()).expect("a signal handler");
+        let mut interrupt = signal(SignalKind::interrupt()).expect("a signal handler");
+        // What is dropped ends the processes that it has started.
+        tokio::select! {
+            verdict = play(&case, &setting) => verdict,
+            _ = terminate.recv() => Verdict::CannotRun("stopped".to_owned()),
+            _ = interrupt.recv() => Verdict::CannotRun("stopped".to_owned()),
         }
     });
     if let Some(keep) = std::env::var_os("KEEP_LOGS") {
@@ -82,8 +85,40 @@
             ExitCode::SUCCESS
         }
         Verdict::CannotRun(reason) => {
-            setting.record.say(&format!("the case couldn't run: {reason}"));
+            setting
+                .record
+                .say(&format!("the case couldn't run: {reason}"));
             ExitCode::from(2)
         }
     }
 }
+
+async fn play(case: &str, setting: &Setting) -> Verdict {
+    match case {
+        "adapter-memory" => adapter_memory::play(setting).await,
+        "lost-models" => lost_models::play(setting).await,
+        "slow-loads" => slow_loads::play(setting).await,
+        "same-name" => {
+            let replaced_after = Some(Duration::from_secs(1));
+            takeover::play(
+                setting,
+                Plan {
+                    lease_ms: 3000,
+                    replaced_after,
+                },
+            )
+            .await
+        }
+        "lease-bound" => {
+            takeover::play(
+                setting,
+                Plan {
+                    lease_ms: 6000,
+                    replaced_after: None,
+                },
+            )
+            .await
+        }
+        _ => Verdict::CannotRun(format!("no case {case}")),
+    }
+}
--- a/review/standins-2/src/orders.rs
+++ b/review/standins-2/src/orders.rs
@@ -16,7 +16,9 @@
     let mut last: BTreeMap<&str, &SeenOrder> = BTreeMap::new();
     let mut holders: BTreeMap<(&str, u64), &str> = BTreeMap::new();
     for order in orders.iter().filter(|order| !is_excused(order)) {
-        let holder = *holders.entry((&order.worker, order.token)).or_insert(&order.holder);
+        let holder = *holders
+            .entry((&order.worker, order.token))
+            .or_insert(&order.holder);
         if holder != order.holder {
             faults.push(format!(
                 "{:.3} {}: {} and {} have the epoch number {}",
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -15,7 +15,9 @@
 impl Record {
     pub fn create(path: &Path) -> Self {
         Self {
-            file: Arc::new(Mutex::new(File::create(path).expect("the record can be written"))),
+            file: Arc::new(Mutex::new(
+                File::create(path).expect("the record can be written"),
+            )),
             start: Instant::now(),
         }
     }
@@ -28,7 +30,8 @@
     pub fn line(&self, text: &str) {
         let line = format!("{:9.3} {text}\n", self.now());
         let mut file = self.file.lock().unwrap_or_else(PoisonError::into_inner);
-        file.write_all(line.as_bytes()).expect("the record can be written");
+        file.write_all(line.as_bytes())
+            .expect("the record can be written");
     }
 
     /// Writes a line to the record and to standard output.
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -2,17 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::http::{Request, read_request, write_answer};
+use crate::ports::listen;
 use crate::record::Record;
 
 type Key = (String, String);
@@ -35,8 +34,6 @@
 #[derive(Debug, Default)]
 struct StoreState {
     content: StoreCopy,
-    era: u64,
-    connections: Vec<AbortHandle>,
 }
 
 #[derive(Debug, Clone)]
@@ -44,7 +41,6 @@
     pub address: SocketAddr,
     state: Arc<Mutex<StoreState>>,
     changed: watch::Sender<u64>,
-    is_away: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -55,12 +51,11 @@
 
 impl Store {
     pub async fn start(record: &Record) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let listener = listen([127, 0, 0, 1].into()).await;
         let store = Self {
             address: listener.local_addr().expect("an address"),
             state: Arc::default(),
             changed: watch::channel(0).0,
-            is_away: Arc::default(),
             record: record.clone(),
         };
         // The revision starts above zero.
@@ -68,12 +63,7 @@
         let shared = store.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if shared.is_away.load(Ordering::Acquire) {
-                    let _reset = stream.set_zero_linger();
-                    continue;
-                }
-                let serving = tokio::spawn(shared.clone().serve(stream));
-                shared.lock().connections.push(serving.abort_handle());
+                tokio::spawn(shared.clone().serve(stream));
             }
         });
         store
@@ -102,33 +92,11 @@
 
     pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
         let key = (kind.to_owned(), name.to_owned());
-        self.lock().content.objects.get(&key).map(|object| object.spec.clone())
-    }
-
-    pub fn is_away(&self) -> bool {
-        self.is_away.load(Ordering::Acquire)
-    }
-
-    pub fn copy(&self) -> StoreCopy {
-        self.lock().content.clone()
-    }
-
-    /// Makes the store go away: connections are reset until it comes back.
-    pub fn go_away(&self) {
-        self.is_away.store(true, Ordering::Release);
-        for connection in std::mem::take(&mut self.lock().connections) {
-            connection.abort();
-        }
-    }
-
-    /// Comes back from a copy, in a new era.
-    pub fn come_back(&self, copy: StoreCopy) {
-        let mut state = self.lock();
-        state.content = copy;
-        state.era += 1;
-        drop(state);
-        self.is_away.store(false, Ordering::Release);
-        self.changed.send_modify(|count| *count += 1);
+        self.lock()
+            .content
+            .objects
+            .get(&key)
+            .map(|object| object.spec.clone())
     }
 
     async fn serve(self, mut stream: TcpStream) {
@@ -137,16 +105,18 @@
         while let Some(request) = read_request(&mut stream, &mut buffer).await {
             sleep(ANSWER_TIME).await;
             let (status, body) = self.answer(&request).await;
-            let era = self.lock().era;
             if request.target.contains("/comfreychute-owners") {
                 let text = String::from_utf8_lossy(&request.body).into_owned();
                 self.record.line(&format!(
-                    "store: {} {} {text} -> {status} {body} (era {era})",
+                    "store: {} {} {text} -> {status} {body}",
                     request.method, request.target
                 ));
             }
-            let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
-            if write_answer(&mut stream, status, &headers, &body.to_string()).await.is_err() {
+            let headers = "Content-Type: application/json\r\nStore-Era: 0\r\n";
+            if write_answer(&mut stream, status, headers, &body.to_string())
+                .await
+                .is_err()
+            {
                 return;
             }
         }
@@ -162,19 +132,27 @@
             ("GET", [kind]) => match request.query("watch").and_then(|text| text.parse().ok()) {
                 Some(after) => {
                     let wait = request.query("wait_ms").and_then(|text| text.parse().ok());
-                    self.watch(kind, after, Duration::from_millis(wait.unwrap_or(0))).await
+                    self.watch(kind, after, Duration::from_millis(wait.unwrap_or(0)))
+                        .await
                 }
                 None => (200, self.list(kind, request.query("after"))),
             },
             ("GET", [kind, name]) => {
                 let state = self.lock();
-                match state.content.objects.get(&((*kind).to_owned(), (*name).to_owned())) {
+                match state
+                    .content
+                    .objects
+                    .get(&((*kind).to_owned(), (*name).to_owned()))
+                {
                     Some(object) => (200, object.to_wire(name)),
                     None => (404, json!({})),
                 }
             }
             ("POST", [kind]) => {
-                let name = body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
+                let name = body["metadata"]["name"]
+                    .as_str()
+                    .unwrap_or_default()
+                    .to_owned();
                 self.write(kind, &name, &body["spec"], None, true)
             }
             ("PUT", [kind, name]) => self.write(kind, name, &body["spec"], expected, false),
@@ -250,7 +228,9 @@
                     let events = state.content.events.iter();
                     let events: Vec<Value> = events
                         .filter(|(revision, known, _, _)| known == kind && *revision > after)
-                        .map(|(_, _, object, deleted)| json!({"object": object, "deleted": deleted}))
+                        .map(
+                            |(_, _, object, deleted)| json!({"object": object, "deleted": deleted}),
+                        )
                         .collect();
                     if !events.is_empty() {
                         return (200, events);
@@ -276,9 +256,17 @@
     fn write(&mut self, key: Key, spec: Value) {
         self.revision += 1;
         let revision = self.revision;
-        let created = self.objects.get(&key).map_or(revision, |known| known.created);
-        let object = StoredObject { revision, created, spec };
-        self.events.push((revision, key.0.clone(), object.to_wire(&key.1), false));
+        let created = self
+            .objects
+            .get(&key)
+            .map_or(revision, |known| known.created);
+        let object = StoredObject {
+            revision,
+            created,
+            spec,
+        };
+        self.events
+            .push((revision, key.0.clone(), object.to_wire(&key.1), false));
         self.objects.insert(key, object);
     }
 
@@ -305,7 +293,9 @@
     let mut bytes = Vec::new();
     let mut rest = text.as_bytes();
     while let Some((first, tail)) = rest.split_first() {
-        let code = tail.get(..2).and_then(|code| std::str::from_utf8(code).ok());
+        let code = tail
+            .get(..2)
+            .and_then(|code| std::str::from_utf8(code).ok());
         match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
             Some(byte) if *first == b'%' => {
                 bytes.push(byte);
--- a/review/standins-2/src/takeover.rs
+++ b/review/standins-2/src/takeover.rs
@@ -40,8 +40,15 @@
         engines.push(Engine::start(id, ZONE, &spec, &["m0"], &store, record, &log).await);
     }
     let mut edges = Vec::new();
-    for name in ["edge-leinster-a-1", "edge-leinster-a-2", "edge-leinster-a-3"] {
-        let machine = Machine { lease_ms: plan.lease_ms, ..Machine::new(name, ZONE) };
+    for name in [
+        "edge-leinster-a-1",
+        "edge-leinster-a-2",
+        "edge-leinster-a-3",
+    ] {
+        let machine = Machine {
+            lease_ms: plan.lease_ms,
+            ..Machine::new(name, ZONE)
+        };
         edges.push(Edge::start(&setting.temp, &machine, store.address).await);
     }
     for edge in &edges {
@@ -58,8 +65,16 @@
     let load = tokio::spawn(async move {
         // Demand moves to other adapters all the time, so that there is always one to load.
         for number in 0_usize.. {
-            let known = targets.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            asking.ask(known[number % known.len()], "/check/", &format!("m0/a{}", number % 2000 + 1));
+            let known = targets
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone();
+            asking.ask(
+                &known,
+                number,
+                "/check/",
+                &format!("m0/a{}", number % 2000 + 1),
+            );
             sleep(Duration::from_millis(100)).await;
         }
     });
@@ -74,13 +89,19 @@
             return Verdict::CannotRun(format!("{former} is no machine"));
         };
         edges.remove(lost).kill();
-        record.say(&format!("{former}, which gives the orders, is gone for good"));
+        record.say(&format!(
+            "{former}, which gives the orders, is gone for good"
+        ));
         *frontends.lock().unwrap_or_else(PoisonError::into_inner) =
             edges.iter().map(|edge| edge.frontend).collect();
         if let Some(pause) = plan.replaced_after {
             sleep(pause).await;
             let ip = [127, 0, 0, 2].into();
-            let machine = Machine { ip, lease_ms: plan.lease_ms, ..Machine::new(&former, ZONE) };
+            let machine = Machine {
+                ip,
+                lease_ms: plan.lease_ms,
+                ..Machine::new(&former, ZONE)
+            };
             replaced = Some((former.clone(), record.now()));
             record.say(&format!("a new machine {former} starts at {ip}"));
             edges.push(Edge::start(&setting.temp, &machine, store.address).await);
@@ -89,9 +110,17 @@
     sleep(Duration::from_secs(12)).await;
     load.abort();
     sleep(Duration::from_secs(1)).await;
-    let counts = clients.counts.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let counts = clients
+        .counts
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
     record.say(&format!("clients: {counts:?}"));
-    let mut orders = log.lock().unwrap_or_else(PoisonError::into_inner).orders.clone();
+    let mut orders = log
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .orders
+        .clone();
     if let Some((name, from)) = &replaced {
         let by_new = |order: &&mut SeenOrder| order.holder == *name && order.at >= *from;
         for order in orders.iter_mut().filter(by_new) {
@@ -108,5 +137,9 @@
     if orders.is_empty() {
         return Verdict::CannotRun("no order was given".to_owned());
     }
-    if faults.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if faults.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
