Limit what callers take by what the process has allocated in all

Streams and bodies beside the state of a fleet took a process to 77,324 kB on a machine of 49,152 kB (69,352 kB with the settings of the allocator). The budget of callers was a third of the machine's memory whatever the process held besides: incomplete events of streams, up to 512 KiB each, were not charged at all, and 27 to 33 MB of 40 MB allocated were outside of the budget (read from the new metric during the crowd).

The buffer of an incomplete event is charged by its capacity; while memory is short, long events are passed on in pieces, so that a caller that doesn't read them counts as unread and can be shed. A piece no longer keeps the buffer in which it arrived. Memory of connections that are being closed counts as free: one unread answer is closed for a small request, not all of them.

Ruled out: the kernel's buffers (not in the resident memory) and unread answers (charged, 20 to 50 kB).

The new tests of the budget and the splitter use functions that the code before does not have, so that they were not run on it.

--- a/src/forward/head_timeout_stream.rs
+++ b/src/forward/head_timeout_stream.rs
@@ -64,6 +64,12 @@
         self.phase.grant.add_answer(bytes);
     }
 
+    /// Charges the bytes of an incomplete event. Returns whether memory is short, so that it has to be
+    /// passed on in pieces.
+    pub(super) fn set_event(&self, bytes: usize) -> bool {
+        self.phase.grant.set_event(bytes)
+    }
+
     /// Resets the connection at its end instead of closing it in order, which would complete the
     /// response for the caller.
     pub(super) fn reset_connection(&self) {
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -36,6 +36,10 @@
     Resuming(ResumeFuture, Option<ConnectionBody>),
 }
 
+/// Minimum number of bytes of an incomplete event that is passed on while memory is short. Ordinary events
+/// are shorter, so that their streams can still be resumed.
+const MIN_SPLIT: usize = 4096;
+
 /// Interval at which streams are checked for a stall; cheaper than resetting a timer at each event.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -62,6 +66,26 @@
         }
     }
 
+    /// Returns the bytes that are allocated for an incomplete event.
+    pub(super) fn allocated_bytes(&self) -> usize {
+        self.splitter.allocated_bytes()
+    }
+
+    /// Takes what is held back of a long incomplete event, which is passed on in pieces from now on. The
+    /// stream is no longer resumed then.
+    ///
+    /// Returns `None` if the event is short, or if the stream is being resumed at another upstream, which
+    /// sends the event again.
+    pub(super) fn release_event(&mut self) -> Option<Bytes> {
+        let is_short = self.splitter.partial_bytes() < MIN_SPLIT;
+        if is_short || matches!(self.source, RelaySource::Resuming(..)) {
+            return None;
+        }
+        let event = self.splitter.release_event();
+        self.hooks.resume = None;
+        Some(event)
+    }
+
     /// Starts to resume a broken stream.
     ///
     /// # Errors
--- a/src/forward/stream_splitter.rs
+++ b/src/forward/stream_splitter.rs
@@ -79,6 +79,12 @@
         self.partial.len()
     }
 
+    /// Returns the number of bytes that are allocated for an incomplete event.
+    #[must_use]
+    pub fn allocated_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Returns the id of the last complete event.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
@@ -96,13 +102,21 @@
         if self.partial.len() <= Self::MAX_EVENT {
             return Bytes::new();
         }
+        self.release_event()
+    }
+
+    /// Takes the buffered bytes of an incomplete event, which is passed on in pieces from now on, and frees
+    /// the buffer, which may be twice as large.
+    pub fn release_event(&mut self) -> Bytes {
         self.has_split_event = true;
         self.has_open_event = true;
         // A line end stays buffered, because an empty line after it ends the event.
         let is_line_end = |byte: &&u8| matches!(byte, b'\n' | b'\r');
         let line_ends = self.partial.iter().rev().take(3).take_while(is_line_end);
         let passed = self.partial.len() - line_ends.count();
-        self.partial.split_to(passed).freeze()
+        let piece = Bytes::copy_from_slice(&self.partial[..passed]);
+        self.partial = BytesMut::from(&self.partial[passed..]);
+        piece
     }
 
     fn record_complete(&mut self, complete: &[u8]) {
--- a/src/forward/tracked_body.rs
+++ b/src/forward/tracked_body.rs
@@ -40,7 +40,17 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let this = self.get_mut();
-        let polled = Pin::new(&mut this.body).poll_frame(cx);
+        let mut polled = Pin::new(&mut this.body).poll_frame(cx);
+        if let ReplyBody::Stream(stream) = &mut this.body
+            && this.token.set_event(stream.allocated_bytes())
+            && polled.is_pending()
+        {
+            // The pieces are charged as an answer, so that a caller that doesn't read them can be shed.
+            if let Some(event) = stream.release_event() {
+                let _is_short = this.token.set_event(stream.allocated_bytes());
+                polled = Poll::Ready(Some(Ok(Frame::data(event))));
+            }
+        }
         if let Poll::Ready(Some(Ok(frame))) = &polled {
             this.token
                 .add_answer(frame.data_ref().map_or(0, Bytes::len));
--- a/src/memory/held_state.rs
+++ b/src/memory/held_state.rs
@@ -16,6 +16,8 @@
     pub(super) head: usize,
     /// Bytes of the answer that the kernel has not taken yet.
     pub(super) answer: usize,
+    /// Bytes of an event that is not complete yet.
+    pub(super) event: usize,
     /// The body that is on its way. It is kept here, so that its memory is free as soon as it is shed.
     pub(super) body: BytesMut,
     /// Whether the body was shed.
@@ -34,6 +36,7 @@
             moved_at,
             head: 0,
             answer: 0,
+            event: 0,
             body: BytesMut::new(),
             is_shed: false,
             shed: CancellationToken::new(),
@@ -43,7 +46,7 @@
 
     /// Returns the bytes that are charged.
     pub(super) fn bytes(&self) -> usize {
-        self.head + self.answer + self.body.capacity()
+        self.head + self.answer + self.event + self.body.capacity()
     }
 
     /// Returns whether the body or the connection was shed, so that the request must not run.
--- a/src/memory/memory_budget.rs
+++ b/src/memory/memory_budget.rs
@@ -5,15 +5,19 @@
 use bytes::BytesMut;
 use tokio::sync::Notify;
 
+use super::memory_limits::CONNECTION_BYTES;
 use super::{HeldState, MemoryGrant, MemoryLimits};
 use crate::policy::{choose_connection_shed, choose_memory_shed};
 use crate::telemetry::{LogEvent, LogName, MetricName, MetricSink};
 use crate::time::ClockSource;
 
+/// Returns the number of bytes that the process has allocated, for callers and for everything else.
+pub type AllocatedBytes = Box<dyn Fn() -> usize + Send + Sync>;
+
 /// The memory and the connections that the callers of a process may take together.
-#[derive(Debug)]
 pub struct MemoryBudget {
     limits: MemoryLimits,
+    allocated: AllocatedBytes,
     clock: ClockSource,
     metrics: MetricSink,
     state: Mutex<BudgetState>,
@@ -32,9 +36,15 @@
 impl MemoryBudget {
     /// Creates a budget of which nothing is used.
     #[must_use]
-    pub fn new(limits: MemoryLimits, clock: ClockSource, metrics: MetricSink) -> Arc<Self> {
+    pub fn new(
+        limits: MemoryLimits,
+        allocated: AllocatedBytes,
+        clock: ClockSource,
+        metrics: MetricSink,
+    ) -> Arc<Self> {
         Arc::new(Self {
             limits,
+            allocated,
             clock,
             metrics,
             state: Mutex::default(),
@@ -48,6 +58,12 @@
         self.lock().used
     }
 
+    /// Returns the bytes that the process has allocated.
+    #[must_use]
+    pub fn allocated_bytes(&self) -> usize {
+        (self.allocated)()
+    }
+
     /// Admits a new connection. If too many are open, one that isn't being served is closed first, and
     /// `None` is returned if there is none.
     pub async fn admit(self: &Arc<Self>) -> Option<MemoryGrant> {
@@ -96,11 +112,7 @@
     /// A single body of the largest size is let in whatever the limit, because a request inside the limits
     /// has to be served in calm.
     pub(super) fn charge(&self, state: &mut BudgetState, id: u64, bytes: usize) -> bool {
-        while state.used.saturating_add(bytes) > self.limits.bytes {
-            let own = state.holders.get(&id).map_or(0, HeldState::bytes);
-            if state.used == own {
-                break;
-            }
+        while !self.covers(state, id, bytes) {
             // What was shed before needs a moment to end.
             let holders = state.holders.iter().filter(|(_, held)| !held.is_ended());
             let holders = holders.map(|(id, held)| (*id, held.holder()));
@@ -116,6 +128,23 @@
         true
     }
 
+    /// Returns whether further `bytes` of the holder `id` are within the limits.
+    fn covers(&self, state: &BudgetState, id: u64, bytes: usize) -> bool {
+        let own = state.holders.get(&id).map_or(0, HeldState::bytes);
+        let wanted = own.saturating_add(bytes);
+        let is_covered = |returning: usize| {
+            let others = state.used.saturating_sub(own + returning);
+            let allocated = self.allocated_bytes().saturating_sub(returning);
+            let is_within = others.saturating_add(wanted) <= self.limits.bytes;
+            let is_small = wanted <= CONNECTION_BYTES;
+            let is_allocatable =
+                is_small || allocated.saturating_add(bytes) <= self.limits.process_bytes;
+            others == 0 || is_within && is_allocatable
+        };
+        // The memory of closed connections is free as soon as their tasks have run.
+        is_covered(0) || is_covered(state.returning_bytes(id))
+    }
+
     pub(super) fn now(&self) -> Duration {
         self.clock.now()
     }
@@ -133,7 +162,23 @@
     }
 }
 
+impl std::fmt::Debug for MemoryBudget {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("MemoryBudget")
+            .field("limits", &self.limits)
+            .field("state", &self.state)
+            .finish_non_exhaustive()
+    }
+}
+
 impl BudgetState {
+    /// Returns the charges of the connections that are being closed, other than `id`.
+    fn returning_bytes(&self, id: u64) -> usize {
+        let others = self.holders.iter().filter(|(known, _)| **known != id);
+        let closing = others.filter(|(_, held)| held.close.is_cancelled());
+        closing.map(|(_, held)| held.bytes()).sum()
+    }
+
     /// Takes the unfinished body of a connection, or closes the connection if it has none.
     pub(super) fn shed(&mut self, id: u64) -> BytesMut {
         let Some(held) = self.holders.get_mut(&id) else {
--- a/src/memory/memory_grant.rs
+++ b/src/memory/memory_grant.rs
@@ -41,6 +41,12 @@
         self.close.cancelled().await;
     }
 
+    /// Returns whether the connection has to be closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.close.is_cancelled()
+    }
+
     /// Waits until the unfinished body has been shed.
     pub async fn shed(&self) {
         self.shed.cancelled().await;
@@ -162,6 +168,30 @@
         state.used -= returned;
     }
 
+    /// Charges the incomplete event of a stream with `bytes` in place of what it had before, also beyond
+    /// the limit. Returns whether memory is short, so that the event has to be passed on in pieces.
+    #[must_use]
+    pub fn set_event(&self, bytes: usize) -> bool {
+        let mut state = self.budget.lock();
+        let Some(held) = state.holders.get(&self.id) else {
+            return false;
+        };
+        let former = held.event;
+        if bytes == former {
+            return false;
+        }
+        let is_covered = bytes < former || self.budget.charge(&mut state, self.id, bytes - former);
+        if bytes < former {
+            state.used -= former - bytes;
+        } else if !is_covered {
+            state.used += bytes - former;
+        }
+        if let Some(held) = state.holders.get_mut(&self.id) {
+            held.event = bytes;
+        }
+        !is_covered
+    }
+
     /// Records that the caller doesn't read its answer at present.
     pub fn record_blocked(&self) {
         let mut state = self.budget.lock();
@@ -181,7 +211,7 @@
             if held.phase != HolderPhase::Blocked {
                 held.phase = HolderPhase::Idle;
             }
-            returned = std::mem::take(&mut held.head);
+            returned = std::mem::take(&mut held.head) + std::mem::take(&mut held.event);
         });
         state.used -= returned;
     }
--- a/src/memory/memory_limits.rs
+++ b/src/memory/memory_limits.rs
@@ -3,6 +3,9 @@
 pub struct MemoryLimits {
     /// Maximum number of bytes for heads, bodies and unread answers.
     pub bytes: usize,
+    /// Number of bytes that the whole process has allocated from which no connection gets more than
+    /// 64 KiB.
+    pub process_bytes: usize,
     /// Maximum number of open connections.
     pub connections: usize,
     /// Number of connections to upstreams from which no further ones are kept idle.
@@ -13,12 +16,16 @@
 /// of the fleet, the buffers of connections and the unused parts of the allocator's pages.
 const MEMORY_DIVISOR: usize = 3;
 
+/// Part of the machine's memory that the process may allocate before callers get no more. The rest is for
+/// the program itself, the unused parts of the allocator's pages, and [`CONNECTION_BYTES`] of each connection.
+const PROCESS_DIVISOR: usize = 2;
+
 /// Part of the machine's memory that the fixed buffers of connections may take.
 const CONNECTION_DIVISOR: usize = 4;
 
 /// Bytes that a connection of a caller may take besides what is charged: its task, its socket buffers in
-/// this process, and the read buffer of its upstream's connection.
-const CONNECTION_BYTES: usize = 64 * 1024;
+/// this process, and the read buffer of its upstream's connection. An ordinary request is smaller too.
+pub(super) const CONNECTION_BYTES: usize = 64 * 1024;
 
 /// Descriptors that the pages of the users' platform reserve for files.
 const FILE_DESCRIPTORS: usize = 200;
@@ -36,6 +43,7 @@
     pub const fn unlimited() -> Self {
         Self {
             bytes: usize::MAX,
+            process_bytes: usize::MAX,
             connections: usize::MAX,
             upstream_connections: usize::MAX,
         }
@@ -54,6 +62,7 @@
         });
         Self {
             bytes,
+            process_bytes: memory.map_or(usize::MAX, |memory| memory / PROCESS_DIVISOR),
             connections: by_memory.min(by_descriptors).max(MIN_CONNECTIONS),
             upstream_connections: by_descriptors,
         }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -12,6 +12,6 @@
 
 use body_owner::BodyOwner;
 use held_state::HeldState;
-pub use memory_budget::MemoryBudget;
+pub use memory_budget::{AllocatedBytes, MemoryBudget};
 pub use memory_grant::{MemoryGrant, ShedError};
 pub use memory_limits::MemoryLimits;
--- a/src/telemetry/metric_name.rs
+++ b/src/telemetry/metric_name.rs
@@ -37,6 +37,8 @@
     CallersShed,
     /// Bytes of callers' heads, bodies and unread answers in memory.
     CallerBytes,
+    /// Bytes that the process has allocated.
+    AllocatedBytes,
     /// Requests refused because they exceed the allowance of their workspace, with the workspace as
     /// pool.
     AllowanceRefusals,
@@ -60,7 +62,7 @@
 
 impl MetricName {
     /// All names, in declaration order.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::Requests,
         Self::LoadStalls,
         Self::QueueWait,
@@ -76,6 +78,7 @@
         Self::Refusals,
         Self::CallersShed,
         Self::CallerBytes,
+        Self::AllocatedBytes,
         Self::AllowanceRefusals,
         Self::RefusedParts,
         Self::Retries,
@@ -106,6 +109,7 @@
             Self::Refusals => "refusals",
             Self::CallersShed => "callers_shed",
             Self::CallerBytes => "caller_bytes",
+            Self::AllocatedBytes => "allocated_bytes",
             Self::AllowanceRefusals => "allowance_refusals",
             Self::RefusedParts => "refused_parts",
             Self::Retries => "retries",
--- a/tests/forward/splitter.rs
+++ b/tests/forward/splitter.rs
@@ -112,3 +112,24 @@
         prop_assert_eq!(passed, whole);
     }
 }
+
+/// Guards against a long event whose buffer stays allocated after its bytes were passed on, and against an
+/// end of the event that is missed because it arrives in two parts.
+#[test]
+fn released_event_frees_its_buffer_and_goes_on_in_pieces() {
+    let mut splitter = StreamSplitter::new();
+    let start = format!("id: 7\ndata: {}\n", "x".repeat(100_000)).into_bytes();
+    assert!(splitter.push(Bytes::from(start.clone())).is_empty());
+
+    let mut passed = splitter.release_event().to_vec();
+
+    assert!(splitter.has_split_event());
+    assert!(
+        splitter.allocated_bytes() < 100,
+        "{} bytes",
+        splitter.allocated_bytes()
+    );
+    passed.extend_from_slice(&splitter.push(Bytes::from_static(b"\n")));
+    assert_eq!(passed, [start.as_slice(), b"\n"].concat());
+    assert!(!splitter.is_within_event());
+}
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreychute::memory::{MemoryBudget, MemoryGrant, MemoryLimits};
+use comfreychute::memory::{AllocatedBytes, MemoryBudget, MemoryGrant, MemoryLimits};
 use comfreychute::policy::{
     HolderPhase, MemoryHolder, STALL_TIME, choose_connection_shed, choose_memory_shed,
 };
@@ -27,16 +27,32 @@
 }
 
 fn budget(connections: usize) -> (Arc<MemoryBudget>, ClockSource) {
-    let clock = ClockSource::virtual_time();
     let limits = MemoryLimits {
         bytes: LIMIT,
+        process_bytes: usize::MAX,
         connections,
         upstream_connections: usize::MAX,
     };
-    let budget = MemoryBudget::new(limits, clock.clone(), MetricSink::in_memory());
+    budget_of(limits, Box::new(|| 0))
+}
+
+fn budget_of(limits: MemoryLimits, allocated: AllocatedBytes) -> (Arc<MemoryBudget>, ClockSource) {
+    let clock = ClockSource::virtual_time();
+    let budget = MemoryBudget::new(limits, allocated, clock.clone(), MetricSink::in_memory());
     (budget, clock)
 }
 
+/// A budget whose limits are the process's, of which everything but callers takes `others` bytes.
+fn budget_beside(others: usize) -> (Arc<MemoryBudget>, ClockSource) {
+    let limits = MemoryLimits {
+        bytes: usize::MAX,
+        process_bytes: LIMIT,
+        connections: 10,
+        upstream_connections: usize::MAX,
+    };
+    budget_of(limits, Box::new(move || others))
+}
+
 async fn admit(budget: &Arc<MemoryBudget>) -> MemoryGrant {
     budget.admit().await.expect("room for a connection")
 }
@@ -171,9 +187,59 @@
     assert!(budget.admit().await.is_none());
 }
 
+/// Guards against large bodies beside a process that holds much for other reasons, and against ordinary
+/// requests that are refused with them.
+#[tokio::test]
+async fn process_that_has_allocated_much_takes_ordinary_requests_only() {
+    let (budget, _clock) = budget_beside(LIMIT);
+    let (small, large) = (admit(&budget).await, admit(&budget).await);
+
+    assert!(send_body(&small, 10_000));
+    let _served = small.finish_body().expect("the body is whole");
+
+    assert!(!send_body(&large, BODY_BYTES));
+}
+
+/// Guards against a long event that is held back while no memory is left for it.
+#[tokio::test]
+async fn incomplete_event_is_passed_on_when_the_process_has_allocated_much() {
+    let (calm, _clock) = budget_beside(0);
+    let (short, _clock) = budget_beside(LIMIT);
+    let others = [admit(&calm).await, admit(&short).await];
+    assert!(others.iter().all(|grant| send_body(grant, 10_000)));
+    let served = others.each_ref().map(MemoryGrant::finish_body);
+    let (in_calm, in_shortage) = (admit(&calm).await, admit(&short).await);
+
+    assert!(!in_calm.set_event(BODY_BYTES));
+    assert!(!in_shortage.set_event(10_000));
+    assert!(in_shortage.set_event(BODY_BYTES));
+
+    drop((in_calm, in_shortage, others, served));
+    assert_eq!((calm.used_bytes(), short.used_bytes()), (0, 0));
+}
+
+/// Guards against callers that are closed one after the other while the memory of the first is returned.
+#[tokio::test]
+async fn one_unread_answer_is_closed_for_a_small_request() {
+    let (budget, clock) = budget(10);
+    let unread = [admit(&budget).await, admit(&budget).await];
+    for grant in &unread {
+        grant.begin_request();
+        grant.add_answer(LIMIT / 2);
+        grant.record_blocked();
+    }
+    clock.advance(STALL_TIME);
+    let new = admit(&budget).await;
+
+    assert!(send_body(&new, 10_000));
+
+    let closed = unread.iter().filter(|grant| grant.is_closed());
+    assert_eq!(closed.count(), 1);
+}
+
 /// One step of a connection; the first number chooses it.
 fn steps() -> impl Strategy<Value = Vec<(usize, u8, usize)>> {
-    prop::collection::vec((0..6_usize, 0..11_u8, 1..90_000_usize), 1..200)
+    prop::collection::vec((0..6_usize, 0..12_u8, 1..90_000_usize), 1..200)
 }
 
 proptest! {
@@ -198,6 +264,7 @@
                     2..=4 => drop(grant.append_body(&vec![0; size], BODY_BYTES)),
                     5 => bodies.extend(grant.finish_body()),
                     6 => grant.discard_body(),
+                    11 => drop(grant.set_event(size / 10)),
                     7 => {
                         grant.add_answer(size / 10);
                         answers += size / 10;
