Bound the bytes of log lines and of those that wait to be written

Callers with ids of 15,000 bytes took a process whose output nobody reads to 59,692 and 58,680 kB on a machine of 49,152 kB. Cause: ids of attempts and names of models stand in the log in full, a byte that is no text takes three, and the queue of the log is bounded by lines (4,096), not by bytes; the limits of lines (400 at once and 50 a second of one kind) let 45 KB each pass.

Change: a value of a line is cut after 1,024 bytes, and the queue holds at most 2 MiB.

--- a/src/telemetry/json_logger.rs
+++ b/src/telemetry/json_logger.rs
@@ -6,7 +6,7 @@
 use serde_json::{Map, Value};
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
-use super::log_event::{EVENT_TARGET, render};
+use super::log_event::{EVENT_TARGET, render, to_text};
 use super::log_rate_limiter::LogRateLimiter;
 use super::{LogDrain, LogEvent, LogName, QueuedOutput};
 use crate::error::{Error, ErrorKind};
@@ -93,7 +93,7 @@
             "target".to_owned(),
             Value::String(record.target().to_owned()),
         )]);
-        let text = record.args().to_string();
+        let text = to_text(record.args());
         let line = render(record.level().as_str(), LogName::Library, &text, &fields);
         self.writer.log(
             &Record::builder()
--- a/src/telemetry/log_event.rs
+++ b/src/telemetry/log_event.rs
@@ -39,10 +39,10 @@
         }
     }
 
-    /// Adds a field whose value is written as a JSON string.
+    /// Adds a field whose value is written as a JSON string, of which at most 1,024 bytes are kept.
     pub fn with(mut self, key: &str, value: impl Display) -> Self {
         if let Some(fields) = &mut self.fields {
-            fields.insert(key.to_owned(), Value::String(value.to_string()));
+            fields.insert(key.to_owned(), Value::String(to_text(&value)));
         }
         self
     }
@@ -71,6 +71,20 @@
     }
 }
 
+/// Maximum number of bytes of a value. Callers choose some of them, such as the ids of their attempts.
+const MAX_VALUE_BYTES: usize = 1024;
+
+/// Formats a value and cuts it off at [`MAX_VALUE_BYTES`].
+pub(super) fn to_text(value: &impl Display) -> String {
+    let mut text = value.to_string();
+    if text.len() > MAX_VALUE_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_VALUE_BYTES));
+        text.push('…');
+        text.shrink_to_fit();
+    }
+    text
+}
+
 /// Renders one JSON object; the fixed fields come first and cannot be overridden.
 pub(super) fn render(
     level: &str,
--- a/src/telemetry/queued_output.rs
+++ b/src/telemetry/queued_output.rs
@@ -1,6 +1,6 @@
 use std::io::{self, Write};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -32,11 +32,16 @@
     queued: AtomicU64,
     written: AtomicU64,
     dropped: AtomicU64,
+    /// The length of the queued lines in bytes.
+    bytes: AtomicUsize,
 }
 
 /// Maximum number of queued lines; at 300 bytes per line they take about a megabyte.
 const QUEUE_CAPACITY: usize = 4096;
 
+/// Maximum number of bytes of the queued lines, since callers choose the length of some.
+const QUEUE_BYTES: usize = 2 * 1024 * 1024;
+
 /// Interval at which suppressed and dropped lines are reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -67,13 +72,26 @@
     }
 }
 
+impl QueuedOutput {
+    /// Queues a line and returns whether there was room for it.
+    fn queue(&self, line: Vec<u8>) -> bool {
+        let length = line.len();
+        let before = self.counts.bytes.fetch_add(length, Ordering::AcqRel);
+        let is_queued = before + length <= QUEUE_BYTES && self.lines.try_send(line).is_ok();
+        if !is_queued {
+            self.counts.bytes.fetch_sub(length, Ordering::AcqRel);
+        }
+        is_queued
+    }
+}
+
 impl Write for QueuedOutput {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         self.partial.extend_from_slice(buf);
         while let Some(end) = self.partial.iter().position(|byte| *byte == b'\n') {
             let rest = self.partial.split_off(end + 1);
             let line = std::mem::replace(&mut self.partial, rest);
-            if self.lines.try_send(line).is_ok() {
+            if self.queue(line) {
                 self.counts.queued.fetch_add(1, Ordering::AcqRel);
             } else {
                 self.counts.dropped.fetch_add(1, Ordering::AcqRel);
@@ -110,6 +128,7 @@
             Ok(line) => {
                 // A failed write to the log cannot be reported anywhere else.
                 let _written = output.write_all(&line).and_then(|()| output.flush());
+                counts.bytes.fetch_sub(line.len(), Ordering::AcqRel);
                 counts.written.fetch_add(1, Ordering::AcqRel);
             }
             Err(RecvTimeoutError::Timeout) => {}
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -261,3 +261,17 @@
         prop_assert!(bound >= exact && bound <= exact * 2 + 1, "{bound} for {exact}");
     }
 }
+
+/// Guards against lines whose length callers choose, by the id of an attempt or the name of a model.
+#[test]
+fn long_values_are_cut_at_a_character() {
+    install_logger();
+    let event = LogEvent::new(LogName::RequestRefused).with("attempt", "é".repeat(20_000));
+
+    let line = event.to_line().expect("the level is enabled");
+
+    assert!(line.len() < 2000, "{} bytes", line.len());
+    let fields: Value = serde_json::from_str(&line).expect("the line is JSON");
+    let attempt = fields["attempt"].as_str().expect("a text");
+    assert!(attempt.starts_with("éé") && attempt.ends_with("é…"));
+}
