Let requests that are sent ahead take half of an upstream's places at most

Callers that send 200 requests at once and read nothing kept all connections of a process and the places of a service: of 24 ordinary requests beside three waves of 70 such callers, 7 and 14 were answered, the others were closed unread (debug build, limits of the crowd tests, an answer each 30 ms; a measurement, not a test).

Cause: each of these connections always has a request that is being served, so that it is never closed for a new caller, and a caller that waits for its answers competes with hundreds that don't. Whether answers are read doesn't show it: small ones fit into the kernel's buffers.

Change: a request whose head arrived before the answer to the one before it takes a place only while less than half of the instance's connections to the upstream are in use. Otherwise it gets 503 with Retry-After, it has not run, and the connection is closed with the requests behind it. Callers that wait for their answers never meet this.

--- a/src/forward/caller_body.rs
+++ b/src/forward/caller_body.rs
@@ -14,6 +14,8 @@
 pub struct CallerBody {
     incoming: Incoming,
     grant: Arc<MemoryGrant>,
+    /// Whether the request was sent before the answer to the one before it on its connection.
+    pub(super) is_sent_ahead: bool,
 }
 
 /// Returns the memory of an unfinished body on every path on which it isn't completed.
@@ -28,8 +30,16 @@
 }
 
 impl CallerBody {
-    pub(super) const fn new(incoming: Incoming, grant: Arc<MemoryGrant>) -> Self {
-        Self { incoming, grant }
+    pub(super) const fn new(
+        incoming: Incoming,
+        grant: Arc<MemoryGrant>,
+        is_sent_ahead: bool,
+    ) -> Self {
+        Self {
+            incoming,
+            grant,
+            is_sent_ahead,
+        }
     }
 
     /// Reads a body of at most `limit` bytes, or refuses the request, which certainly has not run.
--- a/src/forward/forward_run.rs
+++ b/src/forward/forward_run.rs
@@ -36,6 +36,8 @@
     pub(super) prompt: Arc<PromptParts>,
     /// Whether the request may be sent once although it or a part of its prompt is refused.
     pub(super) is_trial: bool,
+    /// Whether the request was sent before the answer to the one before it on its connection.
+    pub(super) is_sent_ahead: bool,
     pub(super) deadline: Instant,
     pub(super) arrived: Instant,
     /// Upstreams at which an attempt was made, in order.
--- a/src/forward/forward_server.rs
+++ b/src/forward/forward_server.rs
@@ -144,9 +144,10 @@
     let stream = HeadTimeoutStream::new(stream, Arc::clone(&phase), head_timeout);
     let body_grant = Arc::clone(&grant);
     let service = service_fn(move |request: Request<Incoming>| {
-        let token = phase.begin_request();
+        let (token, is_sent_ahead) = phase.begin_request();
         let runner = Arc::clone(&runner);
-        let request = request.map(|body| CallerBody::new(body, Arc::clone(&body_grant)));
+        let request =
+            request.map(|body| CallerBody::new(body, Arc::clone(&body_grant), is_sent_ahead));
         async move {
             let version = request.version();
             let response = runner.run(request).await;
--- a/src/forward/head_timeout_stream.rs
+++ b/src/forward/head_timeout_stream.rs
@@ -48,13 +48,15 @@
         })
     }
 
-    /// Marks the head as complete and the request as in progress.
-    pub(super) fn begin_request(self: &Arc<Self>) -> RequestToken {
+    /// Marks the head as complete and the request as in progress. Also returns whether the request was
+    /// sent before the answer to the one before it.
+    pub(super) fn begin_request(self: &Arc<Self>) -> (RequestToken, bool) {
         self.is_head.store(false, Ordering::Release);
-        self.grant.begin_request();
-        RequestToken {
+        let is_sent_ahead = self.grant.begin_request();
+        let token = RequestToken {
             phase: Arc::clone(self),
-        }
+        };
+        (token, is_sent_ahead)
     }
 }
 
--- a/src/forward/request_runner.rs
+++ b/src/forward/request_runner.rs
@@ -152,6 +152,7 @@
         let allowance = self.admit_allowance(entry, parsed.token_counts())?;
         let limit = routes.limits().body_bytes;
         let stated = stated_length(&head.headers);
+        let is_sent_ahead = body.is_sent_ahead;
         let body = body.read(stated, limit, deadline).await?;
         let service = route
             .select_service(rand::random())
@@ -171,6 +172,7 @@
             parts,
             prompt: Arc::new(prompt),
             is_trial: false,
+            is_sent_ahead,
             deadline,
             arrived,
             tried: Vec::new(),
@@ -238,6 +240,9 @@
                 Ok(chosen) => chosen,
                 Err(response) => return self.refuse(&run, response.after_run(may_have_run)),
             };
+            if !may_have_run && let Some(refusal) = self.place_refusal(&run, &chosen) {
+                return self.refuse(&run, refusal);
+            }
             let failure = match self.attempt(&mut run, &chosen, None).await {
                 Ok(response) => {
                     let Some(accepted) = self.accept_response(&mut run, &chosen, response) else {
--- a/src/forward/runner_attempts.rs
+++ b/src/forward/runner_attempts.rs
@@ -7,14 +7,14 @@
 use tokio::time::{Instant, timeout};
 
 use super::forward_run::{ChosenUpstream, ForwardRun, log_refusal};
-use super::local_response::{LocalResponse, PART_REFUSAL};
+use super::local_response::{LocalResponse, PART_REFUSAL, RETRY_AFTER_LOAD, unavailable};
 use super::request_runner::lock;
 use super::upstream_attempt::{AttemptHooks, AttemptPlan, send_attempt};
 use super::{
     AttemptFailure, RelayBody, ReplyBody, RequestRunner, RouteKind, StreamHooks, UpstreamEntry,
     UpstreamResponse,
 };
-use crate::policy::RetryBudget;
+use crate::policy::{RetryBudget, may_take_place};
 use crate::telemetry::{LogEvent, LogName, MetricName};
 
 /// Pause before the next attempt after an upstream refused a request without running it, for
@@ -70,14 +70,12 @@
             .model
             .as_ref()
             .map_or(0, |model| self.expected_version(&chosen.entry.id, model));
-        let instances = self.tracker.live_instance_count(self.clock.now());
-        let limit = usize::try_from(run.service.max_connections).unwrap_or(usize::MAX);
         let plan = AttemptPlan {
             entry: Arc::clone(&chosen.entry),
             version,
             head_deadline: run.deadline,
             deadline: run.deadline,
-            max_connections: (limit / instances).max(4),
+            max_connections: self.connection_limit(run),
             is_repeat,
             last_event,
         };
@@ -104,6 +102,25 @@
         outcome
     }
 
+    /// Returns the number of connections that this instance may open to each upstream of the service.
+    fn connection_limit(&self, run: &ForwardRun) -> usize {
+        let instances = self.tracker.live_instance_count(self.clock.now());
+        let limit = usize::try_from(run.service.max_connections).unwrap_or(usize::MAX);
+        (limit / instances).max(4)
+    }
+
+    /// Returns the refusal of a request that was sent ahead of its turn while places are short. The end of
+    /// its connection refuses the requests behind it as well.
+    pub(super) fn place_refusal(
+        &self,
+        run: &ForwardRun,
+        chosen: &ChosenUpstream,
+    ) -> Option<LocalResponse> {
+        let in_use = self.pool.in_use(&chosen.entry.id);
+        let may_take = may_take_place(in_use, self.connection_limit(run), run.is_sent_ahead);
+        (!may_take).then(|| unavailable("sent before an answer", RETRY_AFTER_LOAD).closing())
+    }
+
     /// Sends an attempt and waits for the head of the response; `can_repeat` states that the request
     /// may be sent to another upstream instead if the head is late.
     async fn send(
--- a/src/forward/upstream_pool.rs
+++ b/src/forward/upstream_pool.rs
@@ -127,6 +127,13 @@
         self.lock().retain(|_, pool| pool.open > 0);
     }
 
+    /// Returns the number of connections to an upstream that are in use.
+    pub(super) fn in_use(&self, upstream: &UpstreamId) -> usize {
+        let state = self.lock();
+        let pool = state.get(upstream);
+        pool.map_or(0, |pool| pool.open.saturating_sub(pool.idle.len()))
+    }
+
     /// Counts one more open connection unless `max_open` are in use; returns whether it did. At the
     /// limit, it closes an idle connection.
     fn count_open(&self, upstream: &UpstreamId, max_open: usize) -> bool {
--- a/src/memory/memory_grant.rs
+++ b/src/memory/memory_grant.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
@@ -53,12 +54,28 @@
     }
 
     /// Records that the head of a request is complete; its body follows.
-    pub fn begin_request(&self) {
+    ///
+    /// Returns whether the head was sent ahead: it had arrived before the answer to the request before it
+    /// was handed over.
+    #[must_use]
+    pub fn begin_request(&self) -> bool {
         let mut state = self.budget.lock();
+        let mut is_sent_ahead = false;
         self.update(&mut state, |held| {
             held.phase = HolderPhase::Arriving;
             held.has_request = true;
+            is_sent_ahead = held.head == 0;
         });
+        is_sent_ahead
+    }
+
+    /// Returns the time since bytes last passed in either direction.
+    #[must_use]
+    pub fn still_time(&self) -> Duration {
+        let now = self.budget.now();
+        let state = self.budget.lock();
+        let held = state.holders.get(&self.id);
+        held.map_or(Duration::ZERO, |held| now.saturating_sub(held.moved_at))
     }
 
     /// Charges bytes of a request's head, which has arrived in part.
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -7,6 +7,7 @@
 use comfreychute::memory::{AllocatedBytes, MemoryBudget, MemoryGrant, MemoryLimits};
 use comfreychute::policy::{
     HolderPhase, MemoryHolder, STALL_TIME, choose_connection_shed, choose_memory_shed,
+    may_take_place,
 };
 use comfreychute::telemetry::MetricSink;
 use comfreychute::time::ClockSource;
@@ -58,7 +59,7 @@
 }
 
 fn send_body(grant: &MemoryGrant, bytes: usize) -> bool {
-    grant.begin_request();
+    let _is_ahead = grant.begin_request();
     let part = vec![b'x'; 10_000];
     (0..bytes / part.len()).all(|_| grant.append_body(&part, BODY_BYTES).is_ok())
 }
@@ -137,7 +138,7 @@
     let grant = admit(&budget).await;
     let part = vec![b'x'; 2 * LIMIT];
 
-    grant.begin_request();
+    let _is_ahead = grant.begin_request();
     grant.append_body(&part, part.len()).expect("room for it");
     let body = grant.finish_body().expect("the body is whole");
 
@@ -224,7 +225,7 @@
     let (budget, clock) = budget(10);
     let unread = [admit(&budget).await, admit(&budget).await];
     for grant in &unread {
-        grant.begin_request();
+        let _is_ahead = grant.begin_request();
         grant.add_answer(LIMIT / 2);
         grant.record_blocked();
     }
@@ -237,6 +238,33 @@
     assert_eq!(closed.count(), 1);
 }
 
+/// Guards against callers that wait for their answers and are taken for ones that don't.
+#[tokio::test]
+async fn request_is_sent_ahead_if_its_head_arrives_before_the_answer() {
+    let (budget, _clock) = budget(10);
+    let grant = admit(&budget).await;
+
+    grant.add_head(100).expect("room for it");
+    let first = grant.begin_request();
+    grant.end_request();
+    let ahead = grant.begin_request();
+    grant.end_request();
+    grant.add_head(100).expect("room for it");
+    let in_turn = grant.begin_request();
+
+    assert_eq!((first, ahead, in_turn), (false, true, false));
+}
+
+/// Guards against callers that send many requests at once and take all places from those that wait.
+#[test]
+fn requests_sent_ahead_leave_half_of_the_places() {
+    let ahead: Vec<bool> = (0..4).map(|used| may_take_place(used, 4, true)).collect();
+    let in_turn: Vec<bool> = (0..4).map(|used| may_take_place(used, 4, false)).collect();
+
+    assert_eq!(ahead, [true, true, false, false]);
+    assert_eq!(in_turn, [true; 4]);
+}
+
 /// One step of a connection; the first number chooses it.
 fn steps() -> impl Strategy<Value = Vec<(usize, u8, usize)>> {
     prop::collection::vec((0..6_usize, 0..12_u8, 1..90_000_usize), 1..200)
@@ -253,14 +281,15 @@
             let mut grants: [Option<MemoryGrant>; 6] = Default::default();
             let mut bodies: Vec<Bytes> = Vec::new();
             let mut answers = 0;
+            let mut has_head = [false; 6];
             for (index, action, size) in steps {
                 let Some(grant) = &grants[index] else {
                     grants[index] = Some(admit(&budget).await);
                     continue;
                 };
                 match action {
-                    0 => drop(grant.add_head(size / 10)),
-                    1 => grant.begin_request(),
+                    0 => has_head[index] |= grant.add_head((size / 10).max(1)).is_ok(),
+                    1 => assert!(!grant.begin_request() || !has_head[index]),
                     2..=4 => drop(grant.append_body(&vec![0; size], BODY_BYTES)),
                     5 => bodies.extend(grant.finish_body()),
                     6 => grant.discard_body(),
@@ -274,8 +303,14 @@
                         grant.record_blocked();
                         clock.advance(STALL_TIME / 2);
                     }
-                    _ if size % 3 == 0 => grants[index] = None,
-                    _ if size % 3 == 1 => grant.end_request(),
+                    _ if size % 3 == 0 => {
+                        grants[index] = None;
+                        has_head[index] = false;
+                    }
+                    _ if size % 3 == 1 => {
+                        grant.end_request();
+                        has_head[index] = false;
+                    }
                     _ => bodies.clear(),
                 }
                 // A single connection may exceed the limit.
