Answer bodies that the process read too slowly with 503

Change: a body that is late gets 408 only if nothing has arrived for a second or for half of the time that it had. Otherwise it gets 503 with Retry-After, and the connection is closed, since its rest is not read. Both promise that the request has not run, which is certain, as only complete bodies are forwarded.

The decision has a test without a network.

--- a/src/forward/caller_body.rs
+++ b/src/forward/caller_body.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -8,6 +9,7 @@
 
 use super::local_response::{LocalResponse, RETRY_AFTER_LOAD, reject, unavailable};
 use crate::memory::{MemoryGrant, ShedError};
+use crate::policy::has_stopped_sending;
 
 /// The body of a caller's request, whose memory is charged to the connection as it arrives.
 #[derive(Debug)]
@@ -67,12 +69,9 @@
                 body = self.read_frames(most, limit) => body,
             }
         };
-        timeout_at(deadline, reading).await.unwrap_or_else(|_| {
-            Err(reject(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive",
-            ))
-        })
+        let began_at = Instant::now();
+        let read = timeout_at(deadline, reading).await;
+        read.unwrap_or_else(|_| Err(late_response(grant.still_time(), began_at.elapsed())))
     }
 
     async fn read_frames(&mut self, most: usize, limit: usize) -> Result<Bytes, LocalResponse> {
@@ -93,6 +92,14 @@
     }
 }
 
+fn late_response(still: Duration, allowed: Duration) -> LocalResponse {
+    if has_stopped_sending(still, allowed) {
+        reject(StatusCode::REQUEST_TIMEOUT, "the body did not arrive")
+    } else {
+        unavailable("the body was not read in time", RETRY_AFTER_LOAD).closing()
+    }
+}
+
 const fn too_long() -> LocalResponse {
     reject(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
 }
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -7,7 +7,7 @@
 use comfreychute::memory::{AllocatedBytes, MemoryBudget, MemoryGrant, MemoryLimits};
 use comfreychute::policy::{
     HolderPhase, MemoryHolder, STALL_TIME, choose_connection_shed, choose_memory_shed,
-    may_take_place,
+    has_stopped_sending, may_take_place,
 };
 use comfreychute::telemetry::MetricSink;
 use comfreychute::time::ClockSource;
@@ -265,6 +265,17 @@
     assert_eq!(in_turn, [true; 4]);
 }
 
+/// Guards against 408 for callers whose bytes the process has read too slowly.
+#[test]
+fn body_that_is_late_is_the_fault_of_a_caller_that_sends_nothing() {
+    let millis = Duration::from_millis;
+
+    assert!(has_stopped_sending(STALL_TIME, millis(6000)));
+    assert!(has_stopped_sending(millis(200), millis(300)));
+    assert!(!has_stopped_sending(millis(100), millis(300)));
+    assert!(!has_stopped_sending(millis(400), millis(6000)));
+}
+
 /// One step of a connection; the first number chooses it.
 fn steps() -> impl Strategy<Value = Vec<(usize, u8, usize)>> {
     prop::collection::vec((0..6_usize, 0..12_u8, 1..90_000_usize), 1..200)
