--- a/src/forward/stream_splitter.rs
+++ b/src/forward/stream_splitter.rs
@@ -13,6 +13,9 @@
     has_open_event: bool,
 }
 
+/// Largest usual capacity of the buffer: an event of the maximum length and one read more.
+const MAX_BUFFER: usize = StreamSplitter::MAX_EVENT + 64 * 1024;
+
 impl StreamSplitter {
     /// Maximum number of bytes of an incomplete event that are buffered; a longer event is passed
     /// on in pieces.
@@ -31,18 +34,18 @@
     pub fn push(&mut self, bytes: Bytes) -> Bytes {
         if self.partial.is_empty() {
             let Some(end) = last_event_end(&bytes) else {
-                self.partial.extend_from_slice(&bytes);
+                self.hold_back(&bytes);
                 return self.overflow();
             };
             let mut bytes = bytes;
             let complete = bytes.split_to(end);
-            self.partial.extend_from_slice(&bytes);
+            self.hold_back(&bytes);
             self.record_complete(&complete);
             return complete;
         }
         // The buffer contains no end of an event, but may end with the start of one.
         let searched = self.partial.len().saturating_sub(3);
-        self.partial.extend_from_slice(&bytes);
+        self.hold_back(&bytes);
         match last_event_end(&self.partial[searched..]) {
             None => self.overflow(),
             Some(end) => {
@@ -98,6 +101,17 @@
         self.has_split_event
     }
 
+    /// Appends bytes to the buffer, whose last growth is to its maximum, as doubling would exceed it.
+    fn hold_back(&mut self, bytes: &[u8]) {
+        let needed = self.partial.len() + bytes.len();
+        if needed > self.partial.capacity() && needed > Self::MAX_EVENT / 2 {
+            let mut grown = BytesMut::with_capacity(needed.max(MAX_BUFFER));
+            grown.extend_from_slice(&self.partial);
+            self.partial = grown;
+        }
+        self.partial.extend_from_slice(bytes);
+    }
+
     fn overflow(&mut self) -> Bytes {
         if self.partial.len() <= Self::MAX_EVENT {
             return Bytes::new();
@@ -106,7 +120,7 @@
     }
 
     /// Takes the buffered bytes of an incomplete event, which is passed on in pieces from now on, and frees
-    /// the buffer, which may be twice as large.
+    /// the buffer.
     pub fn release_event(&mut self) -> Bytes {
         self.has_split_event = true;
         self.has_open_event = true;
